--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Part of dragonflyshed.
+
+fn main() {}
--- /dev/null
+++ b/crates/ids/src/lib.rs
@@ -0,0 +1,24 @@
+//! Identifiers, sizes and units shared by all crates.
+
+mod id;
+mod number;
+mod unit;
+
+pub use id::AgentId;
+pub use id::ChangeId;
+pub use id::EntryId;
+pub use id::FailureDomain;
+pub use id::GroupId;
+pub use id::IdError;
+pub use id::RequestKey;
+pub use id::ServiceName;
+pub use id::SubmissionId;
+pub use id::TargetId;
+pub use number::Attempt;
+pub use number::ConfigVersion;
+pub use number::Incarnation;
+pub use number::SessionNumber;
+pub use number::Slots;
+pub use number::TaskIndex;
+pub use unit::Millis;
+pub use unit::Moment;
--- /dev/null
+++ b/crates/ids/src/unit.rs
@@ -0,0 +1,143 @@
+//! Spans and points of time as the decision code sees them.
+
+use std::ops::Add;
+use std::ops::Sub;
+use std::time::Duration;
+
+use derive_more::Add as DeriveAdd;
+use derive_more::Display;
+use derive_more::From;
+use derive_more::FromStr;
+use derive_more::Into;
+use derive_more::Sum;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A span of time in milliseconds.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    FromStr,
+    From,
+    Into,
+    DeriveAdd,
+    Sum,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0} ms")]
+#[serde(transparent)]
+pub struct Millis(u64);
+
+impl Millis {
+    /// Wraps a number of milliseconds.
+    #[must_use]
+    pub const fn new(ms: u64) -> Self {
+        Self(ms)
+    }
+
+    /// The number of milliseconds.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
+    /// This span less another, or zero.
+    #[must_use]
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl From<Millis> for Duration {
+    fn from(span: Millis) -> Self {
+        Self::from_millis(span.0)
+    }
+}
+
+/// A point of one process's monotonic clock, in microseconds since it started.
+///
+/// Never sent to another process, except to be returned unchanged.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0} µs")]
+#[serde(transparent)]
+pub struct Moment(u64);
+
+const MICROS_PER_MILLI: u64 = 1_000;
+
+impl Moment {
+    /// A point `us` microseconds after the start of the clock.
+    #[must_use]
+    pub const fn from_micros(us: u64) -> Self {
+        Self(us)
+    }
+
+    /// A point `ms` milliseconds after the start of the clock.
+    #[must_use]
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(ms * MICROS_PER_MILLI)
+    }
+
+    /// Microseconds since the start of the clock.
+    #[must_use]
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Whole milliseconds from `earlier` to this point, or zero.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0) / MICROS_PER_MILLI)
+    }
+
+    /// Microseconds from `earlier` to this point, or zero.
+    #[must_use]
+    pub const fn micros_since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl Add<Millis> for Moment {
+    type Output = Self;
+
+    fn add(self, span: Millis) -> Self {
+        Self(
+            self.0
+                .saturating_add(span.0.saturating_mul(MICROS_PER_MILLI)),
+        )
+    }
+}
+
+impl Sub<Millis> for Moment {
+    type Output = Self;
+
+    fn sub(self, span: Millis) -> Self {
+        Self(
+            self.0
+                .saturating_sub(span.0.saturating_mul(MICROS_PER_MILLI)),
+        )
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Part of dragonflyshed: standin.
--- /dev/null
+++ b/crates/wire/src/session/mod.rs
@@ -0,0 +1,43 @@
+//! Messages of a session between an entry and an agent.
+//!
+//! The agent subscribes with [`Attach`]; the entry sends [`ToAgent`] notifications, numbered without
+//! gaps from zero; the agent calls with [`Report`], whose reply [`Ack`] acknowledges it.
+
+mod attach;
+mod placement;
+mod report;
+mod result;
+
+pub use attach::Attach;
+pub use attach::EntryItem;
+pub use attach::Open;
+pub use attach::ToAgent;
+pub use placement::PlacedTask;
+pub use placement::Placement;
+pub use placement::TaskRef;
+pub use report::Ack;
+pub use report::AgentItem;
+pub use report::Held;
+pub use report::LoadHint;
+pub use report::NotRun;
+pub use report::NotRunReason;
+pub use report::Report;
+pub use report::ReportError;
+pub use report::TargetState;
+pub use result::TaskOutcome;
+pub use result::TaskResult;
+
+/// Name of the subscription that opens a session.
+pub const ATTACH_METHOD: &str = "attach";
+/// Name of the call that ends the subscription.
+pub const DETACH_METHOD: &str = "detach";
+/// Name of the notifications of a session.
+pub const SESSION_NOTIFICATION: &str = "session";
+/// Name of the call with a report.
+pub const REPORT_METHOD: &str = "report";
+/// JSON-RPC error code for a report of a session that is over.
+pub const SESSION_OVER_CODE: i32 = -32_001;
+/// JSON-RPC error code for a wrong session secret.
+pub const BAD_SECRET_CODE: i32 = -32_002;
+/// JSON-RPC error code for an entry that takes no further sessions.
+pub const FULL_CODE: i32 = -32_003;
--- /dev/null
+++ b/crates/wire/tests/messages.rs
@@ -0,0 +1,88 @@
+//! The hand-written visitors read what they write and refuse what they should.
+
+use std::sync::Arc;
+
+use dfs_ids::Attempt;
+use dfs_ids::Millis;
+use dfs_ids::TaskIndex;
+use dfs_wire::session::PlacedTask;
+use dfs_wire::session::Placement;
+use dfs_wire::session::TaskOutcome;
+use dfs_wire::session::TaskRef;
+use dfs_wire::session::TaskResult;
+use googletest::prelude::*;
+use serde_json::value::RawValue;
+
+fn raw(json: &str) -> Arc<RawValue> {
+    Arc::from(RawValue::from_string(json.to_owned()).unwrap())
+}
+
+fn placement() -> Placement {
+    let task = |n| PlacedTask {
+        task: TaskIndex::new(n),
+        attempt: Attempt::new(1),
+        body: raw(r#"{"a":1}"#),
+    };
+    Placement {
+        submission: "s-1".parse().unwrap(),
+        group: "aba".parse().unwrap(),
+        service: "member-desk".parse().unwrap(),
+        time_left_ms: Millis::new(900),
+        left: 2,
+        tasks: vec![task(0), task(7)],
+    }
+}
+
+#[googletest::test]
+fn a_placement_is_one_flat_array() {
+    let json = serde_json::to_string(&placement()).unwrap();
+    let expected = r#"["s-1","aba","member-desk",900,2,0,1,{"a":1},7,1,{"a":1}]"#;
+    expect_that!(json, eq(expected));
+    let back: Placement = serde_json::from_str(&json).unwrap();
+    expect_that!(serde_json::to_string(&back).unwrap(), eq(expected));
+}
+
+#[googletest::test]
+fn a_placement_without_tasks_is_refused() {
+    let fault = serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,2]"#);
+    expect_that!(fault.unwrap_err().to_string(), contains_substring("index"));
+}
+
+#[googletest::test]
+fn a_placement_cut_short_is_refused() {
+    let fault = serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,2,0,1]"#);
+    expect_that!(fault.unwrap_err().to_string(), contains_substring("body"));
+}
+
+#[googletest::test]
+fn results_keep_their_outcome() {
+    let task = TaskRef {
+        submission: "s-1".parse().unwrap(),
+        task: TaskIndex::new(3),
+        attempt: Attempt::new(0),
+    };
+    for outcome in [
+        TaskOutcome::Done(raw("[1,2]")),
+        TaskOutcome::Failed("500".to_owned()),
+        TaskOutcome::Unknown("reset".to_owned()),
+    ] {
+        let result = TaskResult {
+            task: task.clone(),
+            wait_us: 5,
+            run_us: 60_000,
+            outcome,
+        };
+        let json = serde_json::to_string(&result).unwrap();
+        let back: TaskResult = serde_json::from_str(&json).unwrap();
+        expect_that!(serde_json::to_string(&back).unwrap(), eq(&json));
+    }
+}
+
+#[googletest::test]
+fn an_unknown_result_kind_is_refused() {
+    let fault = serde_json::from_str::<TaskResult>(r#"["s-1",3,0,5,60,9,"x"]"#);
+    expect_that!(
+        fault.unwrap_err().to_string(),
+        contains_substring("kind 0, 1 or 2")
+    );
+}
