--- /dev/null
+++ b/crates/policy/src/agent/event.rs
@@ -0,0 +1,143 @@
+//! Events and actions of an agent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dfs_conf::Config;
+use dfs_ids::ConfigVersion;
+use dfs_ids::GroupId;
+use dfs_ids::Incarnation;
+use dfs_ids::ServiceName;
+use dfs_wire::session::Ack;
+use dfs_wire::session::Open;
+use dfs_wire::session::Report;
+use dfs_wire::session::TaskOutcome;
+use dfs_wire::session::TaskRef;
+use dfs_wire::session::ToAgent;
+use dfs_wire::target::Announcement;
+use serde_json::value::RawValue;
+
+use crate::ConnectionId;
+
+/// What happens to an agent.
+#[derive(Debug, Clone)]
+pub enum AgentEvent {
+    /// An entry sent a message.
+    Message {
+        /// Where it came from.
+        connection: ConnectionId,
+        /// The message.
+        message: ToAgent,
+    },
+    /// An entry acknowledged a report.
+    Acked {
+        /// Where the report went.
+        connection: ConnectionId,
+        /// The report.
+        seq: u64,
+        /// The reply.
+        ack: Ack,
+    },
+    /// A connection broke, lagged or was refused.
+    ConnectionLost {
+        /// The connection.
+        connection: ConnectionId,
+    },
+    /// The target announced itself or sent a heartbeat.
+    Announced(Announcement),
+    /// The target said goodbye.
+    Goodbye,
+    /// A task that was started has ended, or could not be started.
+    Ended {
+        /// The task.
+        task: TaskRef,
+        /// Time since the start, in microseconds.
+        run_us: u64,
+        /// How it ended.
+        end: RunEnd,
+    },
+    /// A higher version of the configuration was adopted.
+    Configured(Arc<Config>),
+    /// The configuration that an entry asked for.
+    ConfigBody {
+        /// The entry's connection.
+        connection: ConnectionId,
+        /// The whole configuration.
+        body: Box<RawValue>,
+    },
+    /// A planned stop begins.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// How an attempt to run a task ended.
+#[derive(Debug, Clone)]
+pub enum RunEnd {
+    /// The connection was refused before the first byte was sent.
+    Refused,
+    /// The task started.
+    Started(TaskOutcome),
+}
+
+/// What an agent does.
+#[derive(Debug, Clone)]
+pub enum AgentAction {
+    /// Calls an entry.
+    Report {
+        /// The connection.
+        connection: ConnectionId,
+        /// The report.
+        report: Report,
+    },
+    /// Closes a connection.
+    Close {
+        /// The connection.
+        connection: ConnectionId,
+    },
+    /// Starts a task on the target.
+    Start {
+        /// The task.
+        task: TaskRef,
+        /// The group that pays.
+        group: GroupId,
+        /// The service to call.
+        service: ServiceName,
+        /// The target's address.
+        address: SocketAddr,
+        /// The body.
+        body: Arc<RawValue>,
+    },
+    /// A session was opened.
+    Opened {
+        /// The connection.
+        connection: ConnectionId,
+        /// Its terms.
+        open: Open,
+    },
+    /// Entries that may be dialled.
+    Entries(Vec<SocketAddr>),
+    /// A configuration arrived, whole or as a difference.
+    ConfigReceived(Box<RawValue>),
+    /// An entry asks for the configuration that the agent holds.
+    ConfigWanted {
+        /// The entry's connection.
+        connection: ConnectionId,
+        /// Version that the agent holds.
+        version: ConfigVersion,
+    },
+    /// An entry is about to stop.
+    EntryClosing {
+        /// Its connection.
+        connection: ConnectionId,
+    },
+    /// The lease of an entry lapsed; its queued tasks were dropped.
+    EntryLapsed {
+        /// The entry's incarnation.
+        incarnation: Incarnation,
+        /// Tasks dropped before they started.
+        dropped: u32,
+    },
+    /// The planned stop is complete.
+    Stopped,
+}
--- /dev/null
+++ b/crates/policy/src/agent/lease.rs
@@ -0,0 +1,243 @@
+//! Sessions: opening, fencing, losing and lapsing.
+
+use dfs_ids::Incarnation;
+use dfs_ids::Moment;
+use dfs_ids::SessionNumber;
+use dfs_wire::session::Ack;
+use dfs_wire::session::EntryItem;
+use dfs_wire::session::Open;
+use dfs_wire::session::TaskRef;
+use dfs_wire::session::ToAgent;
+
+use super::Agent;
+use super::AgentAction;
+use super::record::Record;
+use super::record::Stage;
+use super::view::EntryView;
+use super::view::Phase;
+use crate::ConnectionId;
+
+impl Agent {
+    pub(super) fn on_message(
+        &mut self,
+        now: Moment,
+        connection: ConnectionId,
+        message: ToAgent,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let first = message.items.first();
+        if let (0, Some(EntryItem::Open(open))) = (message.seq, first) {
+            let open = open.clone();
+            self.on_open(now, connection, message.session, &open, out);
+        }
+        let Some(incarnation) = self.entry_of(connection) else {
+            out.push(AgentAction::Close { connection });
+            return;
+        };
+        let Some(view) = self.entries.get_mut(&incarnation) else {
+            return;
+        };
+        if message.session != view.session || message.seq < view.next_message {
+            return;
+        }
+        if message.seq > view.next_message {
+            self.on_lost(connection);
+            out.push(AgentAction::Close { connection });
+            return;
+        }
+        view.next_message += 1;
+        for item in message.items {
+            self.on_item(now, connection, incarnation, item, out);
+        }
+    }
+
+    fn on_item(
+        &mut self,
+        now: Moment,
+        connection: ConnectionId,
+        incarnation: Incarnation,
+        item: EntryItem,
+        out: &mut Vec<AgentAction>,
+    ) {
+        match item {
+            EntryItem::Open(_) => {}
+            EntryItem::Place(placement) => self.accept(now, incarnation, placement),
+            EntryItem::Withdraw(tasks) => self.withdraw(incarnation, &tasks),
+            EntryItem::Probe => {
+                if let Some(view) = self.entries.get_mut(&incarnation) {
+                    view.probed = true;
+                }
+            }
+            EntryItem::Config(body) => out.push(AgentAction::ConfigReceived(body)),
+            EntryItem::WantConfig => {
+                let wanted = |version| AgentAction::ConfigWanted {
+                    connection,
+                    version,
+                };
+                out.extend(self.version.map(wanted));
+            }
+            EntryItem::Entries(addresses) => out.push(AgentAction::Entries(addresses)),
+            EntryItem::Closing => out.push(AgentAction::EntryClosing { connection }),
+        }
+    }
+
+    fn on_open(
+        &mut self,
+        now: Moment,
+        connection: ConnectionId,
+        session: SessionNumber,
+        open: &Open,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let old = self.entries.get(&open.incarnation);
+        if old.is_some_and(|view| session <= view.session) {
+            return;
+        }
+        let mut view = EntryView::open(connection, session, open, now);
+        view.forgotten = old.map_or(open.resumed, |old| old.forgotten);
+        if let Some(fenced) = old
+            .and_then(|old| old.connection)
+            .filter(|old| *old != connection)
+        {
+            out.push(AgentAction::Close { connection: fenced });
+        }
+        self.entries.insert(open.incarnation, view);
+        self.mark_unsent(open.incarnation);
+        self.choose_config_source();
+        out.push(AgentAction::Opened {
+            connection,
+            open: open.clone(),
+        });
+    }
+
+    pub(super) fn on_ack(&mut self, connection: ConnectionId, seq: u64, ack: &Ack) {
+        let Some(incarnation) = self.entry_of(connection) else {
+            return;
+        };
+        let Some(view) = self.entries.get_mut(&incarnation) else {
+            return;
+        };
+        let Some(report) = view.in_flight.remove(&seq) else {
+            return;
+        };
+        view.leased_at = view.leased_at.max(report.sent_at);
+        if seq == 0 {
+            view.phase = Phase::Established;
+        }
+        for task in &report.results {
+            self.records.remove(task);
+        }
+        for task in &ack.drop {
+            self.drop_unwanted(incarnation, task);
+        }
+    }
+
+    pub(super) fn on_lost(&mut self, connection: ConnectionId) {
+        let Some(incarnation) = self.entry_of(connection) else {
+            return;
+        };
+        if let Some(view) = self.entries.get_mut(&incarnation) {
+            view.connection = None;
+            view.phase = Phase::Fencing;
+            view.in_flight.clear();
+            view.not_run.clear();
+        }
+        self.mark_unsent(incarnation);
+        self.choose_config_source();
+    }
+
+    /// Drops what waits for entries that are gone.
+    pub(super) fn expire_entries(&mut self, now: Moment) {
+        let keep_ms = self.keep_results_ms;
+        let gone = |view: &EntryView| view.connection.is_none() && view.has_lapsed(now);
+        let lapsed: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, view)| gone(view))
+            .map(|(key, _)| *key)
+            .collect();
+        for incarnation in lapsed {
+            self.drop_queued(incarnation);
+            let Some(view) = self.entries.get(&incarnation) else {
+                continue;
+            };
+            if now >= view.leased_at + view.lease_ms + keep_ms {
+                self.forget(incarnation);
+            }
+        }
+    }
+
+    fn drop_queued(&mut self, incarnation: Incarnation) {
+        let before = self.records.len();
+        self.records.retain(|_, record| {
+            record.entry != incarnation || !matches!(record.stage, Stage::Queued { .. })
+        });
+        let dropped = before - self.records.len();
+        self.queued -= u32::try_from(dropped).unwrap_or(u32::MAX);
+    }
+
+    /// Removes an entry incarnation and its results; if it comes back, its `resumed` flag tells
+    /// that this agent has forgotten tasks.
+    fn forget(&mut self, incarnation: Incarnation) {
+        self.records.retain(|_, record| {
+            record.entry != incarnation || matches!(record.stage, Stage::Running { .. })
+        });
+        self.entries.remove(&incarnation);
+    }
+
+    fn drop_unwanted(&mut self, incarnation: Incarnation, task: &TaskRef) {
+        let Some(record) = self.records.get_mut(task) else {
+            return;
+        };
+        if record.entry != incarnation {
+            return;
+        }
+        match record.stage {
+            Stage::Queued { .. } => {
+                self.records.remove(task);
+                self.queued -= 1;
+            }
+            Stage::Running { .. } => record.wanted = false,
+            Stage::Finished { .. } => {
+                self.records.remove(task);
+            }
+        }
+    }
+
+    /// Results that may not have arrived are sent again in the next session.
+    fn mark_unsent(&mut self, incarnation: Incarnation) {
+        let of_entry = |record: &&mut Record| record.entry == incarnation;
+        for record in self.records.values_mut().filter(of_entry) {
+            if let Stage::Finished { sent, .. } = &mut record.stage {
+                *sent = false;
+            }
+        }
+    }
+
+    /// One session at a time brings configurations, so that each change arrives once.
+    fn choose_config_source(&mut self) {
+        let connected = |view: &&mut EntryView| view.connection.is_some();
+        if self
+            .entries
+            .values()
+            .any(|view| view.is_config_source && view.connection.is_some())
+        {
+            return;
+        }
+        for view in self.entries.values_mut() {
+            view.is_config_source = false;
+        }
+        if let Some(view) = self.entries.values_mut().find(connected) {
+            view.is_config_source = true;
+            view.tell_version = true;
+        }
+    }
+
+    pub(super) fn entry_of(&self, connection: ConnectionId) -> Option<Incarnation> {
+        let found = self
+            .entries
+            .iter()
+            .find(|(_, view)| view.connection == Some(connection));
+        found.map(|(incarnation, _)| *incarnation)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/agent/mod.rs
@@ -0,0 +1,220 @@
+//! Decisions of an agent: what starts on its target, and what entries are told.
+
+mod event;
+mod lease;
+mod record;
+mod report;
+mod start;
+mod view;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dfs_conf::Config;
+use dfs_conf::PlacementRules;
+use dfs_ids::ConfigVersion;
+use dfs_ids::Incarnation;
+use dfs_ids::Millis;
+use dfs_ids::Moment;
+use dfs_wire::session::TargetState;
+use dfs_wire::session::TaskRef;
+use dfs_wire::target::Announcement;
+
+pub use event::AgentAction;
+pub use event::AgentEvent;
+pub use event::RunEnd;
+use record::Record;
+use view::EntryView;
+
+use crate::share::ShareLedger;
+
+/// The state of one agent.
+#[derive(Debug)]
+pub struct Agent {
+    /// Entries by incarnation; at most one view for each.
+    entries: BTreeMap<Incarnation, EntryView>,
+    /// Every task that was accepted and not acknowledged.
+    records: BTreeMap<TaskRef, Record>,
+    target: Option<LiveTarget>,
+    shares: ShareLedger,
+    rules: PlacementRules,
+    version: Option<ConfigVersion>,
+    keep_results_ms: Millis,
+    running: u32,
+    queued: u32,
+    stopping: bool,
+    stopped: bool,
+    was_full: bool,
+}
+
+/// A target within its lease.
+#[derive(Debug, Clone)]
+struct LiveTarget {
+    announcement: Announcement,
+    heard_at: Moment,
+}
+
+impl Agent {
+    /// An agent that knows no entry, no target and no configuration.
+    #[must_use]
+    pub fn new(keep_results_ms: Millis) -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            records: BTreeMap::new(),
+            target: None,
+            shares: ShareLedger::default(),
+            rules: PlacementRules::default(),
+            version: None,
+            keep_results_ms,
+            running: 0,
+            queued: 0,
+            stopping: false,
+            stopped: false,
+            was_full: false,
+        }
+    }
+
+    /// Takes one event; its consequences that may be batched are left to [`Agent::flush`].
+    pub fn handle(&mut self, now: Moment, event: AgentEvent) -> Vec<AgentAction> {
+        let mut out = Vec::new();
+        match event {
+            AgentEvent::Message {
+                connection,
+                message,
+            } => {
+                self.on_message(now, connection, message, &mut out);
+            }
+            AgentEvent::Acked {
+                connection,
+                seq,
+                ack,
+            } => self.on_ack(connection, seq, &ack),
+            AgentEvent::ConnectionLost { connection } => self.on_lost(connection),
+            AgentEvent::Announced(announcement) => self.on_announced(now, announcement),
+            AgentEvent::Goodbye => self.on_target_gone(),
+            AgentEvent::Ended { task, run_us, end } => self.on_ended(now, &task, run_us, end),
+            AgentEvent::Configured(config) => self.on_configured(&config),
+            AgentEvent::ConfigBody { connection, body } => self.on_config_body(connection, body),
+            AgentEvent::Stop => self.on_stop(),
+            AgentEvent::Tick => self.on_tick(now),
+        }
+        out
+    }
+
+    /// Starts what can start and sends what is due; called once after a batch of events.
+    pub fn flush(&mut self, now: Moment) -> Vec<AgentAction> {
+        let mut out = Vec::new();
+        self.start_ready(now, &mut out);
+        self.send_reports(now, &mut out);
+        if self.is_drained(now) && !self.stopped {
+            self.stopped = true;
+            out.push(AgentAction::Stopped);
+        }
+        out
+    }
+
+    /// Tasks running on the target.
+    #[must_use]
+    pub const fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Tasks accepted and not started.
+    #[must_use]
+    pub const fn queued(&self) -> u32 {
+        self.queued
+    }
+
+    fn on_configured(&mut self, config: &Arc<Config>) {
+        if self
+            .version
+            .is_some_and(|version| config.version <= version)
+        {
+            return;
+        }
+        self.version = Some(config.version);
+        self.rules = config.rules.placement.clone();
+        self.shares.set_shares(
+            config
+                .inventory
+                .groups
+                .iter()
+                .map(|g| (g.group.clone(), g.share)),
+        );
+        self.entries
+            .values_mut()
+            .for_each(|view| view.tell_version = true);
+    }
+
+    fn on_announced(&mut self, now: Moment, announcement: Announcement) {
+        let changed = self
+            .target
+            .as_ref()
+            .is_none_or(|old| old.announcement != announcement);
+        self.target = Some(LiveTarget {
+            announcement,
+            heard_at: now,
+        });
+        if changed {
+            self.tell_target();
+        }
+    }
+
+    fn on_target_gone(&mut self) {
+        if self.target.take().is_some() {
+            self.tell_target();
+            self.return_queued();
+        }
+    }
+
+    fn on_stop(&mut self) {
+        if self.stopping {
+            return;
+        }
+        self.stopping = true;
+        self.tell_target();
+        self.return_queued();
+    }
+
+    fn on_tick(&mut self, now: Moment) {
+        let lapsed = self
+            .target
+            .as_ref()
+            .is_some_and(|target| now.since(target.heard_at) >= target.announcement.lease_ms);
+        if lapsed {
+            self.on_target_gone();
+        }
+        self.expire_entries(now);
+    }
+
+    fn tell_target(&mut self) {
+        self.entries
+            .values_mut()
+            .for_each(|view| view.tell_target = true);
+    }
+
+    fn target_state(&self) -> TargetState {
+        match &self.target {
+            None => TargetState::Absent,
+            Some(_) if self.stopping => TargetState::Leaving,
+            Some(target) => TargetState::Live(target.announcement.offer.clone()),
+        }
+    }
+
+    fn slots(&self) -> u32 {
+        self.target.as_ref().map_or(0, |target| {
+            let offer = &target.announcement.offer;
+            offer.slots.get().min(offer.connections)
+        })
+    }
+
+    /// Whether nothing is left to run, and nothing to deliver to an entry within its lease.
+    fn is_drained(&self, now: Moment) -> bool {
+        let deliverable = |record: &Record| {
+            let view = self.entries.get(&record.entry);
+            view.is_some_and(|view| view.connection.is_some() || !view.has_lapsed(now))
+        };
+        let undelivered = self.running > 0 || self.records.values().any(deliverable);
+        self.stopping && !undelivered && !self.owes_report()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/agent/record.rs
@@ -0,0 +1,36 @@
+//! Tasks that an agent has accepted.
+
+use std::sync::Arc;
+
+use dfs_ids::GroupId;
+use dfs_ids::Incarnation;
+use dfs_ids::Moment;
+use dfs_ids::ServiceName;
+use dfs_wire::session::TaskResult;
+use serde_json::value::RawValue;
+
+use crate::order::Rank;
+
+/// One accepted task.
+#[derive(Debug)]
+pub(super) struct Record {
+    /// The entry incarnation that placed it.
+    pub entry: Incarnation,
+    pub group: GroupId,
+    pub service: ServiceName,
+    pub accepted_at: Moment,
+    /// Never started at or after this point.
+    pub start_by: Moment,
+    pub rank: Rank,
+    pub stage: Stage,
+    /// False once the entry has said that it needs no result.
+    pub wanted: bool,
+}
+
+/// Stage of an accepted task; it only ever moves down this list.
+#[derive(Debug)]
+pub(super) enum Stage {
+    Queued { body: Arc<RawValue> },
+    Running { started_at: Moment },
+    Finished { result: TaskResult, sent: bool },
+}
--- /dev/null
+++ b/crates/policy/src/agent/start.rs
@@ -0,0 +1,232 @@
+//! Accepting, withdrawing, starting and ending tasks.
+
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+
+use dfs_ids::GroupId;
+use dfs_ids::Incarnation;
+use dfs_ids::Moment;
+use dfs_wire::session::NotRun;
+use dfs_wire::session::NotRunReason;
+use dfs_wire::session::Placement;
+use dfs_wire::session::TaskRef;
+use dfs_wire::session::TaskResult;
+
+use super::Agent;
+use super::AgentAction;
+use super::RunEnd;
+use super::record::Record;
+use super::record::Stage;
+use crate::order::Rank;
+use crate::order::rank;
+
+/// Bound on the queue, far above the sum of all windows.
+const MAX_QUEUED_TASKS: u32 = 65_536;
+
+impl Agent {
+    pub(super) fn accept(&mut self, now: Moment, entry: Incarnation, placement: Placement) {
+        let refusal = self.refusal(&placement);
+        let rank = rank(&self.rules, now, placement.left);
+        for placed in placement.tasks {
+            let task = TaskRef {
+                submission: placement.submission.clone(),
+                task: placed.task,
+                attempt: placed.attempt,
+            };
+            if let Some(reason) = refusal {
+                self.tell_not_run(entry, task, reason);
+                continue;
+            }
+            let Entry::Vacant(slot) = self.records.entry(task) else {
+                continue;
+            };
+            slot.insert(Record {
+                entry,
+                group: placement.group.clone(),
+                service: placement.service.clone(),
+                accepted_at: now,
+                start_by: now + placement.time_left_ms,
+                rank,
+                stage: Stage::Queued { body: placed.body },
+                wanted: true,
+            });
+            self.queued += 1;
+        }
+        self.shares.activate(&placement.group);
+    }
+
+    fn refusal(&self, placement: &Placement) -> Option<NotRunReason> {
+        let Some(target) = &self.target else {
+            return Some(NotRunReason::Leaving);
+        };
+        if self.stopping {
+            return Some(NotRunReason::Leaving);
+        }
+        if !target
+            .announcement
+            .offer
+            .services
+            .contains(&placement.service)
+        {
+            return Some(NotRunReason::NotOffered);
+        }
+        (self.queued >= MAX_QUEUED_TASKS).then_some(NotRunReason::QueueFull)
+    }
+
+    pub(super) fn withdraw(&mut self, entry: Incarnation, tasks: &[TaskRef]) {
+        for task in tasks {
+            let queued = self
+                .records
+                .get(task)
+                .is_some_and(|r| r.entry == entry && matches!(r.stage, Stage::Queued { .. }));
+            if queued {
+                self.hand_back(task, NotRunReason::Withdrawn);
+            }
+        }
+    }
+
+    /// Hands every queued task back to its entry.
+    pub(super) fn return_queued(&mut self) {
+        for task in self.queued_tasks() {
+            self.hand_back(&task, NotRunReason::Leaving);
+        }
+    }
+
+    fn queued_tasks(&self) -> Vec<TaskRef> {
+        let queued =
+            |(_, record): &(&TaskRef, &Record)| matches!(record.stage, Stage::Queued { .. });
+        self.records
+            .iter()
+            .filter(queued)
+            .map(|(task, _)| task.clone())
+            .collect()
+    }
+
+    fn hand_back(&mut self, task: &TaskRef, reason: NotRunReason) {
+        let Some(record) = self.records.remove(task) else {
+            return;
+        };
+        self.queued -= 1;
+        self.tell_not_run(record.entry, task.clone(), reason);
+    }
+
+    /// A task that is missing from the next session's list is not run either, so that nothing is
+    /// kept for an entry without a session.
+    fn tell_not_run(&mut self, entry: Incarnation, task: TaskRef, reason: NotRunReason) {
+        if let Some(view) = self
+            .entries
+            .get_mut(&entry)
+            .filter(|v| v.connection.is_some())
+        {
+            view.not_run.push(NotRun { task, reason });
+        }
+    }
+
+    pub(super) fn start_ready(&mut self, now: Moment, out: &mut Vec<AgentAction>) {
+        self.expire_queued(now);
+        while self.running < self.slots() && self.queued > 0 {
+            let Some(task) = self.next_task(now) else {
+                return;
+            };
+            self.start(now, &task, out);
+        }
+    }
+
+    fn expire_queued(&mut self, now: Moment) {
+        if self.queued == 0 {
+            return;
+        }
+        let late = |task: &TaskRef| self.records.get(task).is_some_and(|r| now >= r.start_by);
+        let late: Vec<_> = self.queued_tasks().into_iter().filter(late).collect();
+        for task in late {
+            self.hand_back(&task, NotRunReason::Expired);
+        }
+    }
+
+    /// The next task: the group that used least of its share, then the lowest rank.
+    fn next_task(&self, now: Moment) -> Option<TaskRef> {
+        let mut first: BTreeMap<&GroupId, (Rank, &TaskRef)> = BTreeMap::new();
+        for (task, record) in &self.records {
+            let queued = matches!(record.stage, Stage::Queued { .. });
+            if !queued
+                || !self
+                    .entries
+                    .get(&record.entry)
+                    .is_some_and(|v| v.may_start(now))
+            {
+                continue;
+            }
+            let candidate = (record.rank, task);
+            first
+                .entry(&record.group)
+                .and_modify(|best| *best = (*best).min(candidate))
+                .or_insert(candidate);
+        }
+        let used = |group: &GroupId| self.shares.used_by(group);
+        let next = first
+            .into_iter()
+            .min_by(|(a, _), (b, _)| used(a).total_cmp(&used(b)));
+        next.map(|(_, (_, task))| task.clone())
+    }
+
+    fn start(&mut self, now: Moment, task: &TaskRef, out: &mut Vec<AgentAction>) {
+        let Some(target) = &self.target else { return };
+        let Some(record) = self.records.get_mut(task) else {
+            return;
+        };
+        let running = Stage::Running { started_at: now };
+        let Stage::Queued { body } = std::mem::replace(&mut record.stage, running) else {
+            return;
+        };
+        self.queued -= 1;
+        self.running += 1;
+        out.push(AgentAction::Start {
+            task: task.clone(),
+            group: record.group.clone(),
+            service: record.service.clone(),
+            address: target.announcement.address,
+            body,
+        });
+    }
+
+    pub(super) fn on_ended(&mut self, now: Moment, task: &TaskRef, run_us: u64, end: RunEnd) {
+        let Some(record) = self.records.get_mut(task) else {
+            return;
+        };
+        let Stage::Running { started_at } = record.stage else {
+            return;
+        };
+        self.running -= 1;
+        let group = record.group.clone();
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "run times stay far below 2^52 µs"
+        )]
+        self.shares.charge(&group, run_us as f64);
+        if !record.wanted || !self.entries.contains_key(&record.entry) {
+            self.records.remove(task);
+            return;
+        }
+        match end {
+            RunEnd::Refused => {
+                let entry = record.entry;
+                self.records.remove(task);
+                self.tell_not_run(entry, task.clone(), NotRunReason::ConnectionRefused);
+            }
+            RunEnd::Started(outcome) => {
+                let wait_us = started_at.micros_since(record.accepted_at);
+                let result = TaskResult {
+                    task: task.clone(),
+                    wait_us,
+                    run_us,
+                    outcome,
+                };
+                record.stage = Stage::Finished {
+                    result,
+                    sent: false,
+                };
+            }
+        }
+        let _ = now;
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry/event.rs
@@ -0,0 +1,184 @@
+//! Events and actions of an entry.
+
+use std::sync::Arc;
+
+use dfs_conf::Config;
+use dfs_ids::AgentId;
+use dfs_ids::ConfigVersion;
+use dfs_ids::GroupId;
+use dfs_ids::Millis;
+use dfs_ids::ServiceName;
+use dfs_ids::SubmissionId;
+use dfs_wire::api::Answer;
+use dfs_wire::session::Ack;
+use dfs_wire::session::Attach;
+use dfs_wire::session::EntryItem;
+use dfs_wire::session::Report;
+use dfs_wire::session::ReportError;
+use dfs_wire::session::ToAgent;
+use serde_json::value::RawValue;
+
+use crate::ConnectionId;
+
+/// What happens to an entry.
+#[derive(Debug, Clone)]
+pub enum EntryEvent {
+    /// A caller submits tasks.
+    Submit(Submission),
+    /// A caller gives up a submission.
+    Cancel {
+        /// The submission.
+        submission: SubmissionId,
+    },
+    /// An agent subscribes; its secret has been checked.
+    Attach {
+        /// The connection.
+        connection: ConnectionId,
+        /// The agent.
+        attach: Attach,
+    },
+    /// An agent reports.
+    Report {
+        /// The connection.
+        connection: ConnectionId,
+        /// The report.
+        report: Report,
+    },
+    /// A connection broke or lagged.
+    ConnectionLost {
+        /// The connection.
+        connection: ConnectionId,
+    },
+    /// A higher version of the configuration was adopted.
+    Configured(Arc<Config>),
+    /// Passes an item to an agent, if its session still stands.
+    SendItem {
+        /// The connection.
+        connection: ConnectionId,
+        /// The item.
+        item: EntryItem,
+    },
+    /// A planned stop begins.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// Tasks of one caller.
+#[derive(Debug, Clone)]
+pub struct Submission {
+    /// Name given by the entry, unique over all entries.
+    pub submission: SubmissionId,
+    /// The group that pays.
+    pub group: GroupId,
+    /// The service to call.
+    pub service: ServiceName,
+    /// One body for each task.
+    pub tasks: Vec<Arc<RawValue>>,
+    /// Time in which the caller wants the answer.
+    pub deadline_ms: Option<Millis>,
+    /// Run time that the caller expects of one task.
+    pub declared_ms: Option<Millis>,
+    /// Whether a task may run more than once.
+    pub repeatable: bool,
+}
+
+/// What an entry does.
+#[derive(Debug, Clone)]
+pub enum EntryAction {
+    /// Gives the final answer of a submission; exactly one for each.
+    Answer {
+        /// The submission.
+        submission: SubmissionId,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Sends a message to an agent.
+    Send {
+        /// The connection.
+        connection: ConnectionId,
+        /// The message.
+        message: ToAgent,
+    },
+    /// Replies to a report.
+    Reply {
+        /// The connection.
+        connection: ConnectionId,
+        /// The report.
+        seq: u64,
+        /// The acknowledgement, or why there is none.
+        reply: Result<Ack, ReportError>,
+    },
+    /// Closes a connection.
+    Close {
+        /// The connection.
+        connection: ConnectionId,
+    },
+    /// An agent that takes its configuration here holds an older version.
+    OfferConfig {
+        /// The connection.
+        connection: ConnectionId,
+        /// Version that the agent holds.
+        have: ConfigVersion,
+    },
+    /// An agent sent the configuration that it holds.
+    ConfigReceived(Box<RawValue>),
+    /// Something that the log and the metrics record.
+    Observe(Observation),
+    /// The planned stop is complete.
+    Stopped,
+}
+
+/// Something that the log and the metrics record.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Observation {
+    /// A session is open.
+    SessionOpened {
+        /// The agent.
+        agent: AgentId,
+    },
+    /// An agent was silent past its lease or came back as a new incarnation.
+    AgentLost {
+        /// The agent.
+        agent: AgentId,
+        /// Tasks settled as unknown.
+        unknown: u64,
+    },
+    /// A target was set aside.
+    Ejected {
+        /// The agent beside it.
+        agent: AgentId,
+    },
+    /// A task ended well.
+    TaskDone {
+        /// The group.
+        group: GroupId,
+        /// The service.
+        service: ServiceName,
+        /// Time from submission to start, in microseconds.
+        wait_us: u64,
+        /// Run time on the target, in microseconds.
+        run_us: u64,
+    },
+    /// A submission was answered whole.
+    Completed {
+        /// The group.
+        group: GroupId,
+        /// The service.
+        service: ServiceName,
+        /// Time from submission to answer, in microseconds.
+        response_us: u64,
+        /// Longest run time of its tasks, in microseconds.
+        ideal_us: u64,
+    },
+    /// A further attempt was made.
+    Retried {
+        /// The group.
+        group: GroupId,
+    },
+    /// A further attempt was refused by the budget.
+    RetryRefused {
+        /// The group.
+        group: GroupId,
+    },
+}
--- /dev/null
+++ b/crates/policy/src/entry/job.rs
@@ -0,0 +1,128 @@
+//! Open submissions.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use dfs_ids::AgentId;
+use dfs_ids::Attempt;
+use dfs_ids::GroupId;
+use dfs_ids::Moment;
+use dfs_ids::ServiceName;
+use dfs_ids::SubmissionId;
+use dfs_ids::TaskIndex;
+use dfs_wire::session::TaskRef;
+use serde_json::value::RawValue;
+
+use super::Submission;
+
+/// An open submission.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub group: GroupId,
+    pub service: ServiceName,
+    pub submitted_at: Moment,
+    pub deadline: Moment,
+    pub repeatable: bool,
+    pub tasks: Vec<Task>,
+    /// Tasks to place, in order; exactly those in [`TaskState::Queued`].
+    pub pending: VecDeque<TaskIndex>,
+    /// Tasks that are not in [`TaskState::Done`].
+    pub left: u32,
+    /// Longest run time of a task so far, in microseconds.
+    pub longest_run_us: u64,
+}
+
+/// One task of an open submission.
+#[derive(Debug)]
+pub(super) struct Task {
+    pub body: Arc<RawValue>,
+    pub attempt: Attempt,
+    /// Attempts that ended in a refusal or, for a repeatable one, in an unknown outcome.
+    pub failures: u32,
+    /// The agent that refused it last.
+    pub avoid: Option<AgentId>,
+    /// Whether an earlier attempt may have run; only a repeatable task has another one then.
+    pub may_have_run: bool,
+    pub state: TaskState,
+}
+
+/// State of a task.
+#[derive(Debug)]
+pub(super) enum TaskState {
+    Queued,
+    /// Handed to one agent incarnation; from here only a positive "not run" leads back.
+    Placed {
+        agent: AgentId,
+        charged_us: f64,
+    },
+    Done(Arc<RawValue>),
+}
+
+impl Job {
+    pub fn new(submission: Submission, now: Moment, deadline: Moment) -> Self {
+        let count = u32::try_from(submission.tasks.len()).unwrap_or(u32::MAX);
+        let task = |body| Task {
+            body,
+            attempt: Attempt::default(),
+            failures: 0,
+            avoid: None,
+            may_have_run: false,
+            state: TaskState::Queued,
+        };
+        Self {
+            group: submission.group,
+            service: submission.service,
+            submitted_at: now,
+            deadline,
+            repeatable: submission.repeatable,
+            tasks: submission.tasks.into_iter().map(task).collect(),
+            pending: (0..count).map(TaskIndex::new).collect(),
+            left: count,
+            longest_run_us: 0,
+        }
+    }
+
+    pub fn task(&self, index: TaskIndex) -> Option<&Task> {
+        self.tasks.get(index.get() as usize)
+    }
+
+    pub fn task_mut(&mut self, index: TaskIndex) -> Option<&mut Task> {
+        self.tasks.get_mut(index.get() as usize)
+    }
+
+    /// Whether the agent holds this very attempt.
+    pub fn is_placed(&self, task: &TaskRef, at: &AgentId) -> bool {
+        self.task(task.task).is_some_and(|t| {
+            let here = matches!(&t.state, TaskState::Placed { agent, .. } if agent == at);
+            here && t.attempt == task.attempt
+        })
+    }
+
+    /// Tasks that ran, may have run or may still start.
+    pub fn may_have_run(&self) -> Vec<TaskIndex> {
+        let not_run = |task: &Task| matches!(task.state, TaskState::Queued) && !task.may_have_run;
+        let indexed = (0..).map(TaskIndex::new).zip(&self.tasks);
+        indexed
+            .filter(|(_, task)| !not_run(task))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    /// Placed tasks with their agents.
+    pub fn placed(&self, submission: &SubmissionId) -> Vec<(AgentId, TaskRef)> {
+        let indexed = (0..).map(TaskIndex::new).zip(&self.tasks);
+        indexed
+            .filter_map(|(index, task)| match &task.state {
+                TaskState::Placed { agent, .. } => Some((
+                    agent.clone(),
+                    TaskRef {
+                        submission: submission.clone(),
+                        task: index,
+                        attempt: task.attempt,
+                    },
+                )),
+                TaskState::Queued | TaskState::Done(_) => None,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry/mod.rs
@@ -0,0 +1,157 @@
+//! Decisions of an entry: what is admitted, where tasks go, and what callers are answered.
+
+mod admit;
+mod config;
+mod dispatch;
+mod event;
+mod job;
+mod queue;
+mod report;
+mod session;
+mod settle;
+mod status;
+mod view;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use dfs_conf::Config;
+use dfs_conf::LeaseSettings;
+use dfs_ids::AgentId;
+use dfs_ids::EntryId;
+use dfs_ids::FailureDomain;
+use dfs_ids::Incarnation;
+use dfs_ids::Moment;
+use dfs_ids::SessionNumber;
+use dfs_ids::SubmissionId;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+pub use event::EntryAction;
+pub use event::EntryEvent;
+pub use event::Observation;
+pub use event::Submission;
+use job::Job;
+use queue::Queue;
+pub use status::Totals;
+use view::AgentView;
+
+use crate::ConnectionId;
+use crate::ejection::Ejection;
+use crate::retry::RetryBudget;
+use crate::share::ShareLedger;
+
+/// Who an entry is and how long its leases are.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// The entry.
+    pub entry: EntryId,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Leases of its sessions.
+    pub lease: LeaseSettings,
+}
+
+/// The state of one entry.
+#[derive(Debug)]
+pub struct Entry {
+    identity: Identity,
+    config: Option<Arc<Config>>,
+    /// Agents by name; at most one life of each.
+    agents: BTreeMap<AgentId, AgentView>,
+    /// The agent of each open connection.
+    connections: BTreeMap<ConnectionId, AgentId>,
+    /// Open submissions; an answered one is removed at once.
+    jobs: BTreeMap<SubmissionId, Job>,
+    /// Submissions by deadline; holds exactly the open ones.
+    deadlines: BTreeSet<(Moment, SubmissionId)>,
+    queue: Queue,
+    shares: ShareLedger,
+    retries: RetryBudget,
+    ejection: Ejection,
+    next_session: SessionNumber,
+    random: SmallRng,
+    totals: Totals,
+    stopping: bool,
+    stopped: bool,
+}
+
+impl Entry {
+    /// An entry without configuration and sessions; `seed` drives its random choices.
+    #[must_use]
+    pub fn new(identity: Identity, seed: u64) -> Self {
+        Self {
+            identity,
+            config: None,
+            agents: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            queue: Queue::default(),
+            shares: ShareLedger::default(),
+            retries: RetryBudget::default(),
+            ejection: Ejection::default(),
+            next_session: SessionNumber::default(),
+            random: SmallRng::seed_from_u64(seed),
+            totals: Totals::default(),
+            stopping: false,
+            stopped: false,
+        }
+    }
+
+    /// Takes one event. Leases and deadlines that have passed are settled first, so that a process
+    /// that was paused does not act on messages that waited meanwhile.
+    pub fn handle(&mut self, now: Moment, event: EntryEvent) -> Vec<EntryAction> {
+        let mut out = Vec::new();
+        self.expire(now, &mut out);
+        match event {
+            EntryEvent::Submit(submission) => self.on_submit(now, submission, &mut out),
+            EntryEvent::Cancel { submission } => self.on_cancel(&submission, &mut out),
+            EntryEvent::Attach { connection, attach } => {
+                self.on_attach(now, connection, attach, &mut out);
+            }
+            EntryEvent::Report { connection, report } => {
+                self.on_report(now, connection, report, &mut out);
+            }
+            EntryEvent::ConnectionLost { connection } => self.on_lost(connection),
+            EntryEvent::Configured(config) => self.on_configured(config, &mut out),
+            EntryEvent::SendItem { connection, item } => {
+                self.send_to(connection, vec![item], &mut out);
+            }
+            EntryEvent::Stop => self.on_stop(&mut out),
+            EntryEvent::Tick => {}
+        }
+        out
+    }
+
+    /// Places what can be placed; called once after a batch of events, so that all tasks of a
+    /// submission that go to one agent travel in one message.
+    pub fn flush(&mut self, now: Moment) -> Vec<EntryAction> {
+        let mut out = Vec::new();
+        self.dispatch(now, &mut out);
+        if self.stopping && self.jobs.is_empty() && !self.stopped {
+            self.stopped = true;
+            out.push(EntryAction::Stopped);
+        }
+        out
+    }
+
+    fn expire(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
+        self.expire_leases(now, out);
+        self.expire_deadlines(now, out);
+    }
+
+    fn on_stop(&mut self, out: &mut Vec<EntryAction>) {
+        if self.stopping {
+            return;
+        }
+        self.stopping = true;
+        let connections: Vec<_> = self.connections.keys().copied().collect();
+        for connection in connections {
+            self.send_to(connection, vec![dfs_wire::session::EntryItem::Closing], out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry/report.rs
@@ -0,0 +1,161 @@
+//! What agents report.
+
+use dfs_ids::AgentId;
+use dfs_ids::ConfigVersion;
+use dfs_ids::Moment;
+use dfs_wire::session::Ack;
+use dfs_wire::session::AgentItem;
+use dfs_wire::session::EntryItem;
+use dfs_wire::session::Held;
+use dfs_wire::session::LoadHint;
+use dfs_wire::session::Report;
+use dfs_wire::session::ReportError;
+
+use super::Entry;
+use super::EntryAction;
+use super::Observation;
+use crate::ConnectionId;
+
+impl Entry {
+    pub(super) fn on_report(
+        &mut self,
+        now: Moment,
+        connection: ConnectionId,
+        report: Report,
+        out: &mut Vec<EntryAction>,
+    ) {
+        self.totals.messages += 1;
+        let seq = report.seq;
+        let reply = self.take_report(now, connection, report, out);
+        out.push(EntryAction::Reply {
+            connection,
+            seq,
+            reply,
+        });
+    }
+
+    fn take_report(
+        &mut self,
+        now: Moment,
+        connection: ConnectionId,
+        report: Report,
+        out: &mut Vec<EntryAction>,
+    ) -> Result<Ack, ReportError> {
+        let over = ReportError::SessionOver {
+            session: report.session,
+        };
+        let agent = self.connections.get(&connection).cloned().ok_or(over)?;
+        let view = self.agents.get_mut(&agent).ok_or(over)?;
+        let opens = matches!(report.items.first(), Some(AgentItem::Held(_)));
+        if view.session != report.session || !(view.is_open || opens) {
+            return Err(over);
+        }
+        view.heard_at = now;
+        view.probed_at = None;
+        let mut ack = Ack::default();
+        for item in report.items {
+            match item {
+                AgentItem::Held(held) => ack = self.on_held(&agent, &held, out),
+                AgentItem::Target(state) => self.on_target(&agent, state),
+                AgentItem::Load(hint) => self.on_load(&agent, report.seq, hint),
+                AgentItem::Results(results) => {
+                    for result in results {
+                        self.on_result(now, &agent, result, out);
+                    }
+                }
+                AgentItem::NotRun(tasks) => {
+                    for not_run in tasks {
+                        self.on_not_run(now, &agent, &not_run.task, not_run.reason, out);
+                    }
+                }
+                AgentItem::Version(version, source) => {
+                    self.on_version(connection, &agent, version, source, out);
+                }
+                AgentItem::Config(body) => out.push(EntryAction::ConfigReceived(body)),
+            }
+        }
+        Ok(ack)
+    }
+
+    /// Compares the list with what is outstanding: a task that is not listed never starts, unless
+    /// the agent has forgotten tasks.
+    fn on_held(&mut self, agent: &AgentId, held: &Held, out: &mut Vec<EntryAction>) -> Ack {
+        let Some(view) = self.agents.get_mut(agent) else {
+            return Ack::default();
+        };
+        if view.is_open {
+            return Ack::default();
+        }
+        view.is_open = true;
+        let missing: Vec<_> = view
+            .outstanding
+            .iter()
+            .filter(|task| !held.tasks.contains(task))
+            .cloned()
+            .collect();
+        let unwanted = held
+            .tasks
+            .iter()
+            .filter(|task| !view.outstanding.contains(task));
+        let drop = unwanted.cloned().collect();
+        out.push(EntryAction::Observe(Observation::SessionOpened {
+            agent: agent.clone(),
+        }));
+        for task in missing {
+            if held.forgotten {
+                self.forget_outstanding(agent, &task);
+                self.on_unknown(agent, &task, "the agent has dropped its records", out);
+            } else {
+                self.on_absent(agent, &task);
+            }
+        }
+        Ack { drop }
+    }
+
+    fn on_target(&mut self, agent: &AgentId, state: dfs_wire::session::TargetState) {
+        if let Some(view) = self.agents.get_mut(agent) {
+            view.target = state;
+        }
+    }
+
+    fn on_load(&mut self, agent: &AgentId, seq: u64, hint: LoadHint) {
+        let Some(view) = self
+            .agents
+            .get_mut(agent)
+            .filter(|view| view.hint_seq <= seq)
+        else {
+            return;
+        };
+        view.hint = hint;
+        view.hint_seq = seq;
+        view.open_at_hint = view.open_tasks();
+    }
+
+    fn on_version(
+        &mut self,
+        connection: ConnectionId,
+        agent: &AgentId,
+        version: ConfigVersion,
+        source: bool,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(view) = self.agents.get_mut(agent) else {
+            return;
+        };
+        view.version = Some(version);
+        view.takes_config = source;
+        let own = self
+            .config
+            .as_ref()
+            .map(|config| config.version)
+            .unwrap_or_default();
+        if version > own {
+            self.send_to(connection, vec![EntryItem::WantConfig], out);
+        } else if source && version < own {
+            out.push(EntryAction::OfferConfig {
+                connection,
+                have: version,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry/session.rs
@@ -0,0 +1,174 @@
+//! Sessions: attaching, losing, lapsing, and numbering messages.
+
+use dfs_ids::AgentId;
+use dfs_ids::Millis;
+use dfs_ids::Moment;
+use dfs_wire::session::Attach;
+use dfs_wire::session::EntryItem;
+use dfs_wire::session::LoadHint;
+use dfs_wire::session::Open;
+use dfs_wire::session::TargetState;
+use dfs_wire::session::ToAgent;
+
+use super::Entry;
+use super::EntryAction;
+use super::Observation;
+use super::view::AgentView;
+use crate::ConnectionId;
+
+/// Bytes of one bare renewal with its reply, framing of TCP and IP included.
+const RENEWAL_BYTES: u64 = 420;
+/// Bytes a second that the renewals of idle sessions may take at one entry.
+const RENEWAL_BYTES_PER_S: u64 = 2_048;
+const MILLIS_PER_SECOND: u64 = 1_000;
+
+impl Entry {
+    pub(super) fn on_attach(
+        &mut self,
+        now: Moment,
+        connection: ConnectionId,
+        attach: Attach,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let replaced = self.agents.get(&attach.agent).map(|old| old.incarnation);
+        let resumed = replaced == Some(attach.incarnation);
+        if replaced.is_some() && !resumed {
+            self.lose_agent(&attach.agent, out);
+        }
+        self.close_connection(&attach.agent, out);
+        self.next_session = self.next_session.next();
+        let open = self.terms(resumed);
+        let agent = attach.agent.clone();
+        self.renew_view(now, connection, attach);
+        self.connections.insert(connection, agent);
+        self.send_to(connection, vec![EntryItem::Open(open)], out);
+    }
+
+    fn terms(&self, resumed: bool) -> Open {
+        let identity = &self.identity;
+        Open {
+            entry: identity.entry.clone(),
+            incarnation: identity.incarnation,
+            domain: identity.domain.clone(),
+            resumed,
+            lease_ms: identity.lease.lease_ms,
+            busy_renew_ms: identity.lease.busy_renew_ms,
+            idle_renew_ms: self.idle_renew_ms(),
+            version: self.config.as_ref().map(|config| config.version),
+        }
+    }
+
+    /// Interval of idle renewals at which all sessions together keep to their share of the bytes.
+    fn idle_renew_ms(&self) -> Millis {
+        let sessions = self.connections.len() as u64 + 1;
+        let interval = sessions * RENEWAL_BYTES * MILLIS_PER_SECOND / RENEWAL_BYTES_PER_S;
+        self.identity.lease.idle_renew_ms.max(Millis::new(interval))
+    }
+
+    fn renew_view(&mut self, now: Moment, connection: ConnectionId, attach: Attach) {
+        let old = self.agents.remove(&attach.agent);
+        let view = AgentView {
+            incarnation: attach.incarnation,
+            domain: attach.domain,
+            connection: Some(connection),
+            session: self.next_session,
+            is_open: false,
+            next_message: 0,
+            heard_at: now,
+            target: TargetState::Absent,
+            hint: LoadHint::default(),
+            hint_seq: 0,
+            open_at_hint: 0,
+            outstanding: old.map(|old| old.outstanding).unwrap_or_default(),
+            version: None,
+            takes_config: false,
+            probed_at: None,
+        };
+        self.agents.insert(attach.agent, view);
+    }
+
+    fn close_connection(&mut self, agent: &AgentId, out: &mut Vec<EntryAction>) {
+        let old = self
+            .agents
+            .get_mut(agent)
+            .and_then(|view| view.connection.take());
+        if let Some(connection) = old {
+            self.connections.remove(&connection);
+            out.push(EntryAction::Close { connection });
+        }
+    }
+
+    /// Keeps what is outstanding: a broken connection proves nothing about it.
+    pub(super) fn on_lost(&mut self, connection: ConnectionId) {
+        let Some(agent) = self.connections.remove(&connection) else {
+            return;
+        };
+        if let Some(view) = self.agents.get_mut(&agent) {
+            view.connection = None;
+            view.is_open = false;
+        }
+    }
+
+    /// Settles agents that were silent past their lease while they held tasks or had no session.
+    pub(super) fn expire_leases(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
+        let lease_ms = self.identity.lease.lease_ms;
+        let idle_ms = lease_ms.max(self.idle_renew_ms() + lease_ms);
+        let lapsed = |view: &AgentView| {
+            let is_idle = view.outstanding.is_empty() && view.connection.is_some();
+            let limit = if is_idle { idle_ms } else { lease_ms };
+            now >= view.heard_at + limit
+        };
+        let lapsed: Vec<_> = self
+            .agents
+            .iter()
+            .filter(|(_, view)| lapsed(view))
+            .map(|(agent, _)| agent.clone())
+            .collect();
+        for agent in lapsed {
+            self.lose_agent(&agent, out);
+        }
+    }
+
+    /// Removes an agent incarnation; what it held has an unknown outcome from now on.
+    fn lose_agent(&mut self, agent: &AgentId, out: &mut Vec<EntryAction>) {
+        self.close_connection(agent, out);
+        let Some(view) = self.agents.remove(agent) else {
+            return;
+        };
+        let unknown = view.outstanding.len() as u64;
+        let lost = Observation::AgentLost {
+            agent: agent.clone(),
+            unknown,
+        };
+        out.push(EntryAction::Observe(lost));
+        for task in view.outstanding {
+            self.on_unknown(agent, &task, "the agent was lost", out);
+        }
+    }
+
+    pub(super) fn send_to(
+        &mut self,
+        connection: ConnectionId,
+        items: Vec<EntryItem>,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(agent) = self.connections.get(&connection) else {
+            return;
+        };
+        let Some(view) = self.agents.get_mut(agent) else {
+            return;
+        };
+        let seq = view.next_message;
+        view.next_message += 1;
+        self.totals.messages += 1;
+        let message = ToAgent {
+            session: view.session,
+            seq,
+            items,
+        };
+        out.push(EntryAction::Send {
+            connection,
+            message,
+        });
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry/settle.rs
@@ -0,0 +1,442 @@
+//! Settling tasks and answering submissions.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dfs_ids::AgentId;
+use dfs_ids::Millis;
+use dfs_ids::Moment;
+use dfs_ids::SubmissionId;
+use dfs_wire::api::Answer;
+use dfs_wire::api::Failure;
+use dfs_wire::api::FailureReason;
+use dfs_wire::api::Outcome;
+use dfs_wire::api::TaskFault;
+use dfs_wire::session::EntryItem;
+use dfs_wire::session::NotRunReason;
+use dfs_wire::session::TaskOutcome;
+use dfs_wire::session::TaskRef;
+use dfs_wire::session::TaskResult;
+use serde_json::value::RawValue;
+
+use super::Entry;
+use super::EntryAction;
+use super::Observation;
+use super::job::Job;
+use super::job::TaskState;
+use super::queue::Lane;
+use crate::order::rank;
+
+/// Wait that is advised when further attempts were refused.
+const RETRY_AFTER_MS: Millis = Millis::new(1_000);
+
+impl Entry {
+    pub(super) fn on_result(
+        &mut self,
+        now: Moment,
+        agent: &AgentId,
+        result: TaskResult,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if !self.forget_outstanding(agent, &result.task) {
+            return;
+        }
+        self.totals.ran(result.run_us);
+        self.settle_charge(agent, &result);
+        match result.outcome {
+            TaskOutcome::Done(body) => {
+                self.ejection.succeeded(agent, now);
+                self.on_done(now, agent, &result.task, result.run_us, body, out);
+            }
+            TaskOutcome::Failed(message) => {
+                self.note_failure(now, agent, &result.task, out);
+                self.on_failed(agent, &result.task, message, out);
+            }
+            TaskOutcome::Unknown(message) => {
+                self.note_failure(now, agent, &result.task, out);
+                self.on_unknown(agent, &result.task, &message, out);
+            }
+        }
+    }
+
+    /// Removes a task from what the agent holds; false if it was not there.
+    pub(super) fn forget_outstanding(&mut self, agent: &AgentId, task: &TaskRef) -> bool {
+        self.agents.get_mut(agent).is_some_and(|view| {
+            let held = view.outstanding.remove(task);
+            if held {
+                view.open_at_hint = view.open_at_hint.saturating_sub(1);
+            }
+            held
+        })
+    }
+
+    /// Replaces the estimate that was charged at placement by the measured run time.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "run times stay far below 2^52 µs"
+    )]
+    fn settle_charge(&mut self, agent: &AgentId, result: &TaskResult) {
+        let Some(job) = self.jobs.get(&result.task.submission) else {
+            return;
+        };
+        if !job.is_placed(&result.task, agent) {
+            return;
+        }
+        let Some(task) = job.task(result.task.task) else {
+            return;
+        };
+        if let TaskState::Placed { charged_us, .. } = task.state {
+            self.shares
+                .charge(&job.group, result.run_us as f64 - charged_us);
+            self.totals.charge(&job.group, result.run_us);
+        }
+    }
+
+    fn on_done(
+        &mut self,
+        now: Moment,
+        agent: &AgentId,
+        task: &TaskRef,
+        run_us: u64,
+        body: Arc<RawValue>,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.submission) else {
+            return;
+        };
+        if !job.is_placed(task, agent) {
+            return;
+        }
+        let wait_us = now.micros_since(job.submitted_at).saturating_sub(run_us);
+        out.push(EntryAction::Observe(Observation::TaskDone {
+            group: job.group.clone(),
+            service: job.service.clone(),
+            wait_us,
+            run_us,
+        }));
+        job.left -= 1;
+        job.longest_run_us = job.longest_run_us.max(run_us);
+        let left = job.left;
+        if let Some(task) = job.task_mut(task.task) {
+            task.state = TaskState::Done(body);
+        }
+        if left == 0 {
+            self.complete(now, &task.submission, out);
+        } else {
+            self.renew_rank(&task.submission);
+        }
+    }
+
+    fn renew_rank(&mut self, submission: &SubmissionId) {
+        let Some(config) = &self.config else { return };
+        let Some(job) = self.jobs.get(submission) else {
+            return;
+        };
+        if self.queue.contains(submission) {
+            let rank = rank(&config.rules.placement, job.submitted_at, job.left);
+            self.queue.put(lane(job), submission, rank);
+        }
+    }
+
+    fn complete(&mut self, now: Moment, submission: &SubmissionId, out: &mut Vec<EntryAction>) {
+        let Some(job) = self.remove(submission) else {
+            return;
+        };
+        out.push(EntryAction::Observe(Observation::Completed {
+            group: job.group,
+            service: job.service,
+            response_us: now.micros_since(job.submitted_at),
+            ideal_us: job.longest_run_us,
+        }));
+        let body = |task: super::job::Task| match task.state {
+            TaskState::Done(body) => Some(RawValue::to_owned(&body)),
+            TaskState::Queued | TaskState::Placed { .. } => None,
+        };
+        let answer = Answer {
+            submission: Some(submission.clone()),
+            outcome: Outcome::Complete,
+            results: job.tasks.into_iter().filter_map(body).collect(),
+            failure: None,
+        };
+        out.push(EntryAction::Answer {
+            submission: submission.clone(),
+            answer,
+        });
+    }
+
+    fn on_failed(
+        &mut self,
+        agent: &AgentId,
+        task: &TaskRef,
+        message: String,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if !self.is_placed(agent, task) {
+            return;
+        }
+        let faults = vec![TaskFault {
+            task: task.task,
+            message,
+        }];
+        let message = format!("task {} failed on its target", task.task);
+        self.fail(
+            &task.submission,
+            FailureReason::TaskFailed,
+            message,
+            faults,
+            out,
+        );
+    }
+
+    /// A task whose outcome nobody will ever know.
+    pub(super) fn on_unknown(
+        &mut self,
+        agent: &AgentId,
+        task: &TaskRef,
+        why: &str,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if !self.is_placed(agent, task) {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&task.submission) else {
+            return;
+        };
+        let repeatable = job.repeatable;
+        if let Some(task) = job.task_mut(task.task) {
+            task.may_have_run = true;
+        }
+        if repeatable && self.retry(agent, task, out) {
+            return;
+        }
+        let message = format!("task {} may have run: {why}", task.task);
+        self.fail(
+            &task.submission,
+            FailureReason::OutcomeUnknown,
+            message,
+            Vec::new(),
+            out,
+        );
+    }
+
+    pub(super) fn on_not_run(
+        &mut self,
+        now: Moment,
+        agent: &AgentId,
+        task: &TaskRef,
+        reason: NotRunReason,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if !self.forget_outstanding(agent, task) || !self.is_placed(agent, task) {
+            return;
+        }
+        match reason {
+            NotRunReason::Leaving | NotRunReason::Withdrawn => self.requeue(agent, task),
+            NotRunReason::Expired => {
+                let message = format!("task {} did not start before its deadline", task.task);
+                self.fail(
+                    &task.submission,
+                    FailureReason::DeadlineExceeded,
+                    message,
+                    vec![],
+                    out,
+                );
+            }
+            NotRunReason::ConnectionRefused
+            | NotRunReason::QueueFull
+            | NotRunReason::NotOffered => {
+                self.note_failure(now, agent, task, out);
+                if !self.retry(agent, task, out) {
+                    let message = format!("task {} was refused ({reason}): try later", task.task);
+                    let reason = FailureReason::RetriesExhausted;
+                    self.fail(&task.submission, reason, message, Vec::new(), out);
+                }
+            }
+        }
+    }
+
+    /// A task that the agent never read, as its list after the fence shows.
+    pub(super) fn on_absent(&mut self, agent: &AgentId, task: &TaskRef) {
+        if self.forget_outstanding(agent, task) && self.is_placed(agent, task) {
+            self.requeue(agent, task);
+        }
+    }
+
+    /// Makes a further attempt if the budget allows it.
+    fn retry(&mut self, agent: &AgentId, task: &TaskRef, out: &mut Vec<EntryAction>) -> bool {
+        let Some(config) = self.config.clone() else {
+            return false;
+        };
+        let Some(job) = self.jobs.get_mut(&task.submission) else {
+            return false;
+        };
+        let group = job.group.clone();
+        let Some(failing) = job.task_mut(task.task) else {
+            return false;
+        };
+        failing.failures += 1;
+        let too_often = failing.failures >= config.rules.retry.max_attempts;
+        if too_often || !self.retries.spend(&config.rules.retry, &group) {
+            out.push(EntryAction::Observe(Observation::RetryRefused { group }));
+            return false;
+        }
+        out.push(EntryAction::Observe(Observation::Retried { group }));
+        self.requeue(agent, task);
+        true
+    }
+
+    /// Queues a placed task anew under its next attempt.
+    fn requeue(&mut self, agent: &AgentId, task: &TaskRef) {
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&task.submission) else {
+            return;
+        };
+        let Some(again) = job.task_mut(task.task) else {
+            return;
+        };
+        if let TaskState::Placed { charged_us, .. } = again.state {
+            again.state = TaskState::Queued;
+            again.attempt = again.attempt.next();
+            again.avoid = Some(agent.clone());
+            job.pending.push_back(task.task);
+            self.shares.charge(&job.group, -charged_us);
+        }
+        self.queue.count(&job.group, 1);
+        let rank = rank(&config.rules.placement, job.submitted_at, job.left);
+        self.queue.put(lane(job), &task.submission, rank);
+    }
+
+    fn is_placed(&self, agent: &AgentId, task: &TaskRef) -> bool {
+        self.jobs
+            .get(&task.submission)
+            .is_some_and(|job| job.is_placed(task, agent))
+    }
+
+    fn note_failure(
+        &mut self,
+        now: Moment,
+        agent: &AgentId,
+        task: &TaskRef,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        let Some(job) = self.jobs.get(&task.submission) else {
+            return;
+        };
+        let peers: Vec<_> = self
+            .agents
+            .iter()
+            .filter(|(_, view)| view.offers(&job.service))
+            .map(|(peer, _)| peer.clone())
+            .collect();
+        if self
+            .ejection
+            .failed(&config.rules.ejection, agent, &peers, now)
+        {
+            out.push(EntryAction::Observe(Observation::Ejected {
+                agent: agent.clone(),
+            }));
+        }
+    }
+
+    pub(super) fn on_cancel(&mut self, submission: &SubmissionId, out: &mut Vec<EntryAction>) {
+        let message = "the caller cancelled the submission".to_owned();
+        self.fail(
+            submission,
+            FailureReason::Cancelled,
+            message,
+            Vec::new(),
+            out,
+        );
+    }
+
+    pub(super) fn expire_deadlines(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
+        while let Some((deadline, submission)) = self.deadlines.first().cloned()
+            && deadline <= now
+        {
+            self.deadlines.pop_first();
+            let message = "the deadline passed before every task had ended".to_owned();
+            self.fail(
+                &submission,
+                FailureReason::DeadlineExceeded,
+                message,
+                Vec::new(),
+                out,
+            );
+        }
+    }
+
+    /// Fails a submission as a whole, at once, and withdraws what has not started.
+    pub(super) fn fail(
+        &mut self,
+        submission: &SubmissionId,
+        reason: FailureReason,
+        message: String,
+        faults: Vec<TaskFault>,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(job) = self.remove(submission) else {
+            return;
+        };
+        self.withdraw(submission, &job, out);
+        let may_have_run = job.may_have_run();
+        let failure = Failure {
+            reason,
+            message,
+            not_run: may_have_run.is_empty(),
+            may_have_run,
+            faults,
+            retry_after_ms: retry_after(reason),
+        };
+        let answer = Answer {
+            submission: Some(submission.clone()),
+            outcome: Outcome::Failed,
+            results: Vec::new(),
+            failure: Some(failure),
+        };
+        out.push(EntryAction::Answer {
+            submission: submission.clone(),
+            answer,
+        });
+    }
+
+    fn withdraw(&mut self, submission: &SubmissionId, job: &Job, out: &mut Vec<EntryAction>) {
+        let mut by_agent: BTreeMap<AgentId, Vec<TaskRef>> = BTreeMap::new();
+        for (agent, task) in job.placed(submission) {
+            by_agent.entry(agent).or_default().push(task);
+        }
+        for (agent, tasks) in by_agent {
+            let connection = self.agents.get(&agent).and_then(|view| view.connection);
+            if let Some(connection) = connection {
+                self.send_to(connection, vec![EntryItem::Withdraw(tasks)], out);
+            }
+        }
+    }
+
+    fn remove(&mut self, submission: &SubmissionId) -> Option<Job> {
+        let job = self.jobs.remove(submission)?;
+        self.deadlines.remove(&(job.deadline, submission.clone()));
+        self.queue.take(&lane(&job), submission);
+        let pending = u32::try_from(job.pending.len()).unwrap_or(u32::MAX);
+        self.queue.uncount(&job.group, pending);
+        if !self.queue.group_is_queued(&job.group) {
+            self.shares.deactivate(&job.group);
+        }
+        Some(job)
+    }
+}
+
+fn lane(job: &Job) -> Lane {
+    Lane {
+        group: job.group.clone(),
+        service: job.service.clone(),
+    }
+}
+
+fn retry_after(reason: FailureReason) -> Option<Millis> {
+    matches!(reason, FailureReason::RetriesExhausted).then_some(RETRY_AFTER_MS)
+}
--- /dev/null
+++ b/crates/policy/src/entry/view.rs
@@ -0,0 +1,73 @@
+//! What an entry knows of one agent incarnation.
+
+use std::collections::BTreeSet;
+
+use dfs_ids::ConfigVersion;
+use dfs_ids::FailureDomain;
+use dfs_ids::Incarnation;
+use dfs_ids::Moment;
+use dfs_ids::ServiceName;
+use dfs_ids::SessionNumber;
+use dfs_wire::session::LoadHint;
+use dfs_wire::session::TargetState;
+use dfs_wire::session::TaskRef;
+use dfs_wire::target::Offer;
+
+use crate::ConnectionId;
+
+/// One agent incarnation.
+#[derive(Debug)]
+pub(super) struct AgentView {
+    pub incarnation: Incarnation,
+    pub domain: FailureDomain,
+    /// Absent between two sessions.
+    pub connection: Option<ConnectionId>,
+    pub session: SessionNumber,
+    /// Whether the agent has listed its held tasks in this session.
+    pub is_open: bool,
+    pub next_message: u64,
+    pub heard_at: Moment,
+    pub target: TargetState,
+    pub hint: LoadHint,
+    /// Report that brought the hint.
+    pub hint_seq: u64,
+    /// Tasks of this entry running or queued there when the hint was made.
+    pub open_at_hint: u32,
+    /// Tasks handed to the agent and not settled, also those of answered submissions.
+    pub outstanding: BTreeSet<TaskRef>,
+    pub version: Option<ConfigVersion>,
+    pub takes_config: bool,
+    pub probed_at: Option<Moment>,
+}
+
+impl AgentView {
+    pub fn offer(&self) -> Option<&Offer> {
+        match &self.target {
+            TargetState::Live(offer) => Some(offer),
+            TargetState::Leaving | TargetState::Absent => None,
+        }
+    }
+
+    pub fn offers(&self, service: &ServiceName) -> bool {
+        self.offer()
+            .is_some_and(|offer| offer.services.contains(service))
+    }
+
+    pub fn open_tasks(&self) -> u32 {
+        u32::try_from(self.outstanding.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Whether another task fits into the window that the agent granted.
+    pub fn has_room(&self) -> bool {
+        self.open_tasks() < self.hint.window
+    }
+
+    /// Known open tasks for each slot: those of the hint, corrected by what this entry has placed
+    /// and settled since.
+    pub fn load(&self) -> f64 {
+        let slots = self.offer().map_or(1, |offer| offer.slots.get().max(1));
+        let hinted = self.hint.running + self.hint.queued;
+        let others = hinted.saturating_sub(self.open_at_hint);
+        f64::from(others + self.open_tasks()) / f64::from(slots)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,45 @@
+//! Choice of the target of a task.
+
+use dfs_conf::PlacementPolicy;
+use rand::Rng;
+
+/// What is known of an eligible target.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice<T> {
+    /// The target, as the caller names it.
+    pub key: T,
+    /// Known open tasks for each slot.
+    pub load: f64,
+}
+
+/// Picks one of the eligible targets.
+pub fn pick<T: Copy>(
+    policy: PlacementPolicy,
+    eligible: &[Choice<T>],
+    random: &mut impl Rng,
+) -> Option<T> {
+    if eligible.is_empty() {
+        return None;
+    }
+    let any = |random: &mut _| eligible[Rng::random_range(random, 0..eligible.len())];
+    let choice = match policy {
+        PlacementPolicy::Random => any(random),
+        PlacementPolicy::TwoChoices => {
+            let (one, other) = (any(random), any(random));
+            if other.load < one.load { other } else { one }
+        }
+        PlacementPolicy::LeastWork => least(eligible, random),
+    };
+    Some(choice.key)
+}
+
+/// The least loaded target; equal ones are picked at random so that entries do not agree on one.
+fn least<T: Copy>(eligible: &[Choice<T>], random: &mut impl Rng) -> Choice<T> {
+    let lowest = eligible
+        .iter()
+        .map(|c| c.load)
+        .fold(f64::INFINITY, f64::min);
+    let ties = || eligible.iter().filter(|c| c.load <= lowest);
+    let nth = random.random_range(0..ties().count().max(1));
+    *ties().nth(nth).unwrap_or(&eligible[0])
+}
