Client of the platform behind two traits

What must last lives in the platform's table service and object store, whose protocol is not published. Two traits hide it; an HTTP client implements each and never repeats a request on its own, because only the caller knows whether a repetition is safe.

Errors separate a commit that certainly was not applied from one whose outcome is unknown. On top: the configuration by compare-and-set on the head row, claims of request keys in shared commits, and presence rows that expire by revision instead of by clock.

--- /dev/null
+++ b/crates/store/src/config/row.rs
@@ -0,0 +1,57 @@
+//! Rows of the configuration.
+
+use dfs_conf::Config;
+use dfs_ids::ChangeId;
+use dfs_ids::ConfigVersion;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ObjectKey;
+use crate::RowKey;
+
+/// Content of the head row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// Version in force.
+    pub version: ConfigVersion,
+    /// Change that made it.
+    pub change: ChangeId,
+}
+
+/// Content of the row of one version; never changed once written.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(super) struct VersionRow {
+    /// Change that made the version.
+    pub(super) change: ChangeId,
+    /// The configuration.
+    pub(super) body: Body,
+}
+
+/// Where the body of a version lies.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum Body {
+    /// In the row.
+    Inline(Box<Config>),
+    /// In the object store.
+    Object(ObjectKey),
+}
+
+/// Content of the row of one change; its existence proves that the change was accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct ChangeRow {
+    /// Version that the change became.
+    pub(super) version: ConfigVersion,
+}
+
+pub(super) fn head_key() -> RowKey {
+    RowKey::new("config/head")
+}
+
+pub(super) fn version_key(version: ConfigVersion) -> RowKey {
+    RowKey::new(format!("config/version/{version}"))
+}
+
+pub(super) fn change_key(change: &ChangeId) -> RowKey {
+    RowKey::new(format!("config/change/{change}"))
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,44 @@
-//! Part of dragonflyshed: store.
+//! Client of the platform: the table service, the object store and what is kept in them.
+//!
+//! The platform's protocol is not published. [`TableService`] and [`ObjectStore`] are the only
+//! places that depend on it; [`HttpTable`] and [`HttpObjects`] are one implementation of each.
+
+mod budget;
+mod claim;
+mod config;
+mod error;
+mod http;
+mod object;
+mod presence;
+mod table;
+
+pub use budget::WriteBudget;
+pub use claim::Claim;
+pub use claim::ClaimRow;
+pub use claim::ClaimSettings;
+pub use claim::Claimer;
+pub use claim::Claims;
+pub use claim::UnavailableReason;
+pub use config::ApplyError;
+pub use config::Change;
+pub use config::ConfigReadError;
+pub use config::ConfigStore;
+pub use config::Head;
+pub use error::CommitError;
+pub use error::StoreError;
+pub use http::HttpObjects;
+pub use http::HttpTable;
+pub use http::protocol;
+pub use object::ObjectKey;
+pub use object::ObjectStore;
+pub use presence::Presence;
+pub use presence::PresenceRow;
+pub use presence::PresenceView;
+pub use table::Condition;
+pub use table::Pending;
+pub use table::Revision;
+pub use table::Row;
+pub use table::RowChange;
+pub use table::RowKey;
+pub use table::RowWrite;
+pub use table::TableService;
