Numbered events and statsd metrics in the log crate

The processes need one closed set of events with fixed numbers, and metrics whose cost does not grow with the task rate.

Events are declared once by a macro that yields the enum of an area and its catalogue entries, so number, name, level and fields can't drift apart. One line is written for each event through spdlog-rs.

Samples go into local histograms for each group and service; a flush sends count, median, 99th percentile and maximum, the longest waiting pair first, up to a fixed number of bytes. One datagram for each task was ruled out.

--- /dev/null
+++ b/crates/log/src/event/mod.rs
@@ -0,0 +1,74 @@
+//! The closed set of events, by area.
+
+mod catalogue;
+mod config;
+mod process;
+mod request;
+mod session;
+mod target;
+mod value;
+
+use derive_more::Display;
+use derive_more::From;
+use dfs_conf::LogLevel;
+
+pub use catalogue::EventKind;
+pub use config::ConfigEvent;
+pub use config::ConfigSource;
+pub use process::Listener;
+pub use process::NotReadyCause;
+pub use process::ProcessEvent;
+pub use process::ProcessName;
+pub use request::RequestEvent;
+pub use session::SessionEvent;
+pub use target::TargetEvent;
+pub use value::ErrorText;
+
+/// Something that an operator may want to know.
+///
+/// `Display` writes the number, the name and the fields as `key=value`.
+#[derive(Debug, Clone, PartialEq, Eq, Display, From)]
+pub enum Event {
+    /// 1xx: start and stop of the process.
+    Process(ProcessEvent),
+    /// 2xx: sessions between entries and agents.
+    Session(SessionEvent),
+    /// 3xx: submissions of callers.
+    Request(RequestEvent),
+    /// 4xx: targets and the tasks on them.
+    Target(TargetEvent),
+    /// 5xx: the configuration and the store.
+    Config(ConfigEvent),
+}
+
+impl Event {
+    /// Number, name, level and fields of the event.
+    #[must_use]
+    pub const fn kind(&self) -> &'static EventKind {
+        match self {
+            Self::Process(event) => event.kind(),
+            Self::Session(event) => event.kind(),
+            Self::Request(event) => event.kind(),
+            Self::Target(event) => event.kind(),
+            Self::Config(event) => event.kind(),
+        }
+    }
+
+    /// Severity of the event.
+    #[must_use]
+    pub const fn level(&self) -> LogLevel {
+        self.kind().level
+    }
+
+    /// Every kind of event in order of number.
+    pub fn catalogue() -> impl Iterator<Item = &'static EventKind> {
+        let areas = [
+            ProcessEvent::KINDS,
+            SessionEvent::KINDS,
+            RequestEvent::KINDS,
+            TargetEvent::KINDS,
+            ConfigEvent::KINDS,
+        ];
+        areas.into_iter().flatten()
+    }
+}
--- /dev/null
+++ b/crates/log/src/event/session.rs
@@ -0,0 +1,98 @@
+//! 2xx: sessions between entries and agents.
+
+use std::net::SocketAddr;
+
+use dfs_ids::AgentId;
+use dfs_ids::EntryId;
+use dfs_ids::Incarnation;
+use dfs_ids::Millis;
+use dfs_ids::SessionNumber;
+
+use super::ErrorText;
+use super::ProcessName;
+use super::catalogue::events;
+
+events! {
+    /// Sessions between entries and agents.
+    SessionEvent {
+        /// An agent that the entry did not know, or a new incarnation of it, has attached.
+        201 Info "session_attached" Attached {
+            /// The agent.
+            agent: AgentId,
+            /// Its incarnation.
+            incarnation: Incarnation,
+            /// Its address.
+            address: SocketAddr,
+        }
+        /// A session was opened and carries work.
+        202 Info "session_opened" Opened {
+            /// The entry.
+            entry: EntryId,
+            /// The agent.
+            agent: AgentId,
+            /// The session.
+            session: SessionNumber,
+        }
+        /// A newer session of the same pair replaced this one.
+        203 Info "session_fenced" Fenced {
+            /// The entry.
+            entry: EntryId,
+            /// The agent.
+            agent: AgentId,
+            /// The session that ended.
+            session: SessionNumber,
+            /// Tasks that the agent knew at the fence.
+            held_tasks: usize,
+        }
+        /// The connection of a session broke.
+        204 Warn "session_lost" Lost {
+            /// The process at the other end.
+            peer: ProcessName,
+            /// The session.
+            session: SessionNumber,
+            /// Tasks outstanding on the session.
+            outstanding_tasks: usize,
+        }
+        /// The other end was silent past its lease; its tasks are settled.
+        205 Warn "session_lapsed" Lapsed {
+            /// The process at the other end.
+            peer: ProcessName,
+            /// The last session with it.
+            session: SessionNumber,
+            /// Time since its last message.
+            silent_ms: Millis,
+            /// Tasks settled as unknown by an entry, or dropped unstarted by an agent.
+            settled_tasks: usize,
+        }
+        /// An attach or a dial was rejected because the secrets differ.
+        206 Error "bad_secret" BadSecret {
+            /// Address of the other end.
+            address: SocketAddr,
+        }
+        /// A session was closed because its buffer was full.
+        207 Warn "session_lagging" Lagging {
+            /// The agent.
+            agent: AgentId,
+            /// The session.
+            session: SessionNumber,
+            /// Messages that the buffer holds.
+            buffer_messages: u32,
+        }
+        /// An attach was refused because the entry has its most sessions.
+        208 Warn "sessions_full" Full {
+            /// Address of the agent.
+            address: SocketAddr,
+            /// The limit from the settings.
+            max_sessions: u32,
+        }
+        /// An agent could not connect to an entry.
+        209 Info "dial_failed" DialFailed {
+            /// Address that was dialled.
+            address: SocketAddr,
+            /// Wait before the next try.
+            redial_ms: Millis,
+            /// Why.
+            error: ErrorText,
+        }
+    }
+}
--- /dev/null
+++ b/crates/log/src/event/target.rs
@@ -0,0 +1,91 @@
+//! 4xx: targets and the tasks on them.
+
+use std::net::SocketAddr;
+
+use dfs_ids::Attempt;
+use dfs_ids::GroupId;
+use dfs_ids::Millis;
+use dfs_ids::ServiceName;
+use dfs_ids::Slots;
+use dfs_ids::SubmissionId;
+use dfs_ids::TargetId;
+use dfs_ids::TaskIndex;
+
+use super::ErrorText;
+use super::catalogue::events;
+
+events! {
+    /// Targets and the tasks on them.
+    TargetEvent {
+        /// A target announced itself to its agent, or changed its offer.
+        401 Info "target_announced" Announced {
+            /// The target.
+            target: TargetId,
+            /// Address on which it takes tasks.
+            address: SocketAddr,
+            /// Tasks that it runs at once.
+            slots: Slots,
+            /// Its lease.
+            lease_ms: Millis,
+        }
+        /// The lease of a target ran out without a heartbeat; it gets no new work.
+        402 Warn "heartbeat_missed" HeartbeatMissed {
+            /// The target.
+            target: TargetId,
+            /// Time since its last heartbeat.
+            silent_ms: Millis,
+        }
+        /// A target said that it leaves; it gets no new work.
+        403 Info "target_goodbye" Goodbye {
+            /// The target.
+            target: TargetId,
+            /// Tasks that still run on it.
+            running_tasks: usize,
+        }
+        /// A target fails where others do well; it gets no work for a while.
+        404 Warn "target_ejected" Ejected {
+            /// The target.
+            target: TargetId,
+            /// The service that fails on it.
+            service: ServiceName,
+            /// Time for which it is set aside.
+            eject_ms: Millis,
+        }
+        /// An ejected target gets work again.
+        405 Info "target_returned" Returned {
+            /// The target.
+            target: TargetId,
+            /// The service.
+            service: ServiceName,
+        }
+        /// A target answered a task with an error.
+        406 Debug "task_failed" TaskFailed {
+            /// The submission.
+            submission: SubmissionId,
+            /// The task.
+            task: TaskIndex,
+            /// The attempt.
+            attempt: Attempt,
+            /// The target.
+            target: TargetId,
+            /// What went wrong.
+            error: ErrorText,
+        }
+        /// Tasks of a submission may have run and will never be known to have ended.
+        407 Warn "outcome_unknown" OutcomeUnknown {
+            /// The submission.
+            submission: SubmissionId,
+            /// The target on which they may have run.
+            target: TargetId,
+            /// How many.
+            tasks: usize,
+        }
+        /// A group has no further attempts left for the moment.
+        408 Warn "retry_budget_spent" RetryBudgetSpent {
+            /// The group.
+            group: GroupId,
+            /// The service.
+            service: ServiceName,
+        }
+    }
+}
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -1,1 +1,31 @@
-//! Part of dragonflyshed: log.
+//! Numbered events on standard error, and metrics over statsd.
+
+mod event;
+mod logger;
+mod metrics;
+
+pub use event::ConfigEvent;
+pub use event::ConfigSource;
+pub use event::ErrorText;
+pub use event::Event;
+pub use event::EventKind;
+pub use event::Listener;
+pub use event::NotReadyCause;
+pub use event::ProcessEvent;
+pub use event::ProcessName;
+pub use event::RequestEvent;
+pub use event::SessionEvent;
+pub use event::TargetEvent;
+pub use logger::LogError;
+pub use logger::emit;
+pub use logger::emit_to;
+pub use logger::init;
+pub use logger::logger;
+pub use metrics::Counter;
+pub use metrics::FLUSH_BYTES;
+pub use metrics::FLUSH_INTERVAL;
+pub use metrics::Gauge;
+pub use metrics::MAX_SERIES;
+pub use metrics::Metrics;
+pub use metrics::Series;
+pub use metrics::Statistic;
--- /dev/null
+++ b/crates/log/src/metrics/handle.rs
@@ -0,0 +1,133 @@
+//! The handle through which the process records its metrics.
+
+use std::array;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use cadence::StatsdClient;
+use dfs_ids::GroupId;
+use dfs_ids::ServiceName;
+use dfs_wire::api::FailureReason;
+
+use super::Counter;
+use super::Gauge;
+use super::Series;
+use super::flush;
+use super::flush::Sent;
+use super::series::Owner;
+use super::series::Pending;
+use super::series::Recorded;
+use crate::LogError;
+use crate::ProcessName;
+
+/// Records metrics in memory; a flush sends them. Clones share their state.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+pub(super) struct Shared {
+    /// None if the settings name no statsd server; then no histograms are kept either.
+    pub(super) client: Option<StatsdClient>,
+    /// Totals since the start, by position in [`Counter::ALL`].
+    pub(super) counters: [AtomicU64; Counter::ALL.len()],
+    /// Last values, by position in [`Gauge::ALL`].
+    pub(super) gauges: [AtomicU64; Gauge::ALL.len()],
+    /// Totals since the start.
+    pub(super) refusals: Mutex<Vec<(FailureReason, u64)>>,
+    pub(super) pending: Mutex<Pending>,
+    /// Totals at the last flush.
+    pub(super) sent: Mutex<Sent>,
+}
+
+/// Every update leaves the value whole, so that a panic elsewhere does no harm to it.
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Metrics {
+    /// Metrics that are sent to `address` when they are flushed, or kept only as totals.
+    ///
+    /// # Errors
+    ///
+    /// If no UDP socket can be opened.
+    pub fn new(address: Option<SocketAddr>, process: &ProcessName) -> Result<Self, LogError> {
+        let client = match address {
+            Some(address) => Some(flush::client(address, process)?),
+            None => None,
+        };
+        let shared = Shared {
+            client,
+            counters: array::from_fn(|_| AtomicU64::new(0)),
+            gauges: array::from_fn(|_| AtomicU64::new(0)),
+            refusals: Mutex::default(),
+            pending: Mutex::default(),
+            sent: Mutex::default(),
+        };
+        Ok(Self {
+            shared: Arc::new(shared),
+        })
+    }
+
+    /// Adds to a counter.
+    pub fn add(&self, counter: Counter, n: u64) {
+        self.shared.counters[counter as usize].fetch_add(n, Ordering::Relaxed);
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: FailureReason) {
+        let mut refusals = lock(&self.shared.refusals);
+        match refusals.iter_mut().find(|(known, _)| *known == reason) {
+            Some((_, total)) => *total += 1,
+            None => refusals.push((reason, 1)),
+        }
+    }
+
+    /// Sets a gauge.
+    pub fn set(&self, gauge: Gauge, value: u64) {
+        self.shared.gauges[gauge as usize].store(value, Ordering::Relaxed);
+    }
+
+    /// Adds a sample to a histogram of a group and service.
+    pub fn record(&self, group: &GroupId, service: &ServiceName, series: Series, value: u64) {
+        if self.shared.client.is_none() {
+            return;
+        }
+        let owner = Owner::Pair(group.clone(), service.clone());
+        let recorded = lock(&self.shared.pending).record(owner, series, value);
+        match recorded {
+            Recorded::Own => {}
+            Recorded::Pooled => self.add(Counter::SeriesOverflow, 1),
+        }
+    }
+
+    /// Total of a counter since the start of the process.
+    #[must_use]
+    pub fn total(&self, counter: Counter) -> u64 {
+        self.shared.counters[counter as usize].load(Ordering::Relaxed)
+    }
+
+    /// Refusals since the start of the process, by reason.
+    #[must_use]
+    pub fn refusals(&self) -> Vec<(FailureReason, u64)> {
+        lock(&self.shared.refusals).clone()
+    }
+
+    /// Sends what is due, at most about [`crate::FLUSH_BYTES`]; never blocks.
+    ///
+    /// A process calls this before it ends, so that its last counts are not lost.
+    pub fn flush(&self) {
+        flush::flush(&self.shared);
+    }
+
+    /// Flushes every [`crate::FLUSH_INTERVAL`] on a thread that ends with the last clone.
+    pub(crate) fn start_flushing(&self) -> Result<(), LogError> {
+        flush::start(Arc::downgrade(&self.shared))
+    }
+}
--- /dev/null
+++ b/crates/log/src/metrics/mod.rs
@@ -0,0 +1,15 @@
+//! Metrics over statsd: counters, gauges and histograms for each group and service.
+
+mod flush;
+mod handle;
+mod name;
+mod series;
+
+pub use flush::FLUSH_BYTES;
+pub use flush::FLUSH_INTERVAL;
+pub use handle::Metrics;
+pub use name::Counter;
+pub use name::Gauge;
+pub use name::Series;
+pub use name::Statistic;
+pub use series::MAX_SERIES;
