Stand-ins for platform and target

The client of the platform had nothing to run against. Table service, object store, statsd server and target as small servers, each with a control address; they can be slow, down or lose requests or replies on command, in tests and as processes of their own.

Ruled out: axum::serve, because it cannot close its listener and reopen it, nor break a connection instead of replying.

--- /dev/null
+++ b/crates/store/tests/config.rs
@@ -0,0 +1,250 @@
+//! Changes of the configuration: races, lost requests and replies, a platform that is down or slow.
+
+mod common;
+
+use common::Bench;
+use common::SHORT_TIMEOUT_MS;
+use common::TIMEOUT_MS;
+use common::change;
+use common::config;
+use dfs_ids::ConfigVersion;
+use dfs_ids::Millis;
+use dfs_standin::Mode;
+use dfs_store::ApplyError;
+use dfs_store::ConfigReadError;
+use dfs_store::Head;
+use dfs_store::StoreError;
+use googletest::prelude::*;
+
+const OPERATORS: usize = 16;
+/// Longer than [`SHORT_TIMEOUT_MS`].
+const SLOW_MS: Millis = Millis::new(400);
+
+fn version(n: u64) -> ConfigVersion {
+    ConfigVersion::new(n)
+}
+
+fn head(n: u64, change: &str) -> Head {
+    Head {
+        version: version(n),
+        change: change.parse().unwrap(),
+    }
+}
+
+fn conflict(base: u64, winner: u64, change: &str) -> ApplyError {
+    ApplyError::Conflict {
+        base: version(base),
+        winner: version(winner),
+        winner_change: change.parse().unwrap(),
+    }
+}
+
+#[tokio::test]
+async fn an_accepted_change_is_the_head() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(TIMEOUT_MS);
+    assert_that!(store.read_head().await, ok(none()));
+    assert_that!(store.apply(&change(0, "a")).await, ok(eq(&version(1))));
+    assert_that!(store.apply(&change(1, "b")).await, ok(eq(&version(2))));
+    assert_that!(store.read_head().await, ok(some(eq(&head(2, "b")))));
+    assert_that!(
+        store.read_version(version(1)).await,
+        ok(eq(&config(1, "a")))
+    );
+    assert_that!(
+        store.read_version(version(2)).await,
+        ok(eq(&config(2, "b")))
+    );
+    assert_that!(
+        store.read_version(version(3)).await,
+        err(eq(&ConfigReadError::NoVersion {
+            version: version(3)
+        }))
+    );
+}
+
+#[tokio::test]
+async fn of_racing_operators_one_wins_and_the_others_learn_which() {
+    let bench = Bench::spawn().await;
+    let racers = (0..OPERATORS).map(|i| {
+        let store = bench.config_store(TIMEOUT_MS);
+        tokio::spawn(async move { store.apply(&change(0, &format!("c{i}"))).await })
+    });
+    let mut outcomes = Vec::new();
+    for racer in racers.collect::<Vec<_>>() {
+        outcomes.push(racer.await.unwrap());
+    }
+    let wins: Vec<usize> = (0..OPERATORS).filter(|i| outcomes[*i].is_ok()).collect();
+    assert_that!(wins, len(eq(1)));
+    let winner = format!("c{}", wins[0]);
+    let lost = conflict(0, 1, &winner);
+    let losers = outcomes.iter().filter_map(|o| o.as_ref().err());
+    assert_that!(losers.collect::<Vec<_>>(), each(eq(&&lost)));
+    let store = bench.config_store(TIMEOUT_MS);
+    assert_that!(store.read_head().await, ok(some(eq(&head(1, &winner)))));
+    assert_that!(
+        store.read_version(version(1)).await,
+        ok(eq(&config(1, &winner)))
+    );
+}
+
+#[tokio::test]
+async fn a_change_whose_reply_is_lost_is_accepted_once() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(TIMEOUT_MS);
+    bench.table.faults().lose_replies(1);
+    assert_that!(store.apply(&change(0, "a")).await, ok(eq(&version(1))));
+    assert_that!(bench.table.commits(), eq(1));
+}
+
+#[tokio::test]
+async fn a_change_whose_request_is_lost_is_sent_again() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(TIMEOUT_MS);
+    bench.table.faults().lose_requests(1);
+    assert_that!(store.apply(&change(0, "a")).await, ok(eq(&version(1))));
+    assert_that!(bench.table.commits(), eq(1));
+}
+
+#[tokio::test]
+async fn a_repeated_change_is_answered_like_the_first() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(TIMEOUT_MS);
+    store.apply(&change(0, "a")).await.unwrap();
+    store.apply(&change(1, "b")).await.unwrap();
+    assert_that!(store.apply(&change(0, "a")).await, ok(eq(&version(1))));
+    assert_that!(store.read_head().await, ok(some(eq(&head(2, "b")))));
+}
+
+#[tokio::test]
+async fn a_stale_base_is_a_conflict() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(TIMEOUT_MS);
+    store.apply(&change(0, "a")).await.unwrap();
+    store.apply(&change(1, "b")).await.unwrap();
+    assert_that!(
+        store.apply(&change(1, "c")).await,
+        err(eq(&conflict(1, 2, "b")))
+    );
+}
+
+#[tokio::test]
+async fn a_base_that_does_not_exist_is_named() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(TIMEOUT_MS);
+    assert_that!(
+        store.apply(&change(4, "a")).await,
+        err(eq(&ApplyError::NoBase { base: version(4) }))
+    );
+}
+
+#[tokio::test]
+async fn a_change_that_is_lost_each_time_stays_in_doubt() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(TIMEOUT_MS);
+    bench.table.faults().lose_requests(u32::MAX);
+    let outcome = store.apply(&change(0, "a")).await;
+    assert_that!(outcome, err(matches_pattern!(ApplyError::Unknown { .. })));
+    assert_that!(bench.table.commits(), eq(0));
+}
+
+#[tokio::test]
+async fn a_lost_change_is_a_conflict_once_another_has_won() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(TIMEOUT_MS);
+    bench.table.faults().lose_requests(u32::MAX);
+    store.apply(&change(0, "a")).await.unwrap_err();
+    bench.table.faults().lose_requests(0);
+    store.apply(&change(0, "b")).await.unwrap();
+    let outcome = store.apply(&change(0, "a")).await;
+    assert_that!(outcome, err(eq(&conflict(0, 1, "b"))));
+}
+
+#[tokio::test]
+async fn a_store_that_is_down_accepts_nothing() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(TIMEOUT_MS);
+    bench.table.faults().set_mode(Mode::Refuse).await;
+    let outcome = store.apply(&change(0, "a")).await;
+    assert_that!(
+        outcome,
+        err(matches_pattern!(ApplyError::NotApplied { .. }))
+    );
+    bench.table.faults().set_mode(Mode::Normal).await;
+    assert_that!(store.read_head().await, ok(none()));
+}
+
+#[tokio::test]
+async fn an_accepted_change_outlives_an_outage_right_after() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(SHORT_TIMEOUT_MS);
+    bench.table.faults().lose_replies(1);
+    assert_that!(store.apply(&change(0, "a")).await, ok(eq(&version(1))));
+    bench.table.faults().set_mode(Mode::Refuse).await;
+    // A client without a pooled connection, which would be reported as broken.
+    let store = bench.config_store(SHORT_TIMEOUT_MS);
+    assert_that!(
+        store.read_head().await,
+        err(matches_pattern!(StoreError::Connect { .. }))
+    );
+    bench.table.faults().set_mode(Mode::Hang).await;
+    assert_that!(
+        store.read_head().await,
+        err(matches_pattern!(StoreError::Timeout { .. }))
+    );
+    bench.table.faults().set_mode(Mode::Normal).await;
+    assert_that!(store.read_head().await, ok(some(eq(&head(1, "a")))));
+    assert_that!(
+        store.read_version(version(1)).await,
+        ok(eq(&config(1, "a")))
+    );
+}
+
+#[tokio::test]
+async fn a_slow_store_is_waited_for() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(TIMEOUT_MS);
+    bench.table.faults().set_mode(Mode::SlowMs(SLOW_MS)).await;
+    assert_that!(store.apply(&change(0, "a")).await, ok(eq(&version(1))));
+}
+
+#[tokio::test]
+async fn a_store_slower_than_the_timeout_accepts_nothing_by_reads_alone() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(SHORT_TIMEOUT_MS);
+    bench.table.faults().set_mode(Mode::SlowMs(SLOW_MS)).await;
+    let outcome = store.apply(&change(0, "a")).await;
+    assert_that!(
+        outcome,
+        err(matches_pattern!(ApplyError::NotApplied { .. }))
+    );
+    bench.table.faults().set_mode(Mode::Normal).await;
+    assert_that!(bench.table.commits(), eq(0));
+}
+
+#[tokio::test]
+async fn a_large_configuration_goes_to_the_object_store() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(TIMEOUT_MS).with_max_inline_bytes(0);
+    bench.objects.faults().lose_replies(1);
+    let lost = store.apply(&change(0, "a")).await;
+    assert_that!(lost, err(matches_pattern!(ApplyError::NotApplied { .. })));
+    assert_that!(store.apply(&change(0, "a")).await, ok(eq(&version(1))));
+    assert_that!(bench.objects.count(), eq(1));
+    assert_that!(
+        store.read_version(version(1)).await,
+        ok(eq(&config(1, "a")))
+    );
+}
+
+#[tokio::test]
+async fn a_damaged_body_is_detected() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(TIMEOUT_MS).with_max_inline_bytes(0);
+    store.apply(&change(0, "a")).await.unwrap();
+    bench.objects.damage();
+    assert_that!(
+        store.read_version(version(1)).await,
+        err(matches_pattern!(ConfigReadError::Damaged { .. }))
+    );
+}
