--- /dev/null
+++ b/crates/agent/src/connection/dial.rs
@@ -0,0 +1,184 @@
+//! Dialling an entry and keeping a session with it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use dfs_conf::AgentSettings;
+use dfs_ids::Incarnation;
+use dfs_log::ErrorText;
+use dfs_log::SessionEvent;
+use dfs_policy::ConnectionId;
+use dfs_policy::agent::AgentEvent;
+use dfs_wire::session::ATTACH_METHOD;
+use dfs_wire::session::Ack;
+use dfs_wire::session::Attach;
+use dfs_wire::session::DETACH_METHOD;
+use dfs_wire::session::REPORT_METHOD;
+use dfs_wire::session::Report;
+use dfs_wire::session::ToAgent;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::core::client::Error as ClientError;
+use jsonrpsee::core::client::Subscription;
+use jsonrpsee::core::client::SubscriptionClientT;
+use jsonrpsee::rpc_params;
+use jsonrpsee::ws_client::WsClient;
+use jsonrpsee::ws_client::WsClientBuilder;
+use rand::Rng;
+use tokio::sync::mpsc;
+
+use crate::process::Command;
+use crate::process::CoreHandle;
+
+/// Messages that may wait for the core; a session that lags further is closed.
+const MAX_WAITING_MESSAGES: usize = 1_024;
+/// Reports that may wait for their acknowledgement.
+const MAX_WAITING_REPORTS: usize = 1_024;
+/// Longest wait for a connection and for an acknowledgement.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Part of the wait by which dials are spread.
+const JITTER: f64 = 0.5;
+
+/// One entry to dial.
+#[derive(Debug, Clone)]
+pub(crate) struct Dial {
+    pub settings: Arc<AgentSettings>,
+    pub incarnation: Incarnation,
+    pub address: SocketAddr,
+    pub core: CoreHandle,
+}
+
+static NEXT_CONNECTION: AtomicU64 = AtomicU64::new(0);
+
+/// Keeps a session with the entry for as long as the task lives.
+pub(crate) async fn keep_dialling(dial: Dial) {
+    let shortest = Duration::from(dial.settings.redial_ms);
+    let longest = Duration::from(dial.settings.redial_max_ms);
+    let mut wait = shortest;
+    loop {
+        match dial.connect().await {
+            Ok((client, messages)) => {
+                wait = shortest;
+                dial.hold(client, messages).await;
+            }
+            Err(error) => {
+                wait = (wait * 2).min(longest);
+                dfs_log::emit(SessionEvent::DialFailed {
+                    address: dial.address,
+                    redial_ms: dial.settings.redial_ms,
+                    error: ErrorText::new(&error),
+                });
+            }
+        }
+        let factor = rand::rng().random_range(1.0 - JITTER..=1.0);
+        tokio::time::sleep(wait.mul_f64(factor)).await;
+    }
+}
+
+impl Dial {
+    async fn connect(&self) -> Result<(WsClient, Subscription<ToAgent>), ClientError> {
+        let client = WsClientBuilder::default()
+            .connection_timeout(REPLY_TIMEOUT)
+            .request_timeout(REPLY_TIMEOUT)
+            .max_request_size(self.settings.max_message_bytes)
+            .max_response_size(self.settings.max_message_bytes)
+            .max_buffer_capacity_per_subscription(MAX_WAITING_MESSAGES)
+            .max_concurrent_requests(MAX_WAITING_REPORTS)
+            .set_tcp_no_delay(true)
+            .build(format!("ws://{}", self.address))
+            .await?;
+        let attach = Attach {
+            secret: self.settings.session_secret.clone(),
+            agent: self.settings.agent.clone(),
+            incarnation: self.incarnation,
+            domain: self.settings.domain.clone(),
+        };
+        let parameters = rpc_params![attach];
+        let messages = client
+            .subscribe(ATTACH_METHOD, parameters, DETACH_METHOD)
+            .await?;
+        Ok((client, messages))
+    }
+
+    /// Carries messages and reports until either side closes the connection.
+    async fn hold(&self, client: WsClient, mut messages: Subscription<ToAgent>) {
+        let connection = ConnectionId(NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed));
+        let guard = LossGuard {
+            connection,
+            core: self.core.clone(),
+        };
+        let (sender, mut reports) = mpsc::unbounded_channel();
+        self.core.send(Command::Connected {
+            connection,
+            reports: sender,
+        });
+        let client = Arc::new(client);
+        let (failed, mut failure) = mpsc::channel::<()>(1);
+        loop {
+            tokio::select! {
+                message = messages.next() => {
+                    let Some(Ok(message)) = message else { break };
+                    self.core.event(AgentEvent::Message { connection, message });
+                }
+                report = reports.recv() => {
+                    let Some(report) = report else { break };
+                    let call = Call {
+                        client: Arc::clone(&client),
+                        connection,
+                        core: self.core.clone(),
+                        failed: failed.clone(),
+                    };
+                    tokio::spawn(call.send(report));
+                }
+                _ = failure.recv() => break,
+            }
+        }
+        drop(guard);
+    }
+}
+
+/// Reports the loss also when the task that holds the connection is aborted.
+struct LossGuard {
+    connection: ConnectionId,
+    core: CoreHandle,
+}
+
+impl Drop for LossGuard {
+    fn drop(&mut self) {
+        self.core.event(AgentEvent::ConnectionLost {
+            connection: self.connection,
+        });
+    }
+}
+
+/// One report on its way.
+struct Call {
+    client: Arc<WsClient>,
+    connection: ConnectionId,
+    core: CoreHandle,
+    failed: mpsc::Sender<()>,
+}
+
+impl Call {
+    async fn send(self, report: Report) {
+        let seq = report.seq;
+        let reply = self
+            .client
+            .request::<Ack, _>(REPORT_METHOD, rpc_params![report])
+            .await;
+        match reply {
+            Ok(ack) => {
+                let connection = self.connection;
+                self.core.event(AgentEvent::Acked {
+                    connection,
+                    seq,
+                    ack,
+                });
+            }
+            // One failed report is enough to close the connection.
+            Err(_) => drop(self.failed.try_send(())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/connection/mod.rs
@@ -0,0 +1,6 @@
+//! What lives as long as the connection to an entry.
+
+mod dial;
+
+pub(crate) use dial::Dial;
+pub(crate) use dial::keep_dialling;
--- /dev/null
+++ b/crates/agent/src/process/core.rs
@@ -0,0 +1,212 @@
+//! The one task that owns the decisions; it only carries events and actions.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use dfs_ids::Clock;
+use dfs_log::Counter;
+use dfs_log::Gauge;
+use dfs_log::Metrics;
+use dfs_policy::ConnectionId;
+use dfs_policy::agent as policy;
+use dfs_policy::agent::AgentAction;
+use dfs_policy::agent::AgentEvent;
+use dfs_policy::agent::RunEnd;
+use dfs_wire::session::Report;
+use tokio::sync::mpsc;
+
+use super::roster::RosterEvent;
+use super::version::Versions;
+use crate::request::Runner;
+use crate::request::Start;
+
+/// Time between two looks at leases and renewals.
+const TICK: Duration = Duration::from_millis(20);
+/// Events that are taken before tasks are started and reports are sent.
+const MAX_BATCH: usize = 256;
+
+/// Something for the core to do.
+#[derive(Debug)]
+pub(crate) enum Command {
+    /// An event.
+    Event(AgentEvent),
+    /// A new connection; reports for the entry go to `reports`.
+    Connected {
+        connection: ConnectionId,
+        reports: mpsc::UnboundedSender<Report>,
+    },
+}
+
+/// Sends commands to the core.
+#[derive(Debug, Clone)]
+pub(crate) struct CoreHandle {
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+impl CoreHandle {
+    /// Passes a command on. Sessions and running tasks are bounded, so the queue is.
+    pub fn send(&self, command: Command) {
+        // The core outlives every other task; after it only the process ends.
+        let _ = self.commands.send(command);
+    }
+
+    pub fn event(&self, event: AgentEvent) {
+        self.send(Command::Event(event));
+    }
+}
+
+/// The decisions with their connections to the outside.
+pub(crate) struct Core {
+    decisions: policy::Agent,
+    clock: Clock,
+    metrics: Metrics,
+    commands: mpsc::UnboundedReceiver<Command>,
+    handle: CoreHandle,
+    connections: HashMap<ConnectionId, mpsc::UnboundedSender<Report>>,
+    runner: Runner,
+    versions: Versions,
+    roster: mpsc::UnboundedSender<RosterEvent>,
+    stopped: tokio::sync::watch::Sender<bool>,
+}
+
+impl Core {
+    pub fn new(
+        decisions: policy::Agent,
+        clock: Clock,
+        metrics: Metrics,
+        runner: Runner,
+        versions: Versions,
+        roster: mpsc::UnboundedSender<RosterEvent>,
+    ) -> (Self, CoreHandle, tokio::sync::watch::Receiver<bool>) {
+        let (sender, commands) = mpsc::unbounded_channel();
+        let handle = CoreHandle { commands: sender };
+        let (stopped, watch) = tokio::sync::watch::channel(false);
+        let core = Self {
+            decisions,
+            clock,
+            metrics,
+            commands,
+            handle: handle.clone(),
+            connections: HashMap::new(),
+            runner,
+            versions,
+            roster,
+            stopped,
+        };
+        (core, handle, watch)
+    }
+
+    pub async fn run(mut self) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                command = self.commands.recv() => {
+                    let Some(command) = command else { return };
+                    self.take_batch(command);
+                }
+                _ = tick.tick() => self.handle(AgentEvent::Tick),
+            }
+            let actions = self.decisions.flush(self.clock.now());
+            self.perform_all(actions);
+            self.metrics
+                .set(Gauge::QueuedTasks, self.decisions.queued().into());
+        }
+    }
+
+    fn take_batch(&mut self, first: Command) {
+        self.take(first);
+        for _ in 1..MAX_BATCH {
+            let Ok(command) = self.commands.try_recv() else {
+                return;
+            };
+            self.take(command);
+        }
+    }
+
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Event(event) => self.handle(event),
+            Command::Connected {
+                connection,
+                reports,
+            } => {
+                self.connections.insert(connection, reports);
+            }
+        }
+    }
+
+    fn handle(&mut self, event: AgentEvent) {
+        match &event {
+            AgentEvent::ConnectionLost { connection } => {
+                self.connections.remove(connection);
+            }
+            AgentEvent::Message { .. } => self.metrics.add(Counter::MessagesReceived, 1),
+            _ => {}
+        }
+        let actions = self.decisions.handle(self.clock.now(), event);
+        self.perform_all(actions);
+    }
+
+    fn perform_all(&mut self, actions: Vec<AgentAction>) {
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    fn perform(&mut self, action: AgentAction) {
+        match action {
+            AgentAction::Report { connection, report } => {
+                self.metrics.add(Counter::MessagesSent, 1);
+                if let Some(reports) = self.connections.get(&connection) {
+                    // A connection that has just closed reports its own loss.
+                    let _ = reports.send(report);
+                }
+            }
+            AgentAction::Close { connection } => {
+                self.connections.remove(&connection);
+            }
+            AgentAction::Start {
+                task,
+                service,
+                address,
+                body,
+                ..
+            } => {
+                let handle = self.handle.clone();
+                let run = self.runner.run(Start {
+                    service,
+                    address,
+                    body,
+                });
+                tokio::spawn(async move {
+                    let (run_us, end): (u64, RunEnd) = run.await;
+                    handle.event(AgentEvent::Ended { task, run_us, end });
+                });
+            }
+            AgentAction::Opened { connection, open } => {
+                self.tell_roster(RosterEvent::Opened { connection, entry: open.entry });
+            }
+            AgentAction::Entries(entries) => self.tell_roster(RosterEvent::Entries(entries)),
+            AgentAction::ConfigReceived(body) => {
+                if let Some(config) = self.versions.adopt(&body) {
+                    self.handle(AgentEvent::Configured(config));
+                }
+            }
+            AgentAction::ConfigWanted { connection, .. } => {
+                if let Some(body) = self.versions.whole() {
+                    self.handle(AgentEvent::ConfigBody { connection, body });
+                }
+            }
+            AgentAction::EntryLapsed { .. } | AgentAction::EntryClosing { .. } => {}
+            AgentAction::Stopped => {
+                self.stopped.send_replace(true);
+            }
+        }
+    }
+
+    fn tell_roster(&self, event: RosterEvent) {
+        // The roster ends only with the process.
+        let _ = self.roster.send(event);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/process/mod.rs
@@ -0,0 +1,14 @@
+//! What lives as long as the process.
+
+mod core;
+mod error;
+mod roster;
+mod start;
+mod version;
+
+pub use error::StartError;
+pub use start::Agent;
+pub use start::StopKind;
+
+pub(crate) use core::Command;
+pub(crate) use core::CoreHandle;
--- /dev/null
+++ b/crates/agent/src/process/start.rs
@@ -0,0 +1,130 @@
+//! Starting and stopping an agent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use dfs_conf::AgentSettings;
+use dfs_ids::Clock;
+use dfs_ids::Incarnation;
+use dfs_ids::Millis;
+use dfs_log::Listener;
+use dfs_log::Metrics;
+use dfs_log::ProcessEvent;
+use dfs_log::ProcessName;
+use dfs_policy::agent as policy;
+use dfs_policy::agent::AgentEvent;
+use rand::Rng;
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use super::CoreHandle;
+use super::StartError;
+use super::core::Core;
+use super::error::ListenSnafu;
+use super::roster::Roster;
+use super::version::Versions;
+use crate::request;
+use crate::request::Runner;
+
+/// A running agent.
+#[derive(Debug)]
+pub struct Agent {
+    /// Address on which the target announces itself.
+    pub address: SocketAddr,
+    drain_ms: Millis,
+    core: CoreHandle,
+    stopped: tokio::sync::watch::Receiver<bool>,
+    background: Vec<JoinHandle<()>>,
+}
+
+/// How a planned stop ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopKind {
+    /// Every task has ended and its result was acknowledged.
+    Drained,
+    /// The time for it ran out.
+    BoundPassed,
+}
+
+impl Agent {
+    /// Starts an agent from checked settings.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub async fn start(settings: AgentSettings, metrics: Metrics) -> Result<Self, StartError> {
+        let settings = Arc::new(settings);
+        let incarnation = Incarnation::new(rand::rng().random());
+        dfs_log::emit(ProcessEvent::Starting {
+            process: ProcessName::Agent(settings.agent.clone()),
+            domain: settings.domain.clone(),
+            incarnation,
+        });
+        let address = settings.listen_address;
+        let listener = TcpListener::bind(address)
+            .await
+            .context(ListenSnafu { address })?;
+        let address = listener.local_addr().context(ListenSnafu { address })?;
+        let (roster, roster_events) = mpsc::unbounded_channel();
+        let (core, handle, stopped) = Core::new(
+            policy::Agent::new(settings.keep_results_ms),
+            Clock::start(),
+            metrics,
+            Runner::new(&settings),
+            Versions::new(settings.domain.clone()),
+            roster,
+        );
+        let router = request::router(handle.clone());
+        let roster = Roster::new(
+            Arc::clone(&settings),
+            incarnation,
+            handle.clone(),
+            roster_events,
+        );
+        let background = vec![
+            tokio::spawn(core.run()),
+            tokio::spawn(roster.run()),
+            tokio::spawn(async move {
+                // The server ends only with the process.
+                let _ = axum::serve(listener, router).await;
+            }),
+        ];
+        dfs_log::emit(ProcessEvent::Listening {
+            listener: Listener::Target,
+            address,
+        });
+        let drain_ms = settings.drain_ms;
+        Ok(Self {
+            address,
+            drain_ms,
+            core: handle,
+            stopped,
+            background,
+        })
+    }
+
+    /// Hands queued tasks back, lets running ones end and delivers their results, within the bound
+    /// of the settings.
+    pub async fn stop(mut self) -> StopKind {
+        let asked = Instant::now();
+        let drain_ms = self.drain_ms;
+        dfs_log::emit(ProcessEvent::StopRequested { drain_ms });
+        self.core.event(AgentEvent::Stop);
+        let drained = self.stopped.wait_for(|stopped| *stopped);
+        let kind = match tokio::time::timeout(drain_ms.into(), drained).await {
+            Ok(_) => {
+                let waited = u64::try_from(asked.elapsed().as_millis()).unwrap_or(u64::MAX);
+                dfs_log::emit(ProcessEvent::Drained {
+                    waited_ms: Millis::new(waited),
+                });
+                StopKind::Drained
+            }
+            Err(_) => StopKind::BoundPassed,
+        };
+        self.background.iter().for_each(JoinHandle::abort);
+        kind
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cli.rs
@@ -0,0 +1,45 @@
+//! Command line of the daemon.
+
+use std::path::PathBuf;
+
+use clap::Args;
+use clap::Parser;
+use clap::Subcommand;
+
+/// The daemon of dragonflyshed.
+#[derive(Debug, Parser)]
+#[command(version, about, after_help = EXAMPLES)]
+pub struct Cli {
+    /// Role of the process.
+    #[command(subcommand)]
+    pub role: Role,
+}
+
+const EXAMPLES: &str = "Examples:
+  dragonflyshedd entry --print-settings > entry.json
+  dragonflyshedd entry --settings entry.json --check-settings
+  dragonflyshedd entry --settings entry.json
+  dragonflyshedd agent --settings agent.json";
+
+/// Roles.
+#[derive(Debug, Subcommand)]
+pub enum Role {
+    /// Takes submissions and places tasks on agents.
+    Entry(Options),
+    /// Runs tasks on the target beside it.
+    Agent(Options),
+}
+
+/// Options of every role.
+#[derive(Debug, Args)]
+pub struct Options {
+    /// Settings file in JSON.
+    #[arg(long, value_name = "FILE", required_unless_present = "print_settings")]
+    pub settings: Option<PathBuf>,
+    /// Checks the settings and ends.
+    #[arg(long)]
+    pub check_settings: bool,
+    /// Prints example settings with every default and ends.
+    #[arg(long, conflicts_with_all = ["settings", "check_settings"])]
+    pub print_settings: bool,
+}
--- /dev/null
+++ b/crates/entry/src/connection/server.rs
@@ -0,0 +1,191 @@
+//! The session server: agents subscribe to it and report to it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dfs_conf::EntrySettings;
+use dfs_log::Metrics;
+use dfs_policy::ConnectionId;
+use dfs_policy::entry::EntryEvent;
+use dfs_wire::session::ATTACH_METHOD;
+use dfs_wire::session::Ack;
+use dfs_wire::session::Attach;
+use dfs_wire::session::BAD_SECRET_CODE;
+use dfs_wire::session::DETACH_METHOD;
+use dfs_wire::session::REPORT_METHOD;
+use dfs_wire::session::Report;
+use dfs_wire::session::SESSION_NOTIFICATION;
+use dfs_wire::session::SESSION_OVER_CODE;
+use dfs_wire::session::ToAgent;
+use jsonrpsee::Extensions;
+use jsonrpsee::PendingSubscriptionSink;
+use jsonrpsee::RpcModule;
+use jsonrpsee::SubscriptionSink;
+use jsonrpsee::core::to_json_raw_value;
+use jsonrpsee::server::BatchRequestConfig;
+use jsonrpsee::server::ServerConfig;
+use jsonrpsee::server::ServerHandle;
+use jsonrpsee::types::ErrorObject;
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::types::Params;
+use snafu::ResultExt;
+use subtle::ConstantTimeEq;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::process::Command;
+use crate::process::CoreHandle;
+use crate::process::StartError;
+
+/// Buffer of the library; the bounded queue of the session lies before it.
+const LIBRARY_BUFFER_MESSAGES: u32 = 16;
+const ONE_SESSION_PER_CONNECTION: u32 = 1;
+
+/// A running session server.
+#[derive(Debug)]
+pub(crate) struct SessionServer {
+    pub address: SocketAddr,
+    handle: ServerHandle,
+}
+
+struct Context {
+    secret: String,
+    buffer_messages: usize,
+    core: CoreHandle,
+    _metrics: Metrics,
+}
+
+impl SessionServer {
+    pub async fn start(
+        settings: &EntrySettings,
+        core: CoreHandle,
+        metrics: Metrics,
+    ) -> Result<Self, StartError> {
+        let limits = &settings.limits;
+        let config = ServerConfig::builder()
+            .ws_only()
+            .max_connections(limits.max_sessions)
+            .max_subscriptions_per_connection(ONE_SESSION_PER_CONNECTION)
+            .max_request_body_size(limits.max_message_bytes)
+            .max_response_body_size(limits.max_message_bytes)
+            .set_message_buffer_capacity(LIBRARY_BUFFER_MESSAGES)
+            .set_batch_request_config(BatchRequestConfig::Disabled)
+            .set_tcp_no_delay(true)
+            .build();
+        let address = settings.session_address;
+        let listen = || crate::process::ListenSnafu { address };
+        let server = jsonrpsee::server::ServerBuilder::with_config(config)
+            .build(address)
+            .await
+            .with_context(|_| listen())?;
+        let address = server.local_addr().with_context(|_| listen())?;
+        let methods = methods(Context {
+            secret: settings.session_secret.clone(),
+            buffer_messages: limits.session_buffer_messages as usize,
+            core,
+            _metrics: metrics,
+        })?;
+        Ok(Self {
+            address,
+            handle: server.start(methods),
+        })
+    }
+
+    pub fn stop(&self) {
+        // Stopping a stopped server changes nothing.
+        let _ = self.handle.stop();
+    }
+}
+
+fn methods(context: Context) -> Result<RpcModule<Context>, StartError> {
+    let mut module = RpcModule::new(context);
+    let subscribed = module.register_subscription(
+        ATTACH_METHOD,
+        SESSION_NOTIFICATION,
+        DETACH_METHOD,
+        |params, pending, context, _| serve_session(params, pending, context),
+    );
+    subscribed.context(crate::process::MethodsSnafu)?;
+    let registered = module.register_async_method(REPORT_METHOD, take_report);
+    registered.context(crate::process::MethodsSnafu)?;
+    Ok(module)
+}
+
+async fn serve_session(
+    params: Params<'static>,
+    pending: PendingSubscriptionSink,
+    context: Arc<Context>,
+) {
+    let attach: Attach = match params.one() {
+        Ok(attach) => attach,
+        Err(fault) => return pending.reject(fault).await,
+    };
+    let is_known = attach.secret.as_bytes().ct_eq(context.secret.as_bytes());
+    if !bool::from(is_known) {
+        let message = "the session secret does not match: check session_secret of both processes";
+        return pending
+            .reject(ErrorObject::borrowed(BAD_SECRET_CODE, message, None))
+            .await;
+    }
+    let Ok(sink) = pending.accept().await else {
+        return;
+    };
+    let connection = ConnectionId(sink.connection_id().0 as u64);
+    let (sender, messages) = mpsc::channel(context.buffer_messages);
+    let event = EntryEvent::Attach { connection, attach };
+    context.core.send(Command::Attach {
+        connection,
+        event,
+        sink: sender,
+    });
+    forward(&sink, messages).await;
+    context
+        .core
+        .event(EntryEvent::ConnectionLost { connection });
+}
+
+/// Sends messages until the core or the agent closes the session.
+async fn forward(sink: &SubscriptionSink, mut messages: mpsc::Receiver<ToAgent>) {
+    loop {
+        let message = tokio::select! {
+            message = messages.recv() => message,
+            () = sink.closed() => None,
+        };
+        let Some(message) = message else { return };
+        let Ok(json) = to_json_raw_value(&message) else {
+            return;
+        };
+        if sink.send(json).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn take_report(
+    params: Params<'static>,
+    context: Arc<Context>,
+    extensions: Extensions,
+) -> Result<Ack, ErrorObjectOwned> {
+    let report: Report = params.one()?;
+    let id = extensions
+        .get::<jsonrpsee::ConnectionId>()
+        .ok_or_else(session_over)?;
+    let connection = ConnectionId(id.0 as u64);
+    let (reply, acknowledged) = oneshot::channel();
+    let seq = report.seq;
+    let event = EntryEvent::Report { connection, report };
+    context.core.send(Command::Report {
+        connection,
+        seq,
+        event,
+        reply,
+    });
+    match acknowledged.await {
+        Ok(Ok(ack)) => Ok(ack),
+        Ok(Err(_)) | Err(_) => Err(session_over()),
+    }
+}
+
+fn session_over() -> ErrorObjectOwned {
+    ErrorObject::borrowed(SESSION_OVER_CODE, "the session is over: attach anew", None)
+}
--- /dev/null
+++ b/crates/entry/src/process/core.rs
@@ -0,0 +1,262 @@
+//! The one task that owns the decisions; it only carries events and actions.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use dfs_ids::Clock;
+use dfs_ids::ConfigVersion;
+use dfs_ids::SubmissionId;
+use dfs_log::Counter;
+use dfs_log::Gauge;
+use dfs_log::Metrics;
+use dfs_policy::ConnectionId;
+use dfs_policy::entry as policy;
+use dfs_policy::entry::EntryAction;
+use dfs_policy::entry::EntryEvent;
+use dfs_wire::api::Answer;
+use dfs_wire::api::EntryStatus;
+use dfs_wire::session::Ack;
+use dfs_wire::session::ReportError;
+use dfs_wire::session::ToAgent;
+use serde_json::value::RawValue;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::oneshot;
+
+use super::observe::observe;
+
+/// Time between two looks at leases and deadlines.
+const TICK: Duration = Duration::from_millis(20);
+/// Events that are taken before tasks are placed.
+const MAX_BATCH: usize = 256;
+
+/// Something for the core to do.
+#[derive(Debug)]
+pub(crate) enum Command {
+    /// An event without a direct reply.
+    Event(EntryEvent),
+    /// A submission; `answer` gets its one final answer.
+    Submit {
+        submission: policy::Submission,
+        answer: oneshot::Sender<Answer>,
+    },
+    /// A new session; messages for the agent go to `sink`.
+    Attach {
+        connection: ConnectionId,
+        event: EntryEvent,
+        sink: mpsc::Sender<ToAgent>,
+    },
+    /// A report; `reply` gets its acknowledgement.
+    Report {
+        connection: ConnectionId,
+        seq: u64,
+        event: EntryEvent,
+        reply: oneshot::Sender<Result<Ack, ReportError>>,
+    },
+    /// The status page.
+    Status(oneshot::Sender<EntryStatus>),
+}
+
+/// What the core passes to the other parts of the process.
+#[derive(Debug)]
+pub(crate) enum Outgoing {
+    /// An agent holds an older version.
+    OfferConfig {
+        connection: ConnectionId,
+        have: ConfigVersion,
+    },
+    /// An agent sent a configuration.
+    ConfigReceived(Box<RawValue>),
+    /// The planned stop is complete.
+    Stopped,
+}
+
+/// Sends commands to the core.
+#[derive(Debug, Clone)]
+pub(crate) struct CoreHandle {
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+impl CoreHandle {
+    /// Passes a command on. Callers and sessions are bounded and wait for replies, so the queue is.
+    pub fn send(&self, command: Command) {
+        // The core outlives every other task; after it only the process ends.
+        let _ = self.commands.send(command);
+    }
+
+    pub fn event(&self, event: EntryEvent) {
+        self.send(Command::Event(event));
+    }
+}
+
+/// The decisions with their connections to the outside.
+pub(crate) struct Core {
+    decisions: policy::Entry,
+    clock: Clock,
+    metrics: Metrics,
+    commands: mpsc::UnboundedReceiver<Command>,
+    outgoing: mpsc::UnboundedSender<Outgoing>,
+    answers: HashMap<SubmissionId, oneshot::Sender<Answer>>,
+    sinks: HashMap<ConnectionId, mpsc::Sender<ToAgent>>,
+    replies: HashMap<(ConnectionId, u64), oneshot::Sender<Result<Ack, ReportError>>>,
+    lost: Vec<ConnectionId>,
+}
+
+impl Core {
+    pub fn new(
+        decisions: policy::Entry,
+        clock: Clock,
+        metrics: Metrics,
+        outgoing: mpsc::UnboundedSender<Outgoing>,
+    ) -> (Self, CoreHandle) {
+        let (sender, commands) = mpsc::unbounded_channel();
+        let core = Self {
+            decisions,
+            clock,
+            metrics,
+            commands,
+            outgoing,
+            answers: HashMap::new(),
+            sinks: HashMap::new(),
+            replies: HashMap::new(),
+            lost: Vec::new(),
+        };
+        (core, CoreHandle { commands: sender })
+    }
+
+    pub async fn run(mut self) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                command = self.commands.recv() => {
+                    let Some(command) = command else { return };
+                    self.take_batch(command);
+                }
+                _ = tick.tick() => self.handle(EntryEvent::Tick),
+            }
+            self.settle_lost();
+            let actions = self.decisions.flush(self.clock.now());
+            self.perform_all(actions);
+            self.settle_lost();
+        }
+    }
+
+    fn take_batch(&mut self, first: Command) {
+        self.take(first);
+        for _ in 1..MAX_BATCH {
+            let Ok(command) = self.commands.try_recv() else {
+                return;
+            };
+            self.take(command);
+        }
+    }
+
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Event(event) => self.handle(event),
+            Command::Submit { submission, answer } => {
+                self.answers.insert(submission.submission.clone(), answer);
+                self.handle(EntryEvent::Submit(submission));
+            }
+            Command::Attach {
+                connection,
+                event,
+                sink,
+            } => {
+                self.sinks.insert(connection, sink);
+                self.handle(event);
+            }
+            Command::Report {
+                connection,
+                seq,
+                event,
+                reply,
+            } => {
+                self.metrics.add(Counter::MessagesReceived, 1);
+                self.replies.insert((connection, seq), reply);
+                self.handle(event);
+            }
+            Command::Status(reply) => {
+                let status = self.decisions.status(self.clock.now());
+                // A caller that has gone needs no status.
+                let _ = reply.send(status);
+            }
+        }
+    }
+
+    fn handle(&mut self, event: EntryEvent) {
+        if let EntryEvent::ConnectionLost { connection } = &event {
+            self.sinks.remove(connection);
+        }
+        let actions = self.decisions.handle(self.clock.now(), event);
+        self.perform_all(actions);
+    }
+
+    fn perform_all(&mut self, actions: Vec<EntryAction>) {
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    fn perform(&mut self, action: EntryAction) {
+        match action {
+            EntryAction::Answer { submission, answer } => self.answer(&submission, answer),
+            EntryAction::Send {
+                connection,
+                message,
+            } => self.send(connection, message),
+            EntryAction::Reply {
+                connection,
+                seq,
+                reply,
+            } => {
+                if let Some(waiting) = self.replies.remove(&(connection, seq)) {
+                    // A connection that broke meanwhile needs no reply.
+                    let _ = waiting.send(reply);
+                }
+            }
+            EntryAction::Close { connection } => {
+                self.sinks.remove(&connection);
+            }
+            EntryAction::OfferConfig { connection, have } => {
+                self.pass(Outgoing::OfferConfig { connection, have });
+            }
+            EntryAction::ConfigReceived(body) => self.pass(Outgoing::ConfigReceived(body)),
+            EntryAction::Observe(observation) => observe(&self.metrics, observation),
+            EntryAction::Stopped => self.pass(Outgoing::Stopped),
+        }
+    }
+
+    fn answer(&mut self, submission: &SubmissionId, answer: Answer) {
+        if let Some(waiting) = self.answers.remove(submission) {
+            // A caller that has gone needs no answer.
+            let _ = waiting.send(answer);
+        }
+        let open = u64::try_from(self.answers.len()).unwrap_or(u64::MAX);
+        self.metrics.set(Gauge::OpenSubmissions, open);
+    }
+
+    fn send(&mut self, connection: ConnectionId, message: ToAgent) {
+        self.metrics.add(Counter::MessagesSent, 1);
+        let Some(sink) = self.sinks.get(&connection) else {
+            return;
+        };
+        match sink.try_send(message) {
+            Ok(()) => {}
+            // A session that lags or is closed is lost; the fence of the next one makes it safe.
+            Err(TrySendError::Full(_) | TrySendError::Closed(_)) => self.lost.push(connection),
+        }
+    }
+
+    fn settle_lost(&mut self) {
+        while let Some(connection) = self.lost.pop() {
+            self.handle(EntryEvent::ConnectionLost { connection });
+        }
+    }
+
+    fn pass(&self, outgoing: Outgoing) {
+        // The receiver ends only with the process.
+        let _ = self.outgoing.send(outgoing);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/process/mod.rs
@@ -0,0 +1,19 @@
+//! What lives as long as the process.
+
+mod core;
+mod error;
+mod gate;
+mod observe;
+mod presence;
+mod start;
+
+pub use error::StartError;
+pub use start::Entry;
+pub use start::StopKind;
+
+pub(crate) use core::Command;
+pub(crate) use core::Core;
+pub(crate) use core::CoreHandle;
+pub(crate) use error::ListenSnafu;
+pub(crate) use error::MethodsSnafu;
+pub(crate) use gate::Gate;
--- /dev/null
+++ b/crates/entry/src/request/mod.rs
@@ -0,0 +1,10 @@
+//! What lives as long as a request of a caller or operator.
+
+mod body;
+mod operate;
+mod refuse;
+mod routes;
+mod submit;
+
+pub(crate) use routes::State;
+pub(crate) use routes::router;
--- /dev/null
+++ b/crates/entry/src/request/operate.rs
@@ -0,0 +1,101 @@
+//! Requests of operators.
+
+use std::sync::Arc;
+
+use axum::Json;
+use axum::body::Body;
+use axum::extract::State as Shared;
+use axum::http::HeaderMap;
+use axum::http::StatusCode;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use dfs_wire::api::ApplyAnswer;
+use dfs_wire::api::ConfigAnswer;
+use dfs_wire::api::ConfigError;
+use dfs_wire::api::FailureReason;
+use serde_json::json;
+use tokio::sync::oneshot;
+
+use super::body;
+use super::refuse::Refusal;
+use super::routes::State;
+use crate::process::Command;
+use crate::version::apply;
+
+/// `GET /v1/config`.
+pub(super) async fn show_config(
+    Shared(state): Shared<Arc<State>>,
+    headers: HeaderMap,
+) -> Result<Response, Refusal> {
+    check_operator(&state, &headers)?;
+    let Some(config) = state.holder.held() else {
+        return Err(Refusal::new(
+            FailureReason::NotReady,
+            "this entry holds no configuration yet",
+        ));
+    };
+    let answer = ConfigAnswer {
+        version: config.version,
+        inventory: json!(config.inventory),
+        rules: json!(config.rules),
+    };
+    Ok(Json(answer).into_response())
+}
+
+/// `POST /v1/config`.
+pub(super) async fn apply_config(
+    Shared(state): Shared<Arc<State>>,
+    headers: HeaderMap,
+    body: Body,
+) -> Result<Response, Refusal> {
+    check_operator(&state, &headers)?;
+    let request = body::read(&state.limits, body).await?;
+    Ok(match apply(&state.store, &state.holder, request).await {
+        Ok(version) => Json(ApplyAnswer { version }).into_response(),
+        Err(error) => (config_status(&error), Json(error)).into_response(),
+    })
+}
+
+const fn config_status(error: &ConfigError) -> StatusCode {
+    match error {
+        ConfigError::Conflict { .. } => StatusCode::CONFLICT,
+        ConfigError::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        ConfigError::StoreUnavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        ConfigError::Forbidden => StatusCode::FORBIDDEN,
+    }
+}
+
+/// `GET /v1/status`.
+pub(super) async fn status(
+    Shared(state): Shared<Arc<State>>,
+    headers: HeaderMap,
+) -> Result<Response, Refusal> {
+    check_operator(&state, &headers)?;
+    let (reply, status) = oneshot::channel();
+    state.core.send(Command::Status(reply));
+    let Ok(mut status) = status.await else {
+        return Err(Refusal::new(
+            FailureReason::NotReady,
+            "this entry is about to stop",
+        ));
+    };
+    status.config_age_ms = state.holder.age_ms();
+    status.ready = status.ready && state.gate.is_serving();
+    Ok(Json(status).into_response())
+}
+
+/// Before the first configuration nobody is known, and anyone who has the session secret may apply.
+fn check_operator(state: &State, headers: &HeaderMap) -> Result<(), Refusal> {
+    let token = body::token(headers)?;
+    let known = match state.holder.held() {
+        Some(_) => state.holder.is_operator(token),
+        None => state.is_bootstrap(token),
+    };
+    if known {
+        return Ok(());
+    }
+    Err(Refusal::new(
+        FailureReason::Forbidden,
+        "the token is not an operator's",
+    ))
+}
--- /dev/null
+++ b/crates/entry/src/request/submit.rs
@@ -0,0 +1,253 @@
+//! Submissions and cancellations of callers.
+
+use std::collections::hash_map::Entry;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use axum::body::Body;
+use axum::extract::Path;
+use axum::extract::State as Shared;
+use axum::http::HeaderMap;
+use axum::http::StatusCode;
+use axum::response::Response;
+use dfs_conf::Group;
+use dfs_ids::GroupId;
+use dfs_ids::Millis;
+use dfs_ids::RequestKey;
+use dfs_ids::SubmissionId;
+use dfs_policy::entry::EntryEvent;
+use dfs_policy::entry::Submission;
+use dfs_store::Claim;
+use dfs_store::Claims;
+use dfs_wire::api::Answer;
+use dfs_wire::api::FailureReason;
+use dfs_wire::api::JobRequest;
+use dfs_wire::api::SingleRequest;
+use tokio::sync::oneshot;
+
+use super::body;
+use super::refuse::Refusal;
+use super::refuse::respond;
+use super::routes::State;
+use crate::process::Command;
+
+/// Header with the name that the caller gives its submission.
+const SUBMISSION_HEADER: &str = "dragonflyshed-submission";
+
+/// `POST /v1/jobs`.
+pub(super) async fn job(
+    Shared(state): Shared<Arc<State>>,
+    headers: HeaderMap,
+    body: Body,
+) -> Result<Response, Refusal> {
+    let group = group(&state, &headers)?;
+    let job: JobRequest = body::read(&state.limits, body).await?;
+    let submission = Submission {
+        submission: state.next_submission(),
+        group: group.group,
+        service: job.service,
+        tasks: job.tasks.into_iter().map(Arc::from).collect(),
+        deadline_ms: job.deadline_ms,
+        declared_ms: job.declared_ms,
+        repeatable: false,
+    };
+    submit(state, &headers, submission, job.request_key).await
+}
+
+/// `POST /v1/requests`.
+pub(super) async fn request(
+    Shared(state): Shared<Arc<State>>,
+    headers: HeaderMap,
+    body: Body,
+) -> Result<Response, Refusal> {
+    let group = group(&state, &headers)?;
+    let request: SingleRequest = body::read(&state.limits, body).await?;
+    let submission = Submission {
+        submission: state.next_submission(),
+        group: group.group,
+        service: request.service,
+        tasks: vec![Arc::from(request.body)],
+        deadline_ms: request.deadline_ms,
+        declared_ms: request.declared_ms,
+        repeatable: request.repeatable,
+    };
+    submit(state, &headers, submission, request.request_key).await
+}
+
+/// `DELETE /v1/jobs/{submission}`.
+pub(super) async fn cancel(
+    Shared(state): Shared<Arc<State>>,
+    Path(name): Path<String>,
+    headers: HeaderMap,
+) -> Result<StatusCode, Refusal> {
+    let group = group(&state, &headers)?;
+    let name: SubmissionId = name
+        .parse()
+        .map_err(|error| Refusal::new(FailureReason::BadRequest, format!("{error}")))?;
+    let Some(submission) = state.find(&group.group, &name) else {
+        let message = format!("no submission {name} of group {} is open here", group.group);
+        return Err(Refusal::new(FailureReason::UnknownSubmission, message));
+    };
+    state.core.event(EntryEvent::Cancel { submission });
+    Ok(StatusCode::NO_CONTENT)
+}
+
+fn group(state: &State, headers: &HeaderMap) -> Result<Group, Refusal> {
+    let token = body::token(headers)?;
+    if state.holder.held().is_none() {
+        let message = "this entry holds no configuration yet: try another one";
+        return Err(Refusal::new(FailureReason::NotReady, message).retry_after(SOON_MS));
+    }
+    state.holder.group_of(token).ok_or_else(|| {
+        let message = "no group has this token: ask an operator for one";
+        Refusal::new(FailureReason::UnknownToken, message)
+    })
+}
+
+/// Wait that is advised while an entry starts.
+const SOON_MS: Millis = Millis::new(1_000);
+
+async fn submit(
+    state: Arc<State>,
+    headers: &HeaderMap,
+    mut submission: Submission,
+    key: Option<RequestKey>,
+) -> Result<Response, Refusal> {
+    let arrived = Instant::now();
+    let name = name(headers)?;
+    let open = Open::register(state, name, &submission)?;
+    if let Some(key) = key {
+        claim(&open.state, &submission, &key).await?;
+    }
+    if let Some(deadline) = &mut submission.deadline_ms {
+        let used = u64::try_from(arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
+        *deadline = deadline.saturating_sub(Millis::new(used));
+    }
+    let answer = open.run(submission).await?;
+    Ok(respond(&answer))
+}
+
+fn name(headers: &HeaderMap) -> Result<Option<SubmissionId>, Refusal> {
+    let Some(value) = headers.get(SUBMISSION_HEADER) else {
+        return Ok(None);
+    };
+    let bad = |error: String| {
+        let message = format!("header {SUBMISSION_HEADER}: {error}");
+        Refusal::new(FailureReason::BadRequest, message)
+    };
+    let text = value.to_str().map_err(|error| bad(error.to_string()))?;
+    text.parse()
+        .map(Some)
+        .map_err(|error: dfs_ids::IdError| bad(error.to_string()))
+}
+
+async fn claim(state: &State, submission: &Submission, key: &RequestKey) -> Result<(), Refusal> {
+    let holder = submission.submission.clone();
+    match state.claimer.claim(&submission.group, key, holder).await {
+        Claim::Claimed => Ok(()),
+        Claim::Taken { holder } => {
+            let message = format!(
+                "request key {key} belongs to submission {holder}, which may have run; \
+                 this one did not"
+            );
+            Err(Refusal::new(FailureReason::KeyConflict, message))
+        }
+        Claim::Unavailable {
+            reason,
+            retry_after_ms,
+        } => {
+            let message = format!("request key {key} could not be claimed: {reason}");
+            let refusal = Refusal::new(FailureReason::KeyUnavailable, message);
+            Err(refusal.retry_after(retry_after_ms))
+        }
+    }
+}
+
+/// An open submission; dropping it cancels what is not answered, since its caller has gone.
+struct Open {
+    state: Arc<State>,
+    group: GroupId,
+    name: Option<SubmissionId>,
+    submission: SubmissionId,
+    sent: bool,
+}
+
+impl Open {
+    fn register(
+        state: Arc<State>,
+        name: Option<SubmissionId>,
+        submission: &Submission,
+    ) -> Result<Self, Refusal> {
+        let group = submission.group.clone();
+        if let Some(name) = &name {
+            let mut names = state.names.lock().unwrap_or_else(PoisonError::into_inner);
+            let Entry::Vacant(slot) = names.entry((group.clone(), name.clone())) else {
+                let message = format!("a submission {name} of group {group} is open here already");
+                return Err(Refusal::new(FailureReason::BadRequest, message));
+            };
+            slot.insert(submission.submission.clone());
+        }
+        let submission = submission.submission.clone();
+        Ok(Self {
+            state,
+            group,
+            name,
+            submission,
+            sent: false,
+        })
+    }
+
+    async fn run(mut self, submission: Submission) -> Result<Answer, Refusal> {
+        let (answer, waiting) = oneshot::channel();
+        self.sent = true;
+        self.state.core.send(Command::Submit { submission, answer });
+        let Ok(mut answer) = waiting.await else {
+            return Err(Refusal::new(
+                FailureReason::NotReady,
+                "this entry has stopped",
+            ));
+        };
+        self.sent = false;
+        if let Some(failure) = &answer.failure {
+            self.state.metrics.refused(failure.reason);
+        }
+        if let Some(name) = &self.name {
+            answer.submission = Some(name.clone());
+        }
+        Ok(answer)
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        if let Some(name) = self.name.take() {
+            let mut names = self
+                .state
+                .names
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            names.remove(&(self.group.clone(), name));
+        }
+        if self.sent {
+            let submission = self.submission.clone();
+            self.state.core.event(EntryEvent::Cancel { submission });
+        }
+    }
+}
+
+impl State {
+    fn next_submission(&self) -> SubmissionId {
+        SubmissionId::numbered(
+            self.incarnation,
+            self.serial.fetch_add(1, Ordering::Relaxed),
+        )
+    }
+
+    /// The open submission of that name; a caller that gave none uses the one from its answer.
+    fn find(&self, group: &GroupId, name: &SubmissionId) -> Option<SubmissionId> {
+        let names = self.names.lock().unwrap_or_else(PoisonError::into_inner);
+        names.get(&(group.clone(), name.clone())).cloned()
+    }
+}
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -1,9 +1,11 @@
 //! Identifiers, sizes and units shared by all crates.
 
+mod clock;
 mod id;
 mod number;
 mod unit;
 
+pub use clock::Clock;
 pub use id::AgentId;
 pub use id::ChangeId;
 pub use id::EntryId;
--- a/crates/policy/src/agent/event.rs
+++ b/crates/policy/src/agent/event.rs
@@ -9,6 +9,7 @@
 use dfs_ids::Incarnation;
 use dfs_ids::ServiceName;
 use dfs_wire::session::Ack;
+use dfs_wire::session::EntryAddress;
 use dfs_wire::session::Open;
 use dfs_wire::session::Report;
 use dfs_wire::session::TaskOutcome;
@@ -116,7 +117,7 @@
         open: Open,
     },
     /// Entries that may be dialled.
-    Entries(Vec<SocketAddr>),
+    Entries(Vec<EntryAddress>),
     /// A configuration arrived, whole or as a difference.
     ConfigReceived(Box<RawValue>),
     /// An entry asks for the configuration that the agent holds.
--- a/crates/policy/src/agent/view.rs
+++ b/crates/policy/src/agent/view.rs
@@ -14,6 +14,10 @@
 use crate::ConnectionId;
 
 /// One entry incarnation.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is told or cleared on its own"
+)]
 #[derive(Debug)]
 pub(super) struct EntryView {
     /// Absent between two sessions.
--- a/crates/policy/src/entry/event.rs
+++ b/crates/policy/src/entry/event.rs
@@ -12,6 +12,7 @@
 use dfs_wire::api::Answer;
 use dfs_wire::session::Ack;
 use dfs_wire::session::Attach;
+use dfs_wire::session::EntryAddress;
 use dfs_wire::session::EntryItem;
 use dfs_wire::session::Report;
 use dfs_wire::session::ReportError;
@@ -51,6 +52,8 @@
     },
     /// A higher version of the configuration was adopted.
     Configured(Arc<Config>),
+    /// The entries that agents may dial have changed.
+    EntriesChanged(Vec<EntryAddress>),
     /// Passes an item to an agent, if its session still stands.
     SendItem {
         /// The connection.
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -25,6 +25,8 @@
 use dfs_ids::Moment;
 use dfs_ids::SessionNumber;
 use dfs_ids::SubmissionId;
+use dfs_wire::session::EntryAddress;
+use dfs_wire::session::EntryItem;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -73,6 +75,8 @@
     retries: RetryBudget,
     ejection: Ejection,
     next_session: SessionNumber,
+    /// Entries that agents may dial.
+    entries: Vec<EntryAddress>,
     random: SmallRng,
     totals: Totals,
     stopping: bool,
@@ -95,6 +99,7 @@
             retries: RetryBudget::default(),
             ejection: Ejection::default(),
             next_session: SessionNumber::default(),
+            entries: Vec::new(),
             random: SmallRng::seed_from_u64(seed),
             totals: Totals::default(),
             stopping: false,
@@ -118,6 +123,7 @@
             }
             EntryEvent::ConnectionLost { connection } => self.on_lost(connection),
             EntryEvent::Configured(config) => self.on_configured(config, &mut out),
+            EntryEvent::EntriesChanged(entries) => self.on_entries(&entries, &mut out),
             EntryEvent::SendItem { connection, item } => {
                 self.send_to(connection, vec![item], &mut out);
             }
@@ -151,7 +157,7 @@
         self.stopping = true;
         let connections: Vec<_> = self.connections.keys().copied().collect();
         for connection in connections {
-            self.send_to(connection, vec![dfs_wire::session::EntryItem::Closing], out);
+            self.send_to(connection, vec![EntryItem::Closing], out);
         }
     }
 }
--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -4,6 +4,7 @@
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_wire::session::Attach;
+use dfs_wire::session::EntryAddress;
 use dfs_wire::session::EntryItem;
 use dfs_wire::session::LoadHint;
 use dfs_wire::session::Open;
@@ -39,9 +40,13 @@
         self.next_session = self.next_session.next();
         let open = self.terms(resumed);
         let agent = attach.agent.clone();
-        self.renew_view(now, connection, attach);
+        self.renew_view(now, connection, attach, open.idle_renew_ms);
         self.connections.insert(connection, agent);
-        self.send_to(connection, vec![EntryItem::Open(open)], out);
+        let mut items = vec![EntryItem::Open(open)];
+        if !self.entries.is_empty() {
+            items.push(EntryItem::Entries(self.entries.clone()));
+        }
+        self.send_to(connection, items, out);
     }
 
     fn terms(&self, resumed: bool) -> Open {
@@ -65,7 +70,13 @@
         self.identity.lease.idle_renew_ms.max(Millis::new(interval))
     }
 
-    fn renew_view(&mut self, now: Moment, connection: ConnectionId, attach: Attach) {
+    fn renew_view(
+        &mut self,
+        now: Moment,
+        connection: ConnectionId,
+        attach: Attach,
+        idle_renew_ms: Millis,
+    ) {
         let old = self.agents.remove(&attach.agent);
         let view = AgentView {
             incarnation: attach.incarnation,
@@ -75,6 +86,7 @@
             is_open: false,
             next_message: 0,
             heard_at: now,
+            idle_renew_ms,
             target: TargetState::Absent,
             hint: LoadHint::default(),
             hint_seq: 0,
@@ -112,10 +124,13 @@
     /// Settles agents that were silent past their lease while they held tasks or had no session.
     pub(super) fn expire_leases(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
         let lease_ms = self.identity.lease.lease_ms;
-        let idle_ms = lease_ms.max(self.idle_renew_ms() + lease_ms);
         let lapsed = |view: &AgentView| {
             let is_idle = view.outstanding.is_empty() && view.connection.is_some();
-            let limit = if is_idle { idle_ms } else { lease_ms };
+            let limit = if is_idle {
+                view.idle_renew_ms + lease_ms
+            } else {
+                lease_ms
+            };
             now >= view.heard_at + limit
         };
         let lapsed: Vec<_> = self
@@ -146,6 +161,23 @@
         }
     }
 
+    /// Tells only agents that take their configuration here, so that each is told once.
+    pub(super) fn on_entries(&mut self, entries: &[EntryAddress], out: &mut Vec<EntryAction>) {
+        if entries == self.entries {
+            return;
+        }
+        self.entries = entries.to_vec();
+        let told: Vec<_> = self
+            .agents
+            .values()
+            .filter(|view| view.takes_config)
+            .filter_map(|view| view.connection)
+            .collect();
+        for connection in told {
+            self.send_to(connection, vec![EntryItem::Entries(entries.to_vec())], out);
+        }
+    }
+
     pub(super) fn send_to(
         &mut self,
         connection: ConnectionId,
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -5,6 +5,7 @@
 use dfs_ids::ConfigVersion;
 use dfs_ids::FailureDomain;
 use dfs_ids::Incarnation;
+use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::ServiceName;
 use dfs_ids::SessionNumber;
@@ -27,6 +28,8 @@
     pub is_open: bool,
     pub next_message: u64,
     pub heard_at: Moment,
+    /// Longest silence that the agent was granted while it holds nothing.
+    pub idle_renew_ms: Millis,
     pub target: TargetState,
     pub hint: LoadHint,
     /// Report that brought the hint.
--- a/crates/wire/src/session/attach.rs
+++ b/crates/wire/src/session/attach.rs
@@ -1,5 +1,7 @@
 //! Opening a session and messages from entry to agent.
 
+use std::net::SocketAddr;
+
 use dfs_ids::AgentId;
 use dfs_ids::ConfigVersion;
 use dfs_ids::EntryId;
@@ -54,12 +56,23 @@
     Config(Box<RawValue>),
     /// Asks for the configuration that the agent holds.
     WantConfig,
-    /// Entries that the agent may dial, as `IP:port`.
-    Entries(Vec<std::net::SocketAddr>),
+    /// Entries that the agent may dial.
+    Entries(Vec<EntryAddress>),
     /// The entry is about to stop and places nothing more.
     Closing,
 }
 
+/// Where an entry takes sessions.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EntryAddress {
+    /// The entry.
+    pub entry: EntryId,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// The address, as `IP:port`.
+    pub address: SocketAddr,
+}
+
 /// Terms of a session.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Open {
--- a/crates/wire/src/session/mod.rs
+++ b/crates/wire/src/session/mod.rs
@@ -9,6 +9,7 @@
 mod result;
 
 pub use attach::Attach;
+pub use attach::EntryAddress;
 pub use attach::EntryItem;
 pub use attach::Open;
 pub use attach::ToAgent;
