--- a/crates/log/src/metrics/flush.rs
+++ b/crates/log/src/metrics/flush.rs
@@ -20,6 +20,7 @@
 
 use super::Counter;
 use super::Gauge;
+use super::Statistic;
 use super::handle::Shared;
 use super::handle::lock;
 use super::name::segment;
@@ -46,7 +47,6 @@
 #[derive(Debug, Default)]
 pub(super) struct Sent {
     counters: [u64; Counter::ALL.len()],
-    gauges: [Option<u64>; Gauge::ALL.len()],
     refusals: Vec<(FailureReason, u64)>,
 }
 
@@ -128,15 +128,14 @@
 }
 
 fn send_gauges(client: &StatsdClient, shared: &Shared) -> usize {
-    let mut sent = lock(&shared.sent);
-    let mut bytes = 0;
-    for gauge in Gauge::ALL {
-        let value = shared.gauges[gauge as usize].load(Ordering::Relaxed);
-        if sent.gauges[gauge as usize].replace(value) != Some(value) {
-            bytes += size(&client.gauge(&gauge.to_string(), value));
-        }
-    }
-    bytes
+    // Datagrams get lost, so an unchanged value is sent again.
+    Gauge::ALL
+        .into_iter()
+        .map(|gauge| {
+            let value = shared.gauges[gauge as usize].load(Ordering::Relaxed);
+            size(&client.gauge(&gauge.to_string(), value))
+        })
+        .sum()
 }
 
 fn send_series(client: &StatsdClient, shared: &Shared, already_bytes: usize) {
@@ -158,7 +157,12 @@
         .figures()
         .map(|(series, statistic, value)| {
             let name = format!("group.{owner}.{series}.{statistic}");
-            size(&client.gauge(&name, value))
+            match statistic {
+                Statistic::Count => size(&client.count(&name, value)),
+                Statistic::P50 | Statistic::P99 | Statistic::Max => {
+                    size(&client.gauge(&name, value))
+                }
+            }
         })
         .sum()
 }
--- /dev/null
+++ b/crates/log/tests/metrics.rs
@@ -0,0 +1,199 @@
+//! Metrics as they arrive at a statsd server.
+
+use std::collections::BTreeMap;
+use std::net::UdpSocket;
+
+use dfs_ids::GroupId;
+use dfs_ids::ServiceName;
+use dfs_log::Counter;
+use dfs_log::FLUSH_BYTES;
+use dfs_log::Gauge;
+use dfs_log::MAX_SERIES;
+use dfs_log::Metrics;
+use dfs_log::ProcessName;
+use dfs_log::Series;
+use dfs_wire::api::FailureReason;
+use googletest::prelude::*;
+
+const PREFIX: &str = "dragonflyshed.entry.ng_1.";
+/// Most that the counters, gauges and one pair can add after the bound was checked.
+const OVERSHOOT_BYTES: usize = 3_000;
+
+struct Server(UdpSocket);
+
+impl Server {
+    fn new() -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        socket.set_nonblocking(true).unwrap();
+        Self(socket)
+    }
+
+    fn metrics(&self) -> Metrics {
+        let process = ProcessName::Entry("ng.1".parse().unwrap());
+        Metrics::new(Some(self.0.local_addr().unwrap()), &process).unwrap()
+    }
+
+    /// Loopback has delivered a datagram when the send returns, so an empty socket has all.
+    fn received(&self) -> String {
+        let mut buffer = [0; 2_048];
+        let mut text = String::new();
+        while let Ok(len) = self.0.recv(&mut buffer) {
+            text.push_str(std::str::from_utf8(&buffer[..len]).unwrap());
+        }
+        text
+    }
+
+    fn values(&self) -> BTreeMap<String, String> {
+        let pair = |line: &str| {
+            let (name, value) = line.strip_prefix(PREFIX).unwrap().split_once(':').unwrap();
+            (name.to_owned(), value.to_owned())
+        };
+        self.received().lines().map(pair).collect()
+    }
+}
+
+fn group(n: usize) -> GroupId {
+    format!("team-{n}").parse().unwrap()
+}
+
+fn service() -> ServiceName {
+    "member-desk".parse().unwrap()
+}
+
+#[googletest::test]
+fn a_counter_is_sent_as_the_difference_since_the_last_flush() {
+    let server = Server::new();
+    let metrics = server.metrics();
+    metrics.add(Counter::MessagesSent, 5);
+    metrics.flush();
+    expect_that!(server.values()["messages_sent"], eq("5|c"));
+    metrics.add(Counter::MessagesSent, 2);
+    metrics.flush();
+    expect_that!(server.values()["messages_sent"], eq("2|c"));
+    metrics.flush();
+    expect_that!(server.values().contains_key("messages_sent"), eq(false));
+    expect_that!(metrics.total(Counter::MessagesSent), eq(7));
+}
+
+#[googletest::test]
+fn refusals_are_counted_by_reason() {
+    let server = Server::new();
+    let metrics = server.metrics();
+    metrics.refused(FailureReason::Overloaded);
+    metrics.clone().refused(FailureReason::Overloaded);
+    metrics.refused(FailureReason::NoTarget);
+    metrics.flush();
+    let values = server.values();
+    expect_that!(values["refusals.overloaded"], eq("2|c"));
+    expect_that!(values["refusals.no_target"], eq("1|c"));
+    metrics.refused(FailureReason::NoTarget);
+    metrics.flush();
+    let values = server.values();
+    expect_that!(values["refusals.no_target"], eq("1|c"));
+    expect_that!(values.contains_key("refusals.overloaded"), eq(false));
+}
+
+#[googletest::test]
+fn a_gauge_is_repeated_at_every_flush() {
+    let server = Server::new();
+    let metrics = server.metrics();
+    metrics.set(Gauge::ConfigVersion, 41);
+    metrics.flush();
+    expect_that!(server.values()["config_version"], eq("41|g"));
+    metrics.flush();
+    expect_that!(server.values()["config_version"], eq("41|g"));
+}
+
+#[googletest::test]
+fn a_series_is_sent_as_its_figures_and_starts_anew() {
+    let server = Server::new();
+    let metrics = server.metrics();
+    for value in 1..=100 {
+        metrics.record(&group(1), &service(), Series::QueueWaitUs, value);
+    }
+    metrics.flush();
+    let values = server.values();
+    let name = |statistic| format!("group.team-1.member-desk.queue_wait_us.{statistic}");
+    expect_that!(values[&name("count")], eq("100|c"));
+    expect_that!(values[&name("p50")], eq("50|g"));
+    expect_that!(values[&name("p99")], eq("99|g"));
+    expect_that!(values[&name("max")], eq("100|g"));
+    metrics.flush();
+    expect_that!(server.values().contains_key(&name("count")), eq(false));
+}
+
+#[googletest::test]
+fn separators_in_identifiers_do_not_split_a_name() {
+    let server = Server::new();
+    let metrics = server.metrics();
+    let group = "ng.south:1".parse().unwrap();
+    metrics.record(&group, &service(), Series::RunTimeUs, 7);
+    metrics.flush();
+    let name = "group.ng_south_1.member-desk.run_time_us.max";
+    expect_that!(server.values()[name], eq("7|g"));
+}
+
+#[googletest::test]
+fn a_value_beyond_the_largest_sample_still_counts() {
+    let server = Server::new();
+    let metrics = server.metrics();
+    metrics.record(&group(1), &service(), Series::RunTimeUs, u64::MAX);
+    metrics.flush();
+    let name = "group.team-1.member-desk.run_time_us.count";
+    expect_that!(server.values()[name], eq("1|c"));
+}
+
+#[googletest::test]
+fn many_groups_are_spread_over_flushes_within_the_byte_bound() {
+    const GROUPS: usize = 450;
+    let server = Server::new();
+    let metrics = server.metrics();
+    for n in 0..GROUPS {
+        for series in Series::ALL {
+            metrics.record(&group(n), &service(), series, 1_000);
+        }
+    }
+    let mut counts = BTreeMap::<String, u32>::new();
+    for _ in 0..GROUPS {
+        metrics.flush();
+        let text = server.received();
+        expect_that!(text.len(), le(FLUSH_BYTES + OVERSHOOT_BYTES));
+        let reports = text.lines().filter(|line| line.contains(".count:1|c"));
+        for report in reports {
+            *counts.entry(report.to_owned()).or_default() += 1;
+        }
+    }
+    expect_that!(counts.len(), eq(GROUPS * Series::ALL.len()));
+    expect_that!(counts.values().all(|n| *n == 1), eq(true));
+}
+
+#[googletest::test]
+fn pairs_beyond_the_bound_are_pooled() {
+    const BEYOND: usize = 7;
+    let server = Server::new();
+    let metrics = server.metrics();
+    for n in 0..MAX_SERIES + BEYOND {
+        metrics.record(&group(n), &service(), Series::RunTimeUs, 5);
+    }
+    metrics.record(&group(0), &service(), Series::RunTimeUs, 5);
+    expect_that!(metrics.total(Counter::SeriesOverflow), eq(BEYOND as u64));
+    let name = "group.other.other.run_time_us.count";
+    let pooled = (0..MAX_SERIES).find_map(|_| {
+        metrics.flush();
+        server.values().remove(name)
+    });
+    expect_that!(pooled, some(eq("7|c")));
+}
+
+#[googletest::test]
+fn a_server_that_is_gone_disturbs_nobody() {
+    let server = Server::new();
+    let metrics = server.metrics();
+    drop(server);
+    for n in 0..50 {
+        metrics.record(&group(n), &service(), Series::RunTimeUs, 5);
+        metrics.add(Counter::Retries, 1);
+        metrics.flush();
+    }
+    expect_that!(metrics.total(Counter::Retries), eq(50));
+}
