Event fields that the shells can fill, and events before init

The observations of the decisions name the peer of a session and the agent of an ejected target, and no more; events that asked for session, service or interval could not have been written. Their fields now follow the observations, and changes of the configuration name the operator. Metrics::add is called count, and record takes the series first, as the entry uses them.

ErrorText leaves out a source whose text the error holds already, since some errors print their source and some don't.

--- a/crates/log/src/event/config.rs
+++ b/crates/log/src/event/config.rs
@@ -1,7 +1,6 @@
 //! 5xx: the configuration and the store.
 
 use derive_more::Display;
-use dfs_ids::AgentId;
 use dfs_ids::ChangeId;
 use dfs_ids::ConfigVersion;
 use dfs_ids::FailureDomain;
@@ -38,6 +37,8 @@
         }
         /// An operator's change was committed.
         502 Info "apply_accepted" Accepted {
+            /// The operator, as named in the inventory.
+            operator: String,
             /// The version that it became.
             version: ConfigVersion,
             /// The change.
@@ -45,6 +46,8 @@
         }
         /// An operator's change was based on a version that is no longer the head.
         503 Warn "apply_conflict" Conflict {
+            /// The operator, as named in the inventory.
+            operator: String,
             /// The change.
             change: ChangeId,
             /// Version on which it was based.
@@ -54,6 +57,8 @@
         }
         /// An operator's change failed its checks; nothing was written.
         504 Warn "apply_invalid" Invalid {
+            /// The operator, as named in the inventory.
+            operator: String,
             /// Path, value and what is allowed.
             error: ErrorText,
         }
@@ -61,8 +66,8 @@
         505 Error "store_unreachable" StoreUnreachable {
             /// Time since its last answer.
             silent_ms: Millis,
-            /// Version in force.
-            version: ConfigVersion,
+            /// Version in force, if there is one.
+            version: Option<ConfigVersion>,
             /// Why.
             error: ErrorText,
         }
@@ -75,8 +80,6 @@
         507 Info "config_from_agent" FromAgent {
             /// The version.
             version: ConfigVersion,
-            /// The agent.
-            agent: AgentId,
         }
     }
 }
--- a/crates/log/src/event/session.rs
+++ b/crates/log/src/event/session.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 
 use dfs_ids::AgentId;
-use dfs_ids::EntryId;
 use dfs_ids::Incarnation;
 use dfs_ids::Millis;
 use dfs_ids::SessionNumber;
@@ -26,19 +25,13 @@
         }
         /// A session was opened and carries work.
         202 Info "session_opened" Opened {
-            /// The entry.
-            entry: EntryId,
-            /// The agent.
-            agent: AgentId,
-            /// The session.
-            session: SessionNumber,
+            /// The process at the other end.
+            peer: ProcessName,
         }
         /// A newer session of the same pair replaced this one.
         203 Info "session_fenced" Fenced {
-            /// The entry.
-            entry: EntryId,
-            /// The agent.
-            agent: AgentId,
+            /// The process at the other end.
+            peer: ProcessName,
             /// The session that ended.
             session: SessionNumber,
             /// Tasks that the agent knew at the fence.
@@ -48,21 +41,13 @@
         204 Warn "session_lost" Lost {
             /// The process at the other end.
             peer: ProcessName,
-            /// The session.
-            session: SessionNumber,
-            /// Tasks outstanding on the session.
-            outstanding_tasks: usize,
         }
-        /// The other end was silent past its lease; its tasks are settled.
+        /// The other end was silent past its lease or has a new incarnation; its tasks are settled.
         205 Warn "session_lapsed" Lapsed {
             /// The process at the other end.
             peer: ProcessName,
-            /// The last session with it.
-            session: SessionNumber,
-            /// Time since its last message.
-            silent_ms: Millis,
             /// Tasks settled as unknown by an entry, or dropped unstarted by an agent.
-            settled_tasks: usize,
+            settled_tasks: u64,
         }
         /// An attach or a dial was rejected because the secrets differ.
         206 Error "bad_secret" BadSecret {
@@ -73,8 +58,6 @@
         207 Warn "session_lagging" Lagging {
             /// The agent.
             agent: AgentId,
-            /// The session.
-            session: SessionNumber,
             /// Messages that the buffer holds.
             buffer_messages: u32,
         }
--- a/crates/log/src/event/target.rs
+++ b/crates/log/src/event/target.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
+use dfs_ids::AgentId;
 use dfs_ids::Attempt;
 use dfs_ids::GroupId;
 use dfs_ids::Millis;
-use dfs_ids::ServiceName;
 use dfs_ids::Slots;
 use dfs_ids::SubmissionId;
 use dfs_ids::TargetId;
@@ -44,19 +44,13 @@
         }
         /// A target fails where others do well; it gets no work for a while.
         404 Warn "target_ejected" Ejected {
-            /// The target.
-            target: TargetId,
-            /// The service that fails on it.
-            service: ServiceName,
-            /// Time for which it is set aside.
-            eject_ms: Millis,
+            /// The agent beside the target.
+            agent: AgentId,
         }
         /// An ejected target gets work again.
         405 Info "target_returned" Returned {
-            /// The target.
-            target: TargetId,
-            /// The service.
-            service: ServiceName,
+            /// The agent beside the target.
+            agent: AgentId,
         }
         /// A target answered a task with an error.
         406 Debug "task_failed" TaskFailed {
@@ -75,8 +69,6 @@
         407 Warn "outcome_unknown" OutcomeUnknown {
             /// The submission.
             submission: SubmissionId,
-            /// The target on which they may have run.
-            target: TargetId,
             /// How many.
             tasks: usize,
         }
@@ -84,8 +76,6 @@
         408 Warn "retry_budget_spent" RetryBudgetSpent {
             /// The group.
             group: GroupId,
-            /// The service.
-            service: ServiceName,
         }
     }
 }
--- a/crates/log/src/event/value.rs
+++ b/crates/log/src/event/value.rs
@@ -9,7 +9,6 @@
 use dfs_ids::Attempt;
 use dfs_ids::ChangeId;
 use dfs_ids::ConfigVersion;
-use dfs_ids::EntryId;
 use dfs_ids::FailureDomain;
 use dfs_ids::GroupId;
 use dfs_ids::Incarnation;
@@ -25,23 +24,32 @@
 /// Longest error text in an event, in bytes.
 const MAX_ERROR_BYTES: usize = 1_024;
 
-/// An error and its sources, joined by colons and cut to a bounded length.
+/// What went wrong, cut to a bounded length.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub struct ErrorText(String);
 
 impl ErrorText {
-    /// Renders an error with all its sources.
+    /// Renders an error with its sources, leaving out a source that the text has already.
     #[must_use]
     pub fn new(error: &dyn Error) -> Self {
         let mut text = error.to_string();
         let mut source = error.source();
         while let Some(cause) = source {
-            text.push_str(": ");
-            text.push_str(&cause.to_string());
+            let cause_text = cause.to_string();
+            if !text.contains(&cause_text) {
+                text.push_str(": ");
+                text.push_str(&cause_text);
+            }
             source = cause.source();
         }
-        text.truncate(text.floor_char_boundary(MAX_ERROR_BYTES));
-        Self(text)
+        Self::from(text.as_str())
+    }
+}
+
+impl From<&str> for ErrorText {
+    fn from(text: &str) -> Self {
+        let end = text.floor_char_boundary(MAX_ERROR_BYTES);
+        Self(text[..end].to_owned())
     }
 }
 
@@ -75,6 +83,7 @@
 }
 
 displayed!(
+    String,
     u32,
     u64,
     usize,
@@ -83,7 +92,6 @@
     Attempt,
     ChangeId,
     ConfigVersion,
-    EntryId,
     FailureDomain,
     FailureReason,
     GroupId,
--- a/crates/log/src/logger.rs
+++ b/crates/log/src/logger.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Once;
 
 use dfs_conf::LogLevel;
 use dfs_conf::LogSettings;
@@ -20,6 +21,9 @@
 use crate::Metrics;
 use crate::ProcessName;
 
+/// Done once a logger with the format of events is the default one of the library.
+static INSTALL: Once = Once::new();
+
 /// Why logs or metrics could not be set up.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -63,6 +67,7 @@
 /// If the log or the UDP socket of the metrics can't be set up.
 pub fn init(settings: &LogSettings, process: &ProcessName) -> Result<Metrics, LogError> {
     let logger = logger(settings.level, io::stderr())?;
+    INSTALL.call_once(|| {});
     spdlog::set_default_logger(logger);
     let metrics = Metrics::new(settings.statsd_address, process)?;
     if settings.statsd_address.is_some() {
@@ -94,7 +99,14 @@
 }
 
 /// Writes an event to the log of this process.
+///
+/// Before [`init`] the level is the default one, so that rejected settings can be reported.
 pub fn emit(event: impl Into<Event>) {
+    INSTALL.call_once(|| {
+        if let Ok(logger) = logger(LogLevel::default(), io::stderr()) {
+            spdlog::set_default_logger(logger);
+        }
+    });
     emit_to(&spdlog::default_logger(), event);
 }
 
--- a/crates/log/src/metrics/handle.rs
+++ b/crates/log/src/metrics/handle.rs
@@ -76,7 +76,7 @@
     }
 
     /// Adds to a counter.
-    pub fn add(&self, counter: Counter, n: u64) {
+    pub fn count(&self, counter: Counter, n: u64) {
         self.shared.counters[counter as usize].fetch_add(n, Ordering::Relaxed);
     }
 
@@ -95,7 +95,7 @@
     }
 
     /// Adds a sample to a histogram of a group and service.
-    pub fn record(&self, group: &GroupId, service: &ServiceName, series: Series, value: u64) {
+    pub fn record(&self, series: Series, group: &GroupId, service: &ServiceName, value: u64) {
         self.record_all(group, service, &[(series, value)]);
     }
 
@@ -108,7 +108,7 @@
         let recorded = lock(&self.shared.pending).record(owner, values);
         match recorded {
             Recorded::Own => {}
-            Recorded::Pooled => self.add(Counter::SeriesOverflow, values.len() as u64),
+            Recorded::Pooled => self.count(Counter::SeriesOverflow, values.len() as u64),
         }
     }
 
--- a/crates/log/tests/events.rs
+++ b/crates/log/tests/events.rs
@@ -25,6 +25,7 @@
 use dfs_log::logger;
 use dfs_wire::api::FailureReason;
 use googletest::prelude::*;
+use snafu::Snafu;
 
 const PAGE: &str = include_str!("../../../docs/EVENTS.md");
 
@@ -110,6 +111,37 @@
     expect_that!(text.len(), eq(1_024));
 }
 
+#[derive(Debug, Snafu)]
+enum Outer {
+    #[snafu(display("cannot read {path:?}"))]
+    Apart {
+        path: &'static str,
+        source: io::Error,
+    },
+    #[snafu(display("cannot read {path:?}: {source}"))]
+    Joined {
+        path: &'static str,
+        source: io::Error,
+    },
+}
+
+#[googletest::test]
+fn an_error_text_names_each_source_once() {
+    let source = || io::Error::other("disk gone");
+    let path = "a";
+    let apart = ErrorText::new(&Outer::Apart {
+        path,
+        source: source(),
+    });
+    let joined = ErrorText::new(&Outer::Joined {
+        path,
+        source: source(),
+    });
+    let expected = r#"cannot read "a": disk gone"#;
+    expect_that!(apart.to_string(), eq(expected));
+    expect_that!(joined.to_string(), eq(expected));
+}
+
 #[googletest::test]
 fn a_process_without_statsd_logs_and_keeps_its_totals() {
     let settings = LogSettings {
@@ -119,7 +151,7 @@
     let process = ProcessName::Entry("e-1".parse().unwrap());
     let metrics = init(&settings, &process).unwrap();
     emit(ProcessEvent::Ready {});
-    metrics.add(Counter::Retries, 2);
+    metrics.count(Counter::Retries, 2);
     metrics.flush();
     expect_that!(metrics.total(Counter::Retries), eq(2));
 }
--- a/crates/log/tests/metrics.rs
+++ b/crates/log/tests/metrics.rs
@@ -64,10 +64,10 @@
 fn a_counter_is_sent_as_the_difference_since_the_last_flush() {
     let server = Server::new();
     let metrics = server.metrics();
-    metrics.add(Counter::MessagesSent, 5);
+    metrics.count(Counter::MessagesSent, 5);
     metrics.flush();
     expect_that!(server.values()["messages_sent"], eq("5|c"));
-    metrics.add(Counter::MessagesSent, 2);
+    metrics.count(Counter::MessagesSent, 2);
     metrics.flush();
     expect_that!(server.values()["messages_sent"], eq("2|c"));
     metrics.flush();
@@ -109,7 +109,7 @@
     let server = Server::new();
     let metrics = server.metrics();
     for value in 1..=100 {
-        metrics.record(&group(1), &service(), Series::QueueWaitUs, value);
+        metrics.record(Series::QueueWaitUs, &group(1), &service(), value);
     }
     metrics.flush();
     let values = server.values();
@@ -127,7 +127,7 @@
     let server = Server::new();
     let metrics = server.metrics();
     let group = "ng.south:1".parse().unwrap();
-    metrics.record(&group, &service(), Series::RunTimeUs, 7);
+    metrics.record(Series::RunTimeUs, &group, &service(), 7);
     metrics.flush();
     let name = "group.ng_south_1.member-desk.run_time_us.max";
     expect_that!(server.values()[name], eq("7|g"));
@@ -137,7 +137,7 @@
 fn a_value_beyond_the_largest_sample_still_counts() {
     let server = Server::new();
     let metrics = server.metrics();
-    metrics.record(&group(1), &service(), Series::RunTimeUs, u64::MAX);
+    metrics.record(Series::RunTimeUs, &group(1), &service(), u64::MAX);
     metrics.flush();
     let name = "group.team-1.member-desk.run_time_us.count";
     expect_that!(server.values()[name], eq("1|c"));
@@ -150,7 +150,7 @@
     let metrics = server.metrics();
     for n in 0..GROUPS {
         for series in Series::ALL {
-            metrics.record(&group(n), &service(), series, 1_000);
+            metrics.record(series, &group(n), &service(), 1_000);
         }
     }
     let mut counts = BTreeMap::<String, u32>::new();
@@ -173,9 +173,9 @@
     let server = Server::new();
     let metrics = server.metrics();
     for n in 0..MAX_SERIES + BEYOND {
-        metrics.record(&group(n), &service(), Series::RunTimeUs, 5);
+        metrics.record(Series::RunTimeUs, &group(n), &service(), 5);
     }
-    metrics.record(&group(0), &service(), Series::RunTimeUs, 5);
+    metrics.record(Series::RunTimeUs, &group(0), &service(), 5);
     expect_that!(metrics.total(Counter::SeriesOverflow), eq(BEYOND as u64));
     let name = "group.other.other.run_time_us.count";
     let pooled = (0..MAX_SERIES).find_map(|_| {
@@ -191,8 +191,8 @@
     let metrics = server.metrics();
     drop(server);
     for n in 0..50 {
-        metrics.record(&group(n), &service(), Series::RunTimeUs, 5);
-        metrics.add(Counter::Retries, 1);
+        metrics.record(Series::RunTimeUs, &group(n), &service(), 5);
+        metrics.count(Counter::Retries, 1);
         metrics.flush();
     }
     expect_that!(metrics.total(Counter::Retries), eq(50));
