--- a/crates/agent/src/connection/dial.rs
+++ b/crates/agent/src/connection/dial.rs
@@ -31,6 +31,7 @@
 
 use crate::process::Command;
 use crate::process::CoreHandle;
+use crate::process::RosterEvent;
 
 /// Messages that may wait for the core; a session that lags further is closed.
 const MAX_WAITING_MESSAGES: usize = 1_024;
@@ -48,6 +49,7 @@
     pub incarnation: Incarnation,
     pub address: SocketAddr,
     pub core: CoreHandle,
+    pub roster: mpsc::UnboundedSender<RosterEvent>,
 }
 
 static NEXT_CONNECTION: AtomicU64 = AtomicU64::new(0);
@@ -105,9 +107,16 @@
     /// Carries messages and reports until either side closes the connection.
     async fn hold(&self, client: WsClient, mut messages: Subscription<ToAgent>) {
         let connection = ConnectionId(NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed));
+        let address = self.address;
+        // The roster ends only with the process.
+        let _ = self.roster.send(RosterEvent::Connected {
+            connection,
+            address,
+        });
         let guard = LossGuard {
             connection,
             core: self.core.clone(),
+            roster: self.roster.clone(),
         };
         let (sender, mut reports) = mpsc::unbounded_channel();
         self.core.send(Command::Connected {
@@ -143,13 +152,15 @@
 struct LossGuard {
     connection: ConnectionId,
     core: CoreHandle,
+    roster: mpsc::UnboundedSender<RosterEvent>,
 }
 
 impl Drop for LossGuard {
     fn drop(&mut self) {
-        self.core.event(AgentEvent::ConnectionLost {
-            connection: self.connection,
-        });
+        let connection = self.connection;
+        self.core.event(AgentEvent::ConnectionLost { connection });
+        // The roster ends only with the process.
+        let _ = self.roster.send(RosterEvent::Disconnected { connection });
     }
 }
 
--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -141,7 +141,7 @@
             AgentEvent::ConnectionLost { connection } => {
                 self.connections.remove(connection);
             }
-            AgentEvent::Message { .. } => self.metrics.add(Counter::MessagesReceived, 1),
+            AgentEvent::Message { .. } => self.metrics.count(Counter::MessagesReceived, 1),
             _ => {}
         }
         let actions = self.decisions.handle(self.clock.now(), event);
@@ -157,7 +157,7 @@
     fn perform(&mut self, action: AgentAction) {
         match action {
             AgentAction::Report { connection, report } => {
-                self.metrics.add(Counter::MessagesSent, 1);
+                self.metrics.count(Counter::MessagesSent, 1);
                 if let Some(reports) = self.connections.get(&connection) {
                     // A connection that has just closed reports its own loss.
                     let _ = reports.send(report);
@@ -185,7 +185,10 @@
                 });
             }
             AgentAction::Opened { connection, open } => {
-                self.tell_roster(RosterEvent::Opened { connection, entry: open.entry });
+                self.tell_roster(RosterEvent::Opened {
+                    connection,
+                    entry: open.entry,
+                });
             }
             AgentAction::Entries(entries) => self.tell_roster(RosterEvent::Entries(entries)),
             AgentAction::ConfigReceived(body) => {
--- a/crates/agent/src/process/mod.rs
+++ b/crates/agent/src/process/mod.rs
@@ -12,3 +12,4 @@
 
 pub(crate) use core::Command;
 pub(crate) use core::CoreHandle;
+pub(crate) use roster::RosterEvent;
--- a/crates/agent/src/process/roster.rs
+++ b/crates/agent/src/process/roster.rs
@@ -23,7 +23,7 @@
 
 /// Time for which an address of the settings is left alone after it led to an entry that has a
 /// session already. It is dialled again to find entries that the presence rows do not show.
-const PARK: Duration = Duration::from_secs(60);
+const PARK: Duration = Duration::from_mins(1);
 /// Time between two looks at parked addresses.
 const LOOK: Duration = Duration::from_secs(1);
 
@@ -31,11 +31,17 @@
 #[derive(Debug, Clone)]
 pub(crate) enum RosterEvent {
     /// An address was connected.
-    Connected { connection: ConnectionId, address: SocketAddr },
+    Connected {
+        connection: ConnectionId,
+        address: SocketAddr,
+    },
     /// A connection was lost.
     Disconnected { connection: ConnectionId },
     /// A session was opened.
-    Opened { connection: ConnectionId, entry: EntryId },
+    Opened {
+        connection: ConnectionId,
+        entry: EntryId,
+    },
     /// Entries that may be dialled, according to one of them.
     Entries(Vec<EntryAddress>),
 }
@@ -93,7 +99,10 @@
 
     fn take(&mut self, event: RosterEvent) {
         match event {
-            RosterEvent::Connected { connection, address } => {
+            RosterEvent::Connected {
+                connection,
+                address,
+            } => {
                 self.connected.insert(connection, address);
             }
             RosterEvent::Disconnected { connection } => {
@@ -107,7 +116,9 @@
     /// Leaves an address alone if it leads to an entry that is dialled under its own address, since
     /// two connections to one entry would fence each other for ever.
     fn on_opened(&mut self, connection: ConnectionId, entry: &EntryId) {
-        let Some(address) = self.connected.get(&connection).copied() else { return };
+        let Some(address) = self.connected.get(&connection).copied() else {
+            return;
+        };
         let is_second = !self.chosen.contains_key(&address)
             && self.chosen.values().any(|chosen| chosen == entry);
         if is_second {
@@ -118,10 +129,18 @@
     fn choose(&mut self, entries: &[EntryAddress]) {
         let candidates: Vec<_> = entries
             .iter()
-            .map(|e| Candidate { entry: e.entry.clone(), domain: e.domain.clone() })
+            .map(|e| Candidate {
+                entry: e.entry.clone(),
+                domain: e.domain.clone(),
+            })
             .collect();
         let most = self.settings.max_sessions as usize;
-        let chosen = choose(&self.settings.agent, &self.settings.domain, &candidates, most);
+        let chosen = choose(
+            &self.settings.agent,
+            &self.settings.domain,
+            &candidates,
+            most,
+        );
         self.chosen = entries
             .iter()
             .filter(|entry| chosen.contains(&entry.entry))
@@ -155,7 +174,9 @@
                 core: self.core.clone(),
                 roster: self.sender.clone(),
             };
-            self.dialled.entry(address).or_insert_with(|| tokio::spawn(keep_dialling(dial)));
+            self.dialled
+                .entry(address)
+                .or_insert_with(|| tokio::spawn(keep_dialling(dial)));
         }
     }
 }
--- a/crates/agent/src/process/start.rs
+++ b/crates/agent/src/process/start.rs
@@ -68,20 +68,21 @@
             .await
             .context(ListenSnafu { address })?;
         let address = listener.local_addr().context(ListenSnafu { address })?;
-        let (roster, roster_events) = mpsc::unbounded_channel();
+        let (roster_sender, roster_events) = mpsc::unbounded_channel();
         let (core, handle, stopped) = Core::new(
             policy::Agent::new(settings.keep_results_ms),
             Clock::start(),
             metrics,
             Runner::new(&settings),
             Versions::new(settings.domain.clone()),
-            roster,
+            roster_sender.clone(),
         );
-        let router = request::router(handle.clone());
+        let announcements = request::router(handle.clone());
         let roster = Roster::new(
             Arc::clone(&settings),
             incarnation,
             handle.clone(),
+            roster_sender,
             roster_events,
         );
         let background = vec![
@@ -89,7 +90,7 @@
             tokio::spawn(roster.run()),
             tokio::spawn(async move {
                 // The server ends only with the process.
-                let _ = axum::serve(listener, router).await;
+                let _ = axum::serve(listener, announcements).await;
             }),
         ];
         dfs_log::emit(ProcessEvent::Listening {
--- a/crates/entry/src/process/core.rs
+++ b/crates/entry/src/process/core.rs
@@ -173,7 +173,7 @@
                 event,
                 reply,
             } => {
-                self.metrics.add(Counter::MessagesReceived, 1);
+                self.metrics.count(Counter::MessagesReceived, 1);
                 self.replies.insert((connection, seq), reply);
                 self.handle(event);
             }
@@ -238,7 +238,7 @@
     }
 
     fn send(&mut self, connection: ConnectionId, message: ToAgent) {
-        self.metrics.add(Counter::MessagesSent, 1);
+        self.metrics.count(Counter::MessagesSent, 1);
         let Some(sink) = self.sinks.get(&connection) else {
             return;
         };
--- a/crates/entry/src/process/observe.rs
+++ b/crates/entry/src/process/observe.rs
@@ -10,17 +10,16 @@
 /// Records an observation.
 pub(super) fn observe(metrics: &Metrics, observation: Observation) {
     match observation {
-        Observation::SessionOpened { .. } | Observation::AgentLost { .. } => {}
-        Observation::Ejected { .. } => metrics.add(Counter::Ejections, 1),
+        Observation::Ejected { .. } => metrics.count(Counter::Ejections, 1),
         Observation::TaskDone {
             group,
             service,
             wait_us,
             run_us,
         } => {
-            metrics.add(Counter::TasksSettled, 1);
-            metrics.record(&group, &service, Series::QueueWaitUs, wait_us);
-            metrics.record(&group, &service, Series::RunTimeUs, run_us);
+            metrics.count(Counter::TasksSettled, 1);
+            metrics.record(Series::QueueWaitUs, &group, &service, wait_us);
+            metrics.record(Series::RunTimeUs, &group, &service, run_us);
         }
         Observation::Completed {
             group,
@@ -29,9 +28,11 @@
             ideal_us,
         } => {
             let permille = response_us.saturating_mul(PERMILLE) / ideal_us.max(1);
-            metrics.record(&group, &service, Series::ResponsePermille, permille);
+            metrics.record(Series::ResponsePermille, &group, &service, permille);
         }
-        Observation::Retried { .. } => metrics.add(Counter::Retries, 1),
-        Observation::RetryRefused { .. } => {}
+        Observation::Retried { .. } => metrics.count(Counter::Retries, 1),
+        Observation::SessionOpened { .. }
+        | Observation::AgentLost { .. }
+        | Observation::RetryRefused { .. } => {}
     }
 }
--- a/crates/entry/src/request/operate.rs
+++ b/crates/entry/src/request/operate.rs
@@ -22,12 +22,15 @@
 use crate::process::Command;
 use crate::version::apply;
 
+/// Name under which the first configuration is applied.
+const BOOTSTRAP_OPERATOR: &str = "bootstrap";
+
 /// `GET /v1/config`.
 pub(super) async fn show_config(
     Shared(state): Shared<Arc<State>>,
     headers: HeaderMap,
 ) -> Result<Response, Refusal> {
-    check_operator(&state, &headers)?;
+    operator(&state, &headers)?;
     let Some(config) = state.holder.held() else {
         return Err(Refusal::new(
             FailureReason::NotReady,
@@ -48,12 +51,14 @@
     headers: HeaderMap,
     body: Body,
 ) -> Result<Response, Refusal> {
-    check_operator(&state, &headers)?;
+    let operator = operator(&state, &headers)?;
     let request = body::read(&state.limits, body).await?;
-    Ok(match apply(&state.store, &state.holder, request).await {
-        Ok(version) => Json(ApplyAnswer { version }).into_response(),
-        Err(error) => (config_status(&error), Json(error)).into_response(),
-    })
+    Ok(
+        match apply(&state.store, &state.holder, operator, request).await {
+            Ok(version) => Json(ApplyAnswer { version }).into_response(),
+            Err(error) => (config_status(&error), Json(error)).into_response(),
+        },
+    )
 }
 
 const fn config_status(error: &ConfigError) -> StatusCode {
@@ -70,7 +75,7 @@
     Shared(state): Shared<Arc<State>>,
     headers: HeaderMap,
 ) -> Result<Response, Refusal> {
-    check_operator(&state, &headers)?;
+    operator(&state, &headers)?;
     let (reply, status) = oneshot::channel();
     state.core.send(Command::Status(reply));
     let Ok(mut status) = status.await else {
@@ -84,18 +89,15 @@
     Ok(Json(status).into_response())
 }
 
-/// Before the first configuration nobody is known, and anyone who has the session secret may apply.
-fn check_operator(state: &State, headers: &HeaderMap) -> Result<(), Refusal> {
+/// Name of the operator. Before the first configuration nobody is known, and whoever has the session
+/// secret may apply one.
+fn operator(state: &State, headers: &HeaderMap) -> Result<String, Refusal> {
     let token = body::token(headers)?;
-    let known = match state.holder.held() {
-        Some(_) => state.holder.is_operator(token),
-        None => state.is_bootstrap(token),
+    let operator = match state.holder.held() {
+        Some(_) => state.holder.operator_of(token),
+        None => state
+            .is_bootstrap(token)
+            .then(|| BOOTSTRAP_OPERATOR.to_owned()),
     };
-    if known {
-        return Ok(());
-    }
-    Err(Refusal::new(
-        FailureReason::Forbidden,
-        "the token is not an operator's",
-    ))
+    operator.ok_or_else(|| Refusal::new(FailureReason::Forbidden, "the token is not an operator's"))
 }
--- a/crates/entry/src/version/apply.rs
+++ b/crates/entry/src/version/apply.rs
@@ -20,6 +20,7 @@
 pub(crate) async fn apply(
     store: &ConfigStore,
     holder: &Holder,
+    operator: String,
     request: ApplyConfig,
 ) -> Result<ConfigVersion, ConfigError> {
     let base = base_config(store, request.base).await?;
@@ -32,10 +33,11 @@
     let version = store
         .apply(&change)
         .await
-        .map_err(|error| refusal(&change, error))?;
+        .map_err(|error| refusal(&change, &operator, error))?;
     dfs_log::emit(ConfigEvent::Accepted {
         version,
         change: request.change,
+        operator,
     });
     holder.adopt(config, ConfigSource::Apply);
     Ok(version)
@@ -84,7 +86,7 @@
     })
 }
 
-fn refusal(change: &Change, error: ApplyError) -> ConfigError {
+fn refusal(change: &Change, operator: &str, error: ApplyError) -> ConfigError {
     match error {
         ApplyError::Conflict {
             base,
@@ -93,6 +95,7 @@
         } => {
             let change = change.change.clone();
             dfs_log::emit(ConfigEvent::Conflict {
+                operator: operator.to_owned(),
                 change,
                 base,
                 head: winner,
--- a/crates/entry/src/version/holder.rs
+++ b/crates/entry/src/version/holder.rs
@@ -6,6 +6,7 @@
 
 use dfs_conf::Config;
 use dfs_conf::Group;
+use dfs_conf::Operator;
 use dfs_conf::TokenDigest;
 use dfs_ids::ConfigVersion;
 use dfs_ids::FailureDomain;
@@ -113,16 +114,17 @@
         groups.first().map(|group| Group::clone(group))
     }
 
-    pub fn is_operator(&self, token: &str) -> bool {
-        let Some(config) = self.held() else {
-            return false;
-        };
+    /// The operator of a token; every digest is compared, as for groups.
+    pub fn operator_of(&self, token: &str) -> Option<String> {
+        let config = self.held()?;
         let digest = TokenDigest::of(token);
-        let operators = &config.inventory.operators;
-        operators
+        let has_token = |operator: &&Operator| operator.token_sha256.matches(&digest);
+        let operators: Vec<_> = config
+            .inventory
+            .operators
             .iter()
-            .filter(|operator| operator.token_sha256.matches(&digest))
-            .count()
-            > 0
+            .filter(has_token)
+            .collect();
+        operators.first().map(|operator| operator.operator.clone())
     }
 }
--- a/crates/entry/src/version/poll.rs
+++ b/crates/entry/src/version/poll.rs
@@ -52,7 +52,7 @@
 fn report(holder: &Holder, error: &ConfigReadError) {
     dfs_log::emit(ConfigEvent::StoreUnreachable {
         silent_ms: holder.age_ms().unwrap_or_default(),
-        version: holder.version(),
+        version: holder.held().map(|config| config.version),
         error: ErrorText::new(error),
     });
 }
