Command-line tool: submissions, configuration and status

Cause: callers and operators need a tool over the HTTP interface of the entries; the crate was an empty main.

Ruled out: retries inside the HTTP client. Its default repeats a request on a pooled connection that broke, which would be a second submission, so this is switched off. A submission goes to another entry only if the connection was refused, and a second time only under a request key after an answer "not run" that names a time to retry.

Change: job submit and cancel, request send, inventory and rules (check, apply, show, diff), config wait, status merged over entries, completions. An apply whose reply is lost, or comes from something other than an entry, is sent again under the same change id; a refusal after that settles nothing and the tool prints how to settle it. Each kind of outcome has an exit code. An answer that is partial or names another submission is an error.

--- /dev/null
+++ b/crates/cli/src/client/mod.rs
@@ -0,0 +1,10 @@
+//! Calls to the HTTP interface of entries.
+
+mod call;
+mod error;
+mod http;
+
+pub use call::Call;
+pub use call::Reply;
+pub use error::CallError;
+pub use http::Client;
--- /dev/null
+++ b/crates/cli/src/config/head.rs
@@ -0,0 +1,34 @@
+//! The configuration in force at an entry.
+
+use std::net::SocketAddr;
+
+use dfs_ids::Millis;
+use dfs_wire::api::ConfigAnswer;
+use dfs_wire::api::ConfigError;
+
+use super::ConfigFailure;
+use crate::client::Call;
+use crate::client::Client;
+use crate::client::Reply;
+use crate::error::Error;
+
+/// Longest wait for one reply to an operator.
+pub const OPERATOR_TIMEOUT: Millis = Millis::new(10_000);
+
+/// Path of the configuration at an entry.
+pub const CONFIG_PATH: &str = "/v1/config";
+
+/// Reads the configuration from the first entry that accepts a connection.
+pub async fn read(client: &Client, entries: &[SocketAddr]) -> Result<ConfigAnswer, Error> {
+    let reply = client
+        .send_to_first(entries, &Call::get(CONFIG_PATH))
+        .await?;
+    if is_forbidden(&reply) {
+        return Err(ConfigFailure::NotOperator.into());
+    }
+    Ok(reply.accept()?)
+}
+
+fn is_forbidden(reply: &Reply) -> bool {
+    matches!(reply.parse(), Ok(ConfigError::Forbidden))
+}
--- /dev/null
+++ b/crates/cli/src/options/entry.rs
@@ -0,0 +1,28 @@
+//! Which entries to call, and as whom.
+
+use std::net::SocketAddr;
+
+use super::OptionsError;
+use super::Token;
+use crate::cli::EntryArgs;
+
+/// Checked form of [`EntryArgs`].
+#[derive(Debug, Clone)]
+pub struct EntryOptions {
+    /// Entries in the order of the command line; at least one.
+    pub entries: Vec<SocketAddr>,
+    /// The caller's or operator's token.
+    pub token: Token,
+}
+
+impl TryFrom<EntryArgs> for EntryOptions {
+    type Error = OptionsError;
+
+    fn try_from(args: EntryArgs) -> Result<Self, OptionsError> {
+        let token = Token::require(&args)?;
+        Ok(Self {
+            entries: args.entries,
+            token,
+        })
+    }
+}
--- /dev/null
+++ b/crates/cli/src/options/token.rs
@@ -0,0 +1,64 @@
+//! The bearer token and where it comes from.
+
+use std::fmt;
+use std::path::Path;
+
+use snafu::OptionExt;
+use snafu::ResultExt;
+use snafu::ensure;
+
+use super::BadTokenSnafu;
+use super::NoTokenSnafu;
+use super::OptionsError;
+use super::TokenFileSnafu;
+use crate::cli::EntryArgs;
+
+const TOKEN_VARIABLE: &str = "DRAGONFLYSHED_TOKEN";
+
+/// A bearer token; never printed.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Token(String);
+
+impl Token {
+    /// Checks that the token fits in a header.
+    pub fn new(text: &str) -> Result<Self, OptionsError> {
+        let token = text.trim();
+        let valid = !token.is_empty() && token.chars().all(|c| c.is_ascii_graphic());
+        ensure!(valid, BadTokenSnafu);
+        Ok(Self(token.to_owned()))
+    }
+
+    /// The token of the file, the option or the environment, in this order; `None` if there is none.
+    pub fn find(args: &EntryArgs) -> Result<Option<Self>, OptionsError> {
+        if let Some(path) = &args.token_file {
+            return Self::read(path).map(Some);
+        }
+        let given = args.token.clone();
+        given
+            .or_else(|| std::env::var(TOKEN_VARIABLE).ok())
+            .map(|text| Self::new(&text))
+            .transpose()
+    }
+
+    /// Like [`Token::find`], but a token is required.
+    pub fn require(args: &EntryArgs) -> Result<Self, OptionsError> {
+        Self::find(args)?.context(NoTokenSnafu)
+    }
+
+    /// Value of the `Authorization` header.
+    #[must_use]
+    pub fn authorization(&self) -> String {
+        format!("Bearer {}", self.0)
+    }
+
+    fn read(path: &Path) -> Result<Self, OptionsError> {
+        let text = std::fs::read_to_string(path).context(TokenFileSnafu { path })?;
+        Self::new(&text)
+    }
+}
+
+impl fmt::Debug for Token {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("Token(..)")
+    }
+}
--- /dev/null
+++ b/crates/cli/src/output/table.rs
@@ -0,0 +1,37 @@
+//! Tables of text.
+
+use std::fmt;
+
+use comfy_table::CellAlignment;
+use comfy_table::presets::ASCII_MARKDOWN;
+
+/// A table with a heading; its first column is aligned left, the others right.
+#[derive(Debug)]
+pub struct Table(comfy_table::Table);
+
+impl Table {
+    /// An empty table with these column headings.
+    #[must_use]
+    pub fn new(headings: &[&str]) -> Self {
+        let mut table = comfy_table::Table::new();
+        table.load_preset(ASCII_MARKDOWN).set_header(headings);
+        for column in table.column_iter_mut().skip(1) {
+            column.set_cell_alignment(CellAlignment::Right);
+        }
+        Self(table)
+    }
+
+    /// Adds a row.
+    pub fn row<I>(&mut self, cells: I)
+    where
+        I: IntoIterator<Item = String>,
+    {
+        self.0.add_row(cells);
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/cli/src/submit/print.rs
@@ -0,0 +1,65 @@
+//! Prints an answer.
+
+use dfs_wire::api::Answer;
+use dfs_wire::api::Failure;
+
+use crate::error::Error;
+use crate::exit::Exit;
+use crate::output;
+use crate::output::Format;
+use crate::output::Table;
+
+/// Prints an answer and returns the exit code of its outcome.
+pub fn print(format: Format, answer: &Answer) -> Result<Exit, Error> {
+    match format {
+        Format::Json => output::print_json(answer)?,
+        Format::Table => print_table(answer)?,
+    }
+    let failure = answer.failure.as_ref();
+    Ok(failure.map_or(Exit::Success, |f| f.reason.into()))
+}
+
+fn print_table(answer: &Answer) -> Result<(), Error> {
+    match &answer.failure {
+        None => output::print(&results(answer).to_string()),
+        Some(failure) => output::print(&failed(answer, failure).to_string()),
+    }
+}
+
+fn results(answer: &Answer) -> Table {
+    let mut table = Table::new(&["task", "result"]);
+    for (task, result) in answer.results.iter().enumerate() {
+        table.row([task.to_string(), result.get().to_owned()]);
+    }
+    table
+}
+
+fn failed(answer: &Answer, failure: &Failure) -> Table {
+    let mut table = Table::new(&["outcome", "failed"]);
+    let mut row = |name: &str, value: String| table.row([name.to_owned(), value]);
+    if let Some(submission) = &answer.submission {
+        row("submission", submission.to_string());
+    }
+    row("reason", failure.reason.to_string());
+    row("message", failure.message.clone());
+    row("not run", failure.not_run.to_string());
+    if !failure.may_have_run.is_empty() {
+        row("may have run", tasks(failure));
+    }
+    if let Some(wait) = failure.retry_after_ms {
+        row("retry after", wait.to_string());
+    }
+    for fault in &failure.faults {
+        row(&format!("task {}", fault.task), fault.message.clone());
+    }
+    table
+}
+
+fn tasks(failure: &Failure) -> String {
+    let tasks: Vec<String> = failure
+        .may_have_run
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    tasks.join(" ")
+}
--- /dev/null
+++ b/crates/cli/tests/tool/main.rs
@@ -0,0 +1,8 @@
+//! Runs the real tool against a fake entry on a loopback port.
+
+mod bench;
+mod config;
+mod fake;
+mod status;
+mod submit;
+mod usage;
