Load tool: open-loop mixes, ratios to the ideal, outcomes, messages

Cause: response time against the ideal and messages per task have to be measured in the same way for every change of the policy.

Ruled out: a closed loop, which slows down with the system and hides its queues; retries, which would count a refused submission twice; names drawn from the seed, since two runs at once would share them.

Change: `dragonflyshed load` sends Poisson arrivals and bursts of a mix described in JSON, with a bound on rate, time and open submissions, to loopback addresses unless the mix allows others. Each echo is checked; a foreign or missing one is a wrong answer and its own exit code. The report gives histograms of response time over the ideal for all, each group and each class, outcomes by reason with "not run" apart, goodput, messages per task from the entries' counters, and how late the tool itself sent.

Interrupts: the listener now lives as long as the submission, since an interrupt between two waits was lost and nothing ended the wait.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -58,6 +58,12 @@
   dragonflyshed status --entry 10.0.0.1:8080 --entry 10.0.1.1:8080
   dragonflyshed status --entry 10.0.0.1:8080 --output json";
 
+const LOAD_EXAMPLES: &str = "Examples:
+  dragonflyshed load --entry 127.0.0.1:8080 --round-trip-us 1000 member-desk.json
+  dragonflyshed load --entry 127.0.0.1:8080 --rate-per-s 20 --seed 3 --output json mix.json
+
+The token is an operator's; it is needed for the count of messages per task only.";
+
 const COMPLETIONS_EXAMPLES: &str = "Example:
   dragonflyshed completions bash > dragonflyshed.bash";
 
@@ -91,6 +97,9 @@
     /// Show groups, targets and the version in force in each failure domain
     #[command(after_help = STATUS_EXAMPLES)]
     Status(StatusArgs),
+    /// Send a described mix of submissions and report response times
+    #[command(after_help = LOAD_EXAMPLES)]
+    Load(LoadArgs),
     /// Print a completion script for a shell
     #[command(after_help = COMPLETIONS_EXAMPLES)]
     Completions {
@@ -321,6 +330,31 @@
     pub output: OutputArgs,
 }
 
+/// `load`.
+#[derive(Debug, Args)]
+pub struct LoadArgs {
+    /// Entries, which take turns.
+    #[command(flatten)]
+    pub entry: EntryArgs,
+    /// How to print the report.
+    #[command(flatten)]
+    pub output: OutputArgs,
+    /// Round trip that the ideal response time includes
+    #[arg(long, value_name = "US", default_value_t = 1000)]
+    pub round_trip_us: u64,
+    /// Submissions a second, in place of the file's
+    #[arg(long, value_name = "RATE")]
+    pub rate_per_s: Option<f64>,
+    /// Time during which submissions arrive, in place of the file's
+    #[arg(long, value_name = "MS", value_parser = parse_millis)]
+    pub duration_ms: Option<Millis>,
+    /// Seed of arrivals and sizes, in place of the file's
+    #[arg(long)]
+    pub seed: Option<u64>,
+    /// File with the mix, or - for standard input
+    pub file: PathBuf,
+}
+
 fn parse_millis(text: &str) -> Result<Millis, std::num::ParseIntError> {
     text.parse().map(Millis::new)
 }
--- a/crates/cli/src/client/http.rs
+++ b/crates/cli/src/client/http.rs
@@ -57,6 +57,15 @@
         }
     }
 
+    /// The same connections under another token.
+    #[must_use]
+    pub fn with_token(&self, token: Token) -> Self {
+        Self {
+            token,
+            ..self.clone()
+        }
+    }
+
     /// Sends a call to one entry and reads the whole reply.
     pub async fn send(&self, entry: SocketAddr, call: &Call) -> Result<Reply, CallError> {
         let request = self.request(entry, call)?;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -9,6 +9,7 @@
 use crate::config::ConfigFailure;
 use crate::exit::Exit;
 use crate::input::InputError;
+use crate::load::MixError;
 use crate::options::OptionsError;
 
 /// Failure of a command.
@@ -57,6 +58,12 @@
         /// The cause.
         source: ConfigFailure,
     },
+    /// The mix of a load is not valid.
+    #[snafu(transparent)]
+    Mix {
+        /// The cause.
+        source: MixError,
+    },
 }
 
 impl Error {
@@ -69,6 +76,7 @@
             Self::Input { source } => source.exit(),
             Self::Call { source } => source.exit(),
             Self::Config { source } => source.exit(),
+            Self::Mix { .. } => Exit::ConfigInvalid,
         }
     }
 
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -39,7 +39,7 @@
     OutcomeUnknown,
     /// Another change of the configuration came first.
     ConfigConflict,
-    /// The inventory or the rules are not valid.
+    /// The inventory, the rules or the mix of a load are not valid.
     ConfigInvalid,
     /// The change may have been accepted; the same change id settles it.
     ConfigUnsettled,
@@ -47,6 +47,8 @@
     WaitTimeout,
     /// The documents differ.
     Different,
+    /// The load got answers that were not its own or not whole.
+    WrongAnswers,
 }
 
 impl Exit {
@@ -74,6 +76,7 @@
             Self::ConfigUnsettled => 22,
             Self::WaitTimeout => 23,
             Self::Different => 24,
+            Self::WrongAnswers => 30,
         }
     }
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod error;
 mod exit;
 mod input;
+mod load;
 mod options;
 mod output;
 mod status;
@@ -50,6 +51,7 @@
         Command::Rules(command) => config::run_rules(command).await,
         Command::Config(command) => config::run_config(command).await,
         Command::Status(args) => status::run(args).await,
+        Command::Load(args) => load::run(args).await,
         Command::Completions { shell } => completions::run(shell),
     }
 }
--- a/crates/cli/src/options/mod.rs
+++ b/crates/cli/src/options/mod.rs
@@ -29,4 +29,12 @@
     /// The token cannot be sent in a header.
     #[snafu(display("the token is empty or has characters other than visible ASCII"))]
     BadToken,
+    /// The load may call loopback addresses only.
+    #[snafu(display(
+        "entry {entry} is not a loopback address: set allow_remote in the mix to load it"
+    ))]
+    RemoteEntry {
+        /// The entry.
+        entry: std::net::SocketAddr,
+    },
 }
--- a/crates/cli/src/options/token.rs
+++ b/crates/cli/src/options/token.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::path::Path;
 
+use serde::Deserialize;
 use snafu::OptionExt;
 use snafu::ResultExt;
 use snafu::ensure;
@@ -16,7 +17,8 @@
 const TOKEN_VARIABLE: &str = "DRAGONFLYSHED_TOKEN";
 
 /// A bearer token; never printed.
-#[derive(Clone, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq, Deserialize)]
+#[serde(try_from = "String")]
 pub struct Token(String);
 
 impl Token {
@@ -57,6 +59,14 @@
     }
 }
 
+impl TryFrom<String> for Token {
+    type Error = OptionsError;
+
+    fn try_from(text: String) -> Result<Self, OptionsError> {
+        Self::new(&text)
+    }
+}
+
 impl fmt::Debug for Token {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str("Token(..)")
--- a/crates/cli/src/submit/mod.rs
+++ b/crates/cli/src/submit/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs and requests: one submission, one whole answer.
 
 mod cancel;
+mod interrupt;
 mod name;
 mod print;
 mod progress;
--- a/crates/cli/src/submit/send.rs
+++ b/crates/cli/src/submit/send.rs
@@ -7,6 +7,7 @@
 use dfs_wire::api::Failure;
 
 use super::check_answer;
+use super::interrupt::Interrupts;
 use super::submission::Submission;
 use crate::client::CallError;
 use crate::client::Client;
@@ -14,22 +15,25 @@
 /// Sends a submission and returns its checked answer.
 ///
 /// A first interrupt from the terminal cancels the submission, whose final answer still comes; a
-/// second one gives up the wait.
+/// second one gives up the wait. Nothing is sent again after an interrupt.
 pub async fn send(
     client: &Client,
     entries: &[SocketAddr],
     submission: &Submission,
     retries: u32,
 ) -> Result<Answer, CallError> {
+    let mut interrupts = Interrupts::listen();
     let mut retries_left = retries;
     loop {
-        let answer = send_once(client, entries, submission).await?;
-        match answer.failure.as_ref().and_then(retry_after) {
-            Some(wait) if retries_left > 0 => {
-                retries_left -= 1;
-                tokio::time::sleep(wait.into()).await;
-            }
-            _ => return Ok(answer),
+        let answer = send_once(client, entries, submission, &mut interrupts).await?;
+        let wait = answer.failure.as_ref().and_then(retry_after);
+        let Some(wait) = wait.filter(|_| retries_left > 0 && !interrupts.any()) else {
+            return Ok(answer);
+        };
+        retries_left -= 1;
+        tokio::select! {
+            () = tokio::time::sleep(wait.into()) => {}
+            () = interrupts.next() => return Ok(answer),
         }
     }
 }
@@ -43,16 +47,17 @@
     client: &Client,
     entries: &[SocketAddr],
     submission: &Submission,
+    interrupts: &mut Interrupts,
 ) -> Result<Answer, CallError> {
     let sent = client.send_to_first(entries, &submission.call);
     tokio::pin!(sent);
     let reply = tokio::select! {
         reply = &mut sent => reply?,
-        Ok(()) = tokio::signal::ctrl_c() => {
+        () = interrupts.next() => {
             cancel(client, entries, submission).await;
             tokio::select! {
                 reply = &mut sent => reply?,
-                Ok(()) = tokio::signal::ctrl_c() => return Err(interrupted(submission)),
+                () = interrupts.next() => return Err(interrupted(submission)),
             }
         }
     };
--- a/crates/cli/tests/tool/bench.rs
+++ b/crates/cli/tests/tool/bench.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 use std::path::PathBuf;
+use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
 
@@ -21,6 +22,12 @@
     files: TempDir,
 }
 
+/// The tool while it runs.
+pub struct Running {
+    child: Child,
+    _files: TempDir,
+}
+
 /// What a run left behind.
 #[derive(Debug)]
 pub struct Run {
@@ -79,7 +86,12 @@
     }
 
     /// Runs to the end.
-    pub fn run(mut self) -> Run {
+    pub fn run(self) -> Run {
+        self.spawn().wait()
+    }
+
+    /// Starts the tool.
+    pub fn spawn(mut self) -> Running {
         let mut child = self
             .command
             .stdin(Stdio::piped())
@@ -90,12 +102,9 @@
         let mut stdin = child.stdin.take().unwrap();
         // A tool that ends before it reads closes the pipe, which is no fault here.
         let _ = stdin.write_all(self.stdin.as_bytes());
-        drop(stdin);
-        let output = child.wait_with_output().unwrap();
-        Run {
-            code: output.status.code().unwrap(),
-            stdout: String::from_utf8(output.stdout).unwrap(),
-            stderr: String::from_utf8(output.stderr).unwrap(),
+        Running {
+            child,
+            _files: self.files,
         }
     }
 
@@ -104,6 +113,25 @@
     }
 }
 
+impl Running {
+    /// Sends the signal of Ctrl-C.
+    pub fn interrupt(&self) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-INT", &pid]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    /// Waits for the end.
+    pub fn wait(self) -> Run {
+        let output = self.child.wait_with_output().unwrap();
+        Run {
+            code: output.status.code().unwrap(),
+            stdout: String::from_utf8(output.stdout).unwrap(),
+            stderr: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+}
+
 impl Run {
     /// Checks the exit code; shows both streams if it differs.
     pub fn expect(self, code: i32) -> Self {
--- a/crates/cli/tests/tool/fake.rs
+++ b/crates/cli/tests/tool/fake.rs
@@ -20,6 +20,7 @@
 use tokio::runtime::Runtime;
 
 use crate::bench::TOKEN;
+use crate::status::status;
 
 /// One request as received.
 #[derive(Debug, Clone)]
@@ -39,6 +40,10 @@
     Json(u16, Value),
     /// Answer a submission completely, each task with its own body.
     Echo,
+    /// Like `Echo`, but every answer carries the echo of another task.
+    WrongEcho,
+    /// Read the request and never answer.
+    Hang,
     /// Break the connection after the request was read.
     Lose,
 }
@@ -48,6 +53,7 @@
     replies: VecDeque<Reply>,
     default: Option<Reply>,
     seen: Vec<Seen>,
+    counts: bool,
 }
 
 /// The fake entry; it stops when dropped.
@@ -74,6 +80,15 @@
         })
     }
 
+    /// Answers submissions with the reply and `GET /v1/status` with two messages for each task.
+    pub fn counting(reply: Reply) -> Self {
+        Self::start(Script {
+            default: Some(reply),
+            counts: true,
+            ..Script::default()
+        })
+    }
+
     /// Its address.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -84,6 +99,13 @@
         self.script.lock().unwrap().seen.clone()
     }
 
+    /// Waits until this many requests were received.
+    pub fn await_seen(&self, count: usize) {
+        while self.seen().len() < count {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     fn start(script: Script) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
@@ -124,12 +146,20 @@
     match reply {
         Reply::Json(status, body) => json(status, &body),
         Reply::Echo => json(200, &complete(&seen, &tasks(&seen.body))),
+        Reply::WrongEcho => {
+            let wrong = serde_json::json!({"echo": "another"});
+            json(200, &complete(&seen, &vec![wrong; tasks(&seen.body).len()]))
+        }
+        Reply::Hang => std::future::pending().await,
         Reply::Lose => lose(),
     }
 }
 
 fn next_reply(script: &Mutex<Script>, seen: Seen) -> Reply {
     let mut script = script.lock().unwrap();
+    if script.counts && seen.line == "GET /v1/status" {
+        return Reply::Json(200, counted(&script.seen));
+    }
     script.seen.push(seen);
     let default = script.default.clone();
     script
@@ -139,7 +169,16 @@
         .unwrap_or(Reply::Json(500, Value::Null))
 }
 
-fn tasks(body: &Value) -> Vec<Value> {
+fn counted(seen: &[Seen]) -> Value {
+    let settled: usize = seen.iter().map(|s| tasks(&s.body).len()).sum();
+    let mut status = status("e1", 1, 1);
+    status["tasks_settled"] = settled.into();
+    status["session_messages"] = (2 * settled).into();
+    status
+}
+
+/// Bodies of the tasks of a job or request.
+pub fn tasks(body: &Value) -> Vec<Value> {
     match &body["tasks"] {
         Value::Array(tasks) => tasks.clone(),
         _ => vec![body["body"].clone()],
--- a/crates/cli/tests/tool/main.rs
+++ b/crates/cli/tests/tool/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod config;
 mod fake;
+mod load;
 mod status;
 mod submit;
 mod usage;
--- a/crates/cli/tests/tool/submit.rs
+++ b/crates/cli/tests/tool/submit.rs
@@ -189,3 +189,17 @@
     let tool = Tool::new("job cancel desk-17 --entry 127.0.0.1:1").entry(&other);
     tool.run().expect(3);
 }
+
+#[googletest::test]
+fn an_interrupt_cancels_and_a_second_one_gives_up_the_wait() {
+    let entry = FakeEntry::new([Reply::Hang, Reply::Json(204, Value::Null)]);
+    let tool = Tool::new("job submit --submission desk-17").entry(&entry);
+    let running = tool.file(JOB).spawn();
+    entry.await_seen(1);
+    running.interrupt();
+    entry.await_seen(2);
+    expect_that!(entry.seen()[1].line, eq("DELETE /v1/jobs/desk-17"));
+    running.interrupt();
+    let run = running.wait().expect(4);
+    expect_that!(run.stderr, contains_substring("desk-17"));
+}
--- a/crates/cli/tests/tool/usage.rs
+++ b/crates/cli/tests/tool/usage.rs
@@ -87,6 +87,7 @@
         "rules show",
         "config wait",
         "status",
+        "load",
         "completions",
     ];
     for command in commands {
