Events and histograms from the shells

Cause: the catalogue had events that no shell could fill, and no shell wrote any but start and stop.

--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -7,12 +7,16 @@
 use dfs_log::Counter;
 use dfs_log::Gauge;
 use dfs_log::Metrics;
+use dfs_log::ProcessName;
+use dfs_log::SessionEvent;
+use dfs_log::TargetEvent;
 use dfs_policy::ConnectionId;
 use dfs_policy::agent as policy;
 use dfs_policy::agent::AgentAction;
 use dfs_policy::agent::AgentEvent;
 use dfs_policy::agent::RunEnd;
 use dfs_wire::session::Report;
+use dfs_wire::target::Announcement;
 use tokio::sync::mpsc;
 
 use super::roster::RosterEvent;
@@ -66,6 +70,8 @@
     runner: Runner,
     versions: Versions,
     roster: mpsc::UnboundedSender<RosterEvent>,
+    /// What the target announced last, until it is gone.
+    announced: Option<Announcement>,
     stopped: tokio::sync::watch::Sender<bool>,
 }
 
@@ -91,6 +97,7 @@
             runner,
             versions,
             roster,
+            announced: None,
             stopped,
         };
         (core, handle, watch)
@@ -137,6 +144,9 @@
     }
 
     fn handle(&mut self, event: AgentEvent) {
+        self.tell_target(&event);
+        let had_target = self.decisions.has_target();
+        let is_tick = matches!(event, AgentEvent::Tick);
         match &event {
             AgentEvent::ConnectionLost { connection } => {
                 self.connections.remove(connection);
@@ -146,6 +156,42 @@
         }
         let actions = self.decisions.handle(self.clock.now(), event);
         self.perform_all(actions);
+        if is_tick && had_target && !self.decisions.has_target() {
+            self.tell_silence();
+        }
+    }
+
+    /// Writes an event when the target announces something new or says goodbye.
+    fn tell_target(&mut self, event: &AgentEvent) {
+        match event {
+            AgentEvent::Announced(new) if self.announced.as_ref() != Some(new) => {
+                dfs_log::emit(TargetEvent::Announced {
+                    target: new.offer.target.clone(),
+                    address: new.address,
+                    slots: new.offer.slots,
+                    lease_ms: new.lease_ms,
+                });
+                self.announced = Some(new.clone());
+            }
+            AgentEvent::Goodbye => {
+                if let Some(gone) = self.announced.take() {
+                    dfs_log::emit(TargetEvent::Goodbye {
+                        target: gone.offer.target,
+                        running_tasks: self.decisions.running() as usize,
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn tell_silence(&mut self) {
+        if let Some(gone) = self.announced.take() {
+            dfs_log::emit(TargetEvent::HeartbeatMissed {
+                target: gone.offer.target,
+                silent_ms: gone.lease_ms,
+            });
+        }
     }
 
     fn perform_all(&mut self, actions: Vec<AgentAction>) {
@@ -185,6 +231,8 @@
                 });
             }
             AgentAction::Opened { connection, open } => {
+                let peer = ProcessName::Entry(open.entry.clone());
+                dfs_log::emit(SessionEvent::Opened { peer });
                 self.tell_roster(RosterEvent::Opened {
                     connection,
                     entry: open.entry,
@@ -201,7 +249,15 @@
                     self.handle(AgentEvent::ConfigBody { connection, body });
                 }
             }
-            AgentAction::EntryLapsed { .. } | AgentAction::EntryClosing { .. } => {}
+            AgentAction::EntryClosing { .. } => {}
+            AgentAction::EntryLapsed { entry, dropped } => {
+                let peer = ProcessName::Entry(entry);
+                let settled_tasks = dropped.into();
+                dfs_log::emit(SessionEvent::Lapsed {
+                    peer,
+                    settled_tasks,
+                });
+            }
             AgentAction::Stopped => {
                 self.stopped.send_replace(true);
             }
--- a/crates/entry/src/connection/server.rs
+++ b/crates/entry/src/connection/server.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use dfs_conf::EntrySettings;
+use dfs_log::Counter;
 use dfs_log::Metrics;
+use dfs_log::SessionEvent;
 use dfs_policy::ConnectionId;
 use dfs_policy::entry::EntryEvent;
 use dfs_wire::session::ATTACH_METHOD;
@@ -35,6 +37,7 @@
 
 use crate::process::Command;
 use crate::process::CoreHandle;
+use crate::process::Sink;
 use crate::process::StartError;
 
 /// Buffer of the library; the bounded queue of the session lies before it.
@@ -52,7 +55,7 @@
     secret: String,
     buffer_messages: usize,
     core: CoreHandle,
-    _metrics: Metrics,
+    metrics: Metrics,
 }
 
 impl SessionServer {
@@ -83,7 +86,7 @@
             secret: settings.session_secret.clone(),
             buffer_messages: limits.session_buffer_messages as usize,
             core,
-            _metrics: metrics,
+            metrics,
         })?;
         Ok(Self {
             address,
@@ -122,6 +125,9 @@
     };
     let is_known = attach.secret.as_bytes().ct_eq(context.secret.as_bytes());
     if !bool::from(is_known) {
+        dfs_log::emit(SessionEvent::BadSecret {
+            agent: attach.agent,
+        });
         let message = "the session secret does not match: check session_secret of both processes";
         return pending
             .reject(ErrorObject::borrowed(BAD_SECRET_CODE, message, None))
@@ -132,20 +138,32 @@
     };
     let connection = ConnectionId(sink.connection_id().0 as u64);
     let (sender, messages) = mpsc::channel(context.buffer_messages);
+    let agent = attach.agent.clone();
+    dfs_log::emit(SessionEvent::Attached {
+        agent: agent.clone(),
+        incarnation: attach.incarnation,
+    });
     let event = EntryEvent::Attach { connection, attach };
     context.core.send(Command::Attach {
         connection,
         event,
-        sink: sender,
+        sink: Sink {
+            agent,
+            messages: sender,
+        },
     });
-    forward(&sink, messages).await;
+    forward(&sink, messages, &context.metrics).await;
     context
         .core
         .event(EntryEvent::ConnectionLost { connection });
 }
 
 /// Sends messages until the core or the agent closes the session.
-async fn forward(sink: &SubscriptionSink, mut messages: mpsc::Receiver<ToAgent>) {
+async fn forward(
+    sink: &SubscriptionSink,
+    mut messages: mpsc::Receiver<ToAgent>,
+    metrics: &Metrics,
+) {
     loop {
         let message = tokio::select! {
             message = messages.recv() => message,
@@ -155,6 +173,7 @@
         let Ok(json) = to_json_raw_value(&message) else {
             return;
         };
+        metrics.count(Counter::BytesSent, json.get().len() as u64);
         if sink.send(json).await.is_err() {
             return;
         }
@@ -166,6 +185,8 @@
     context: Arc<Context>,
     extensions: Extensions,
 ) -> Result<Ack, ErrorObjectOwned> {
+    let bytes = params.as_str().map_or(0, str::len);
+    context.metrics.count(Counter::BytesReceived, bytes as u64);
     let report: Report = params.one()?;
     let id = extensions
         .get::<jsonrpsee::ConnectionId>()
--- a/crates/entry/src/process/core.rs
+++ b/crates/entry/src/process/core.rs
@@ -3,12 +3,15 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use dfs_ids::AgentId;
 use dfs_ids::Clock;
 use dfs_ids::ConfigVersion;
 use dfs_ids::SubmissionId;
 use dfs_log::Counter;
 use dfs_log::Gauge;
 use dfs_log::Metrics;
+use dfs_log::ProcessName;
+use dfs_log::SessionEvent;
 use dfs_policy::ConnectionId;
 use dfs_policy::entry as policy;
 use dfs_policy::entry::EntryAction;
@@ -23,7 +26,7 @@
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::oneshot;
 
-use super::observe::observe;
+use super::observe::Observer;
 
 /// Time between two looks at leases and deadlines.
 const TICK: Duration = Duration::from_millis(20);
@@ -44,7 +47,7 @@
     Attach {
         connection: ConnectionId,
         event: EntryEvent,
-        sink: mpsc::Sender<ToAgent>,
+        sink: Sink,
     },
     /// A report; `reply` gets its acknowledgement.
     Report {
@@ -71,6 +74,13 @@
     Stopped,
 }
 
+/// Where messages for one agent go.
+#[derive(Debug)]
+pub(crate) struct Sink {
+    pub agent: AgentId,
+    pub messages: mpsc::Sender<ToAgent>,
+}
+
 /// Sends commands to the core.
 #[derive(Debug, Clone)]
 pub(crate) struct CoreHandle {
@@ -97,7 +107,8 @@
     commands: mpsc::UnboundedReceiver<Command>,
     outgoing: mpsc::UnboundedSender<Outgoing>,
     answers: HashMap<SubmissionId, oneshot::Sender<Answer>>,
-    sinks: HashMap<ConnectionId, mpsc::Sender<ToAgent>>,
+    observer: Observer,
+    sinks: HashMap<ConnectionId, Sink>,
     replies: HashMap<(ConnectionId, u64), oneshot::Sender<Result<Ack, ReportError>>>,
     lost: Vec<ConnectionId>,
 }
@@ -113,6 +124,7 @@
         let core = Self {
             decisions,
             clock,
+            observer: Observer::new(metrics.clone()),
             metrics,
             commands,
             outgoing,
@@ -165,6 +177,7 @@
                 sink,
             } => {
                 self.sinks.insert(connection, sink);
+                self.count_sessions();
                 self.handle(event);
             }
             Command::Report {
@@ -187,7 +200,7 @@
 
     fn handle(&mut self, event: EntryEvent) {
         if let EntryEvent::ConnectionLost { connection } = &event {
-            self.sinks.remove(connection);
+            self.lose_sink(*connection);
         }
         let actions = self.decisions.handle(self.clock.now(), event);
         self.perform_all(actions);
@@ -218,12 +231,15 @@
             }
             EntryAction::Close { connection } => {
                 self.sinks.remove(&connection);
+                self.count_sessions();
             }
             EntryAction::OfferConfig { connection, have } => {
                 self.pass(Outgoing::OfferConfig { connection, have });
             }
             EntryAction::ConfigReceived(body) => self.pass(Outgoing::ConfigReceived(body)),
-            EntryAction::Observe(observation) => observe(&self.metrics, observation),
+            EntryAction::Observe(observation) => {
+                self.observer.observe(self.clock.now(), observation);
+            }
             EntryAction::Stopped => self.pass(Outgoing::Stopped),
         }
     }
@@ -242,13 +258,36 @@
         let Some(sink) = self.sinks.get(&connection) else {
             return;
         };
-        match sink.try_send(message) {
+        match sink.messages.try_send(message) {
             Ok(()) => {}
             // A session that lags or is closed is lost; the fence of the next one makes it safe.
-            Err(TrySendError::Full(_) | TrySendError::Closed(_)) => self.lost.push(connection),
+            Err(TrySendError::Full(_)) => {
+                let buffer_messages =
+                    u32::try_from(sink.messages.max_capacity()).unwrap_or(u32::MAX);
+                let agent = sink.agent.clone();
+                dfs_log::emit(SessionEvent::Lagging {
+                    agent,
+                    buffer_messages,
+                });
+                self.lost.push(connection);
+            }
+            Err(TrySendError::Closed(_)) => self.lost.push(connection),
         }
     }
 
+    fn lose_sink(&mut self, connection: ConnectionId) {
+        if let Some(sink) = self.sinks.remove(&connection) {
+            let peer = ProcessName::Agent(sink.agent);
+            dfs_log::emit(SessionEvent::Lost { peer });
+            self.count_sessions();
+        }
+    }
+
+    fn count_sessions(&self) {
+        let sessions = u64::try_from(self.sinks.len()).unwrap_or(u64::MAX);
+        self.metrics.set(Gauge::Sessions, sessions);
+    }
+
     fn settle_lost(&mut self) {
         while let Some(connection) = self.lost.pop() {
             self.handle(EntryEvent::ConnectionLost { connection });
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) use core::Command;
 pub(crate) use core::Core;
 pub(crate) use core::CoreHandle;
+pub(crate) use core::Sink;
 pub(crate) use error::ListenSnafu;
 pub(crate) use error::MethodsSnafu;
 pub(crate) use gate::Gate;
--- a/crates/entry/src/process/observe.rs
+++ b/crates/entry/src/process/observe.rs
@@ -1,38 +1,91 @@
 //! Observations of the decisions as metrics and events.
 
+use std::collections::HashMap;
+
+use dfs_ids::GroupId;
+use dfs_ids::Millis;
+use dfs_ids::Moment;
 use dfs_log::Counter;
 use dfs_log::Metrics;
+use dfs_log::ProcessName;
 use dfs_log::Series;
+use dfs_log::SessionEvent;
+use dfs_log::TargetEvent;
 use dfs_policy::entry::Observation;
 
 const PERMILLE: u64 = 1_000;
+/// Shortest time between two events that tell of one group's spent budget.
+const BUDGET_EVENT_MS: Millis = Millis::new(10_000);
+
+/// Records observations.
+#[derive(Debug)]
+pub(super) struct Observer {
+    metrics: Metrics,
+    budget_told: HashMap<GroupId, Moment>,
+}
+
+impl Observer {
+    pub fn new(metrics: Metrics) -> Self {
+        Self {
+            metrics,
+            budget_told: HashMap::new(),
+        }
+    }
 
-/// Records an observation.
-pub(super) fn observe(metrics: &Metrics, observation: Observation) {
-    match observation {
-        Observation::Ejected { .. } => metrics.count(Counter::Ejections, 1),
-        Observation::TaskDone {
-            group,
-            service,
-            wait_us,
-            run_us,
-        } => {
-            metrics.count(Counter::TasksSettled, 1);
-            metrics.record(Series::QueueWaitUs, &group, &service, wait_us);
-            metrics.record(Series::RunTimeUs, &group, &service, run_us);
+    pub fn observe(&mut self, now: Moment, observation: Observation) {
+        match observation {
+            Observation::SessionOpened { agent } => {
+                let peer = ProcessName::Agent(agent);
+                dfs_log::emit(SessionEvent::Opened { peer });
+            }
+            Observation::AgentLost { agent, unknown } => {
+                let peer = ProcessName::Agent(agent);
+                let settled_tasks = unknown;
+                dfs_log::emit(SessionEvent::Lapsed {
+                    peer,
+                    settled_tasks,
+                });
+            }
+            Observation::Ejected { agent } => {
+                self.metrics.count(Counter::Ejections, 1);
+                dfs_log::emit(TargetEvent::Ejected { agent });
+            }
+            Observation::TaskDone {
+                group,
+                service,
+                wait_us,
+                run_us,
+            } => {
+                self.metrics.count(Counter::TasksSettled, 1);
+                let values = [(Series::QueueWaitUs, wait_us), (Series::RunTimeUs, run_us)];
+                self.metrics.record_all(&group, &service, &values);
+            }
+            Observation::Completed {
+                group,
+                service,
+                response_us,
+                ideal_us,
+                tasks,
+                messages,
+            } => {
+                let response = response_us.saturating_mul(PERMILLE) / ideal_us.max(1);
+                let messages = messages.saturating_mul(PERMILLE) / tasks.max(1);
+                let values = [
+                    (Series::ResponsePermille, response),
+                    (Series::MessagesPerTaskPermille, messages),
+                ];
+                self.metrics.record_all(&group, &service, &values);
+            }
+            Observation::Retried { .. } => self.metrics.count(Counter::Retries, 1),
+            Observation::RetryRefused { group } => self.tell_budget(now, group),
         }
-        Observation::Completed {
-            group,
-            service,
-            response_us,
-            ideal_us,
-        } => {
-            let permille = response_us.saturating_mul(PERMILLE) / ideal_us.max(1);
-            metrics.record(Series::ResponsePermille, &group, &service, permille);
+    }
+
+    fn tell_budget(&mut self, now: Moment, group: GroupId) {
+        let told = self.budget_told.get(&group);
+        if told.is_none_or(|at| now.since(*at) >= BUDGET_EVENT_MS) {
+            self.budget_told.insert(group.clone(), now);
+            dfs_log::emit(TargetEvent::RetryBudgetSpent { group });
         }
-        Observation::Retried { .. } => metrics.count(Counter::Retries, 1),
-        Observation::SessionOpened { .. }
-        | Observation::AgentLost { .. }
-        | Observation::RetryRefused { .. } => {}
     }
 }
--- a/crates/entry/src/request/submit.rs
+++ b/crates/entry/src/request/submit.rs
@@ -17,6 +17,8 @@
 use dfs_ids::Millis;
 use dfs_ids::RequestKey;
 use dfs_ids::SubmissionId;
+use dfs_log::ErrorText;
+use dfs_log::RequestEvent;
 use dfs_policy::entry::EntryEvent;
 use dfs_policy::entry::Submission;
 use dfs_store::Claim;
@@ -115,14 +117,13 @@
     mut submission: Submission,
     key: Option<RequestKey>,
 ) -> Result<Response, Refusal> {
-    let arrived = Instant::now();
     let name = name(headers)?;
     let open = Open::register(state, name, &submission)?;
     if let Some(key) = key {
         claim(&open.state, &submission, &key).await?;
     }
     if let Some(deadline) = &mut submission.deadline_ms {
-        let used = u64::try_from(arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let used = u64::try_from(open.arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
         *deadline = deadline.saturating_sub(Millis::new(used));
     }
     let answer = open.run(submission).await?;
@@ -144,10 +145,15 @@
 }
 
 async fn claim(state: &State, submission: &Submission, key: &RequestKey) -> Result<(), Refusal> {
-    let holder = submission.submission.clone();
-    match state.claimer.claim(&submission.group, key, holder).await {
-        Claim::Claimed => Ok(()),
+    let group = submission.group.clone();
+    let submission = submission.submission.clone();
+    match state.claimer.claim(&group, key, submission.clone()).await {
+        Claim::Claimed => {
+            dfs_log::emit(RequestEvent::KeyClaimed { submission, group });
+            Ok(())
+        }
         Claim::Taken { holder } => {
+            dfs_log::emit(RequestEvent::KeyConflict { submission, group });
             let message = format!(
                 "request key {key} belongs to submission {holder}, which may have run; \
                  this one did not"
@@ -158,6 +164,12 @@
             reason,
             retry_after_ms,
         } => {
+            let error = ErrorText::new(&reason);
+            dfs_log::emit(RequestEvent::KeyUnavailable {
+                submission,
+                group,
+                error,
+            });
             let message = format!("request key {key} could not be claimed: {reason}");
             let refusal = Refusal::new(FailureReason::KeyUnavailable, message);
             Err(refusal.retry_after(retry_after_ms))
@@ -171,6 +183,7 @@
     group: GroupId,
     name: Option<SubmissionId>,
     submission: SubmissionId,
+    arrived: Instant,
     sent: bool,
 }
 
@@ -195,24 +208,27 @@
             group,
             name,
             submission,
+            arrived: Instant::now(),
             sent: false,
         })
     }
 
     async fn run(mut self, submission: Submission) -> Result<Answer, Refusal> {
         let (answer, waiting) = oneshot::channel();
+        dfs_log::emit(RequestEvent::Submitted {
+            submission: self.submission.clone(),
+            group: self.group.clone(),
+            service: submission.service.clone(),
+            tasks: submission.tasks.len(),
+        });
         self.sent = true;
         self.state.core.send(Command::Submit { submission, answer });
         let Ok(mut answer) = waiting.await else {
-            return Err(Refusal::new(
-                FailureReason::NotReady,
-                "this entry has stopped",
-            ));
+            let message = "this entry has stopped";
+            return Err(Refusal::new(FailureReason::NotReady, message));
         };
         self.sent = false;
-        if let Some(failure) = &answer.failure {
-            self.state.metrics.refused(failure.reason);
-        }
+        self.record(&answer);
         if let Some(name) = &self.name {
             answer.submission = Some(name.clone());
         }
@@ -220,6 +236,43 @@
     }
 }
 
+impl Open {
+    fn record(&self, answer: &Answer) {
+        let (submission, group) = (self.submission.clone(), self.group.clone());
+        let elapsed = u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let response_ms = Millis::new(elapsed);
+        let Some(failure) = &answer.failure else {
+            dfs_log::emit(RequestEvent::Complete {
+                submission,
+                group,
+                response_ms,
+            });
+            return;
+        };
+        self.state.metrics.refused(failure.reason);
+        let may_have_run = failure.may_have_run.len();
+        dfs_log::emit(match failure.reason {
+            FailureReason::Cancelled => RequestEvent::Cancelled {
+                submission,
+                group,
+                may_have_run,
+            },
+            reason if failure.not_run => RequestEvent::Refused {
+                group: Some(group),
+                reason,
+                retry_after_ms: failure.retry_after_ms,
+            },
+            reason => RequestEvent::Failed {
+                submission,
+                group,
+                reason,
+                may_have_run,
+                response_ms,
+            },
+        });
+    }
+}
+
 impl Drop for Open {
     fn drop(&mut self) {
         if let Some(name) = self.name.take() {
--- a/crates/log/src/event/session.rs
+++ b/crates/log/src/event/session.rs
@@ -5,7 +5,6 @@
 use dfs_ids::AgentId;
 use dfs_ids::Incarnation;
 use dfs_ids::Millis;
-use dfs_ids::SessionNumber;
 
 use super::ErrorText;
 use super::ProcessName;
@@ -20,23 +19,12 @@
             agent: AgentId,
             /// Its incarnation.
             incarnation: Incarnation,
-            /// Its address.
-            address: SocketAddr,
         }
         /// A session was opened and carries work.
         202 Info "session_opened" Opened {
             /// The process at the other end.
             peer: ProcessName,
         }
-        /// A newer session of the same pair replaced this one.
-        203 Info "session_fenced" Fenced {
-            /// The process at the other end.
-            peer: ProcessName,
-            /// The session that ended.
-            session: SessionNumber,
-            /// Tasks that the agent knew at the fence.
-            held_tasks: usize,
-        }
         /// The connection of a session broke.
         204 Warn "session_lost" Lost {
             /// The process at the other end.
@@ -51,8 +39,8 @@
         }
         /// An attach or a dial was rejected because the secrets differ.
         206 Error "bad_secret" BadSecret {
-            /// Address of the other end.
-            address: SocketAddr,
+            /// Name under which the agent attaches.
+            agent: AgentId,
         }
         /// A session was closed because its buffer was full.
         207 Warn "session_lagging" Lagging {
@@ -61,13 +49,6 @@
             /// Messages that the buffer holds.
             buffer_messages: u32,
         }
-        /// An attach was refused because the entry has its most sessions.
-        208 Warn "sessions_full" Full {
-            /// Address of the agent.
-            address: SocketAddr,
-            /// The limit from the settings.
-            max_sessions: u32,
-        }
         /// An agent could not connect to an entry.
         209 Info "dial_failed" DialFailed {
             /// Address that was dialled.
--- a/crates/policy/src/agent/event.rs
+++ b/crates/policy/src/agent/event.rs
@@ -5,8 +5,8 @@
 
 use dfs_conf::Config;
 use dfs_ids::ConfigVersion;
+use dfs_ids::EntryId;
 use dfs_ids::GroupId;
-use dfs_ids::Incarnation;
 use dfs_ids::ServiceName;
 use dfs_wire::session::Ack;
 use dfs_wire::session::EntryAddress;
@@ -134,8 +134,8 @@
     },
     /// The lease of an entry lapsed; its queued tasks were dropped.
     EntryLapsed {
-        /// The entry's incarnation.
-        incarnation: Incarnation,
+        /// The entry.
+        entry: EntryId,
         /// Tasks dropped before they started.
         dropped: u32,
     },
--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -147,7 +147,7 @@
     }
 
     /// Drops what waits for entries that are gone.
-    pub(super) fn expire_entries(&mut self, now: Moment) {
+    pub(super) fn expire_entries(&mut self, now: Moment, out: &mut Vec<AgentAction>) {
         let keep_ms = self.keep_results_ms;
         let gone = |view: &EntryView| view.connection.is_none() && view.has_lapsed(now);
         let lapsed: Vec<_> = self
@@ -157,7 +157,11 @@
             .map(|(key, _)| *key)
             .collect();
         for incarnation in lapsed {
-            self.drop_queued(incarnation);
+            let dropped = self.drop_queued(incarnation);
+            if dropped > 0 {
+                let entry = self.entries[&incarnation].entry.clone();
+                out.push(AgentAction::EntryLapsed { entry, dropped });
+            }
             let Some(view) = self.entries.get(&incarnation) else {
                 continue;
             };
@@ -167,13 +171,15 @@
         }
     }
 
-    fn drop_queued(&mut self, incarnation: Incarnation) {
+    fn drop_queued(&mut self, incarnation: Incarnation) -> u32 {
         let before = self.records.len();
         self.records.retain(|_, record| {
             record.entry != incarnation || !matches!(record.stage, Stage::Queued { .. })
         });
         let dropped = before - self.records.len();
-        self.queued -= u32::try_from(dropped).unwrap_or(u32::MAX);
+        let dropped = u32::try_from(dropped).unwrap_or(u32::MAX);
+        self.queued -= dropped;
+        dropped
     }
 
     /// Removes an entry incarnation and its results; if it comes back, its `resumed` flag tells
--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -96,7 +96,7 @@
             AgentEvent::Configured(config) => self.on_configured(&config),
             AgentEvent::ConfigBody { connection, body } => self.on_config_body(connection, body),
             AgentEvent::Stop => self.on_stop(),
-            AgentEvent::Tick => self.on_tick(now),
+            AgentEvent::Tick => self.on_tick(now, &mut out),
         }
         out
     }
@@ -113,6 +113,12 @@
         out
     }
 
+    /// Whether a target is within its lease.
+    #[must_use]
+    pub const fn has_target(&self) -> bool {
+        self.target.is_some()
+    }
+
     /// Tasks running on the target.
     #[must_use]
     pub const fn running(&self) -> u32 {
@@ -176,7 +182,7 @@
         self.return_queued();
     }
 
-    fn on_tick(&mut self, now: Moment) {
+    fn on_tick(&mut self, now: Moment, out: &mut Vec<AgentAction>) {
         let lapsed = self
             .target
             .as_ref()
@@ -184,7 +190,7 @@
         if lapsed {
             self.on_target_gone();
         }
-        self.expire_entries(now);
+        self.expire_entries(now, out);
     }
 
     fn tell_target(&mut self) {
--- a/crates/policy/src/agent/view.rs
+++ b/crates/policy/src/agent/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use dfs_ids::EntryId;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::SessionNumber;
@@ -20,6 +21,7 @@
 )]
 #[derive(Debug)]
 pub(super) struct EntryView {
+    pub entry: EntryId,
     /// Absent between two sessions.
     pub connection: Option<ConnectionId>,
     pub session: SessionNumber,
@@ -71,6 +73,7 @@
         now: Moment,
     ) -> Self {
         Self {
+            entry: open.entry.clone(),
             connection: Some(connection),
             session,
             phase: Phase::Fencing,
--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -160,9 +160,10 @@
     fn send_batches(&mut self, now: Moment, batches: Batches, out: &mut Vec<EntryAction>) {
         let mut by_agent: BTreeMap<AgentId, Vec<EntryItem>> = BTreeMap::new();
         for ((agent, submission), tasks) in batches {
-            let Some(job) = self.jobs.get(&submission) else {
+            let Some(job) = self.jobs.get_mut(&submission) else {
                 continue;
             };
+            job.messages += 1;
             let placement = Placement {
                 submission,
                 group: job.group.clone(),
--- a/crates/policy/src/entry/event.rs
+++ b/crates/policy/src/entry/event.rs
@@ -173,6 +173,10 @@
         response_us: u64,
         /// Longest run time of its tasks, in microseconds.
         ideal_us: u64,
+        /// Its tasks.
+        tasks: u64,
+        /// Messages that carried its tasks and results.
+        messages: u64,
     },
     /// A further attempt was made.
     Retried {
--- a/crates/policy/src/entry/job.rs
+++ b/crates/policy/src/entry/job.rs
@@ -28,6 +28,10 @@
     pub pending: VecDeque<TaskIndex>,
     /// Tasks that are not in [`TaskState::Done`].
     pub left: u32,
+    /// Messages that carried tasks or results of the submission.
+    pub messages: u64,
+    /// Report that brought its latest result.
+    pub last_report: Option<(AgentId, u64)>,
     /// Longest run time of a task so far, in microseconds.
     pub longest_run_us: u64,
 }
@@ -78,10 +82,21 @@
             tasks: submission.tasks.into_iter().map(task).collect(),
             pending: (0..count).map(TaskIndex::new).collect(),
             left: count,
+            messages: 0,
+            last_report: None,
             longest_run_us: 0,
         }
     }
 
+    /// Counts a report once, however many results of the submission it brings.
+    pub fn count_report(&mut self, agent: &AgentId, seq: u64) {
+        let report = Some((agent.clone(), seq));
+        if self.last_report != report {
+            self.last_report = report;
+            self.messages += 1;
+        }
+    }
+
     pub fn task(&self, index: TaskIndex) -> Option<&Task> {
         self.tasks.get(index.get() as usize)
     }
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -60,6 +60,9 @@
                 AgentItem::Load(hint) => self.on_load(&agent, report.seq, hint),
                 AgentItem::Results(results) => {
                     for result in results {
+                        if let Some(job) = self.jobs.get_mut(&result.task.submission) {
+                            job.count_report(&agent, report.seq);
+                        }
                         self.on_result(now, &agent, result, out);
                     }
                 }
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -147,6 +147,8 @@
             service: job.service,
             response_us: now.micros_since(job.submitted_at),
             ideal_us: job.longest_run_us,
+            tasks: job.tasks.len() as u64,
+            messages: job.messages,
         }));
         let body = |task: super::job::Task| match task.state {
             TaskState::Done(body) => Some(RawValue::to_owned(&body)),
