Checks of settings, inventory and rules; differences and adoption of versions

Cause: settings and configuration were types without checks, so a wrong unit or an unknown service was found by the first request that met it. Change: every fault of a document is collected and named with its path, its value and what is allowed. Deserialization stops at its first error, so a faulty value is replaced by that of a template and reading goes on; faults that only such a placeholder causes are left out.

Ruled out: parsing by hand (two definitions of each type), and reporting only the first fault (one round trip per fault for an operator). Also new: typed differences between versions that refuse a wrong base, a holder that adopts only higher versions, an index of tokens, and examples of both deployments with a test that holds them valid.

--- /dev/null
+++ b/crates/conf/src/check/mod.rs
@@ -0,0 +1,137 @@
+//! Collects faults while a document is checked.
+
+use std::collections::HashMap;
+use std::fmt::Display;
+use std::hash::Hash;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use crate::fault::Fault;
+use crate::fault::FieldPath;
+use crate::fault::Kind;
+use crate::fault::Problem;
+use crate::fault::Rule;
+
+/// The faults found so far.
+#[derive(Debug, Default)]
+pub(crate) struct Checker {
+    faults: Vec<Fault>,
+}
+
+impl Checker {
+    pub(crate) fn into_faults(self) -> Vec<Fault> {
+        self.faults
+    }
+
+    pub(crate) fn add(&mut self, path: FieldPath, problem: Problem) {
+        self.faults.push(Fault { path, problem });
+    }
+
+    /// A number must lie in a range; a NaN lies in none.
+    pub(crate) fn range<T>(&mut self, path: FieldPath, value: T, allowed: &RangeInclusive<T>)
+    where
+        T: PartialOrd + Display + Copy,
+    {
+        if !allowed.contains(&value) {
+            let problem = Problem::OutOfRange {
+                value: value.to_string(),
+                min: allowed.start().to_string(),
+                max: allowed.end().to_string(),
+            };
+            self.add(path, problem);
+        }
+    }
+
+    /// A value must not be larger than that of another field.
+    pub(crate) fn at_most<T>(&mut self, field: (FieldPath, T), other: (FieldPath, T))
+    where
+        T: PartialOrd + Display,
+    {
+        if field.1 > other.1 {
+            self.contradiction(field.0, &field.1, other.0, Rule::AtMost);
+        }
+    }
+
+    pub(crate) fn contradiction(
+        &mut self,
+        path: FieldPath,
+        value: &impl Display,
+        other: FieldPath,
+        rule: Rule,
+    ) {
+        let value = value.to_string();
+        self.add(path, Problem::Contradiction { value, other, rule });
+    }
+
+    /// A list or text must not be empty.
+    pub(crate) fn not_empty(&mut self, path: FieldPath, is_empty: bool, kind: Kind) {
+        if is_empty {
+            self.add(path, Problem::Empty { kind });
+        }
+    }
+
+    /// An address must name a port and an IP number.
+    pub(crate) fn dialable(&mut self, path: FieldPath, address: SocketAddr) {
+        if address.port() == 0 || address.ip().is_unspecified() {
+            let value = address.to_string();
+            self.add(path, Problem::NotDialable { value });
+        }
+    }
+
+    /// Every value must occur once.
+    pub(crate) fn unique<T>(&mut self, values: impl IntoIterator<Item = (FieldPath, T)>)
+    where
+        T: Eq + Hash + Display,
+    {
+        let mut firsts = HashMap::new();
+        for (path, value) in values {
+            match firsts.get(&value) {
+                None => {
+                    firsts.insert(value, path);
+                }
+                Some(first) => {
+                    let problem = Problem::Duplicate {
+                        value: value.to_string(),
+                        first: FieldPath::clone(first),
+                    };
+                    self.add(path, problem);
+                }
+            }
+        }
+    }
+
+    /// Every name of a list must be one of those that exist.
+    pub(crate) fn known<T>(&mut self, path: &FieldPath, names: &[T], kind: Kind, known: &[&T])
+    where
+        T: Eq + Display,
+    {
+        for (path, name) in indexed(path, names) {
+            self.known_name(path, name, kind, known);
+        }
+    }
+
+    /// A name must be one of those that exist.
+    pub(crate) fn known_name<T>(&mut self, path: FieldPath, name: &T, kind: Kind, known: &[&T])
+    where
+        T: Eq + Display,
+    {
+        if !known.contains(&name) {
+            let problem = Problem::UnknownName {
+                value: name.to_string(),
+                kind,
+                known: known.iter().map(ToString::to_string).collect(),
+            };
+            self.add(path, problem);
+        }
+    }
+}
+
+/// Pairs the elements of a list with their paths.
+pub(crate) fn indexed<'a, 'p, T>(
+    path: &'p FieldPath,
+    list: &'a [T],
+) -> impl Iterator<Item = (FieldPath, &'a T)> + use<'a, 'p, T> {
+    list.iter()
+        .enumerate()
+        .map(|(i, element)| (path.index(i), element))
+}
--- a/crates/conf/src/config.rs
+++ b/crates/conf/src/config.rs
@@ -5,10 +5,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Faults;
 use crate::Group;
 use crate::Inventory;
 use crate::Rules;
 use crate::Service;
+use crate::Warning;
+use crate::fault::unless_faulty;
 
 /// An accepted configuration, immutable once it has a version.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -23,6 +26,23 @@
 }
 
 impl Config {
+    /// Checks inventory and rules, and returns what an operator should know.
+    ///
+    /// # Errors
+    ///
+    /// All faults of both.
+    pub fn check(&self) -> Result<Vec<Warning>, Faults> {
+        let mut faults = Vec::new();
+        let checks = [
+            ("inventory", self.inventory.check()),
+            ("rules", self.rules.check()),
+        ];
+        for (name, check) in checks {
+            faults.extend(check.err().into_iter().flat_map(|f| f.within(name)));
+        }
+        unless_faulty(self.inventory.warnings(), faults)
+    }
+
     /// The group of that name.
     #[must_use]
     pub fn group(&self, group: &GroupId) -> Option<&Group> {
--- /dev/null
+++ b/crates/conf/src/form/unknown.rs
@@ -0,0 +1,82 @@
+//! Fields that a type does not have.
+
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::fault::Fault;
+use crate::fault::FieldPath;
+use crate::fault::Problem;
+
+/// Removes every field that the template lacks and reports it.
+pub(super) fn remove_unknown(document: &mut Value, template: &Value) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    visit(document, template, &FieldPath::default(), &mut faults);
+    faults
+}
+
+fn visit(document: &mut Value, template: &Value, path: &FieldPath, faults: &mut Vec<Fault>) {
+    match (document, template) {
+        (Value::Object(fields), Value::Object(allowed)) => {
+            visit_fields(fields, allowed, path, faults);
+        }
+        (Value::Array(elements), Value::Array(allowed)) => {
+            let Some(allowed) = allowed.first() else {
+                return;
+            };
+            for (i, element) in elements.iter_mut().enumerate() {
+                visit(element, allowed, &path.index(i), faults);
+            }
+        }
+        _ => {}
+    }
+}
+
+fn visit_fields(
+    fields: &mut Map<String, Value>,
+    allowed: &Map<String, Value>,
+    path: &FieldPath,
+    faults: &mut Vec<Fault>,
+) {
+    fields.retain(|name, _| {
+        let known = allowed.contains_key(name);
+        if !known {
+            let path = path.field(name);
+            let problem = problem(name, allowed);
+            faults.push(Fault { path, problem });
+        }
+        known
+    });
+    for (name, value) in fields {
+        visit(value, &allowed[name], &path.field(name), faults);
+    }
+}
+
+fn problem(name: &str, allowed: &Map<String, Value>) -> Problem {
+    match allowed.keys().find(|known| is_other_unit(name, known)) {
+        Some(known) => Problem::WrongUnit {
+            expected: known.clone(),
+        },
+        None => Problem::UnknownField {
+            allowed: allowed.keys().cloned().collect(),
+        },
+    }
+}
+
+/// Units that a field may end in.
+const UNITS: [&str; 18] = [
+    "ns", "us", "ms", "s", "sec", "secs", "seconds", "millis", "min", "minutes", "bytes", "kb",
+    "mb", "gb", "kib", "mib", "gib", "messages",
+];
+
+/// Whether two fields differ only in their unit, or one lacks it.
+fn is_other_unit(name: &str, known: &str) -> bool {
+    let (stem, unit) = split_unit(known);
+    unit.is_some() && split_unit(name).0 == stem
+}
+
+fn split_unit(name: &str) -> (&str, Option<&str>) {
+    match name.rsplit_once('_') {
+        Some((stem, unit)) if UNITS.contains(&unit) => (stem, Some(unit)),
+        _ => (name, None),
+    }
+}
--- /dev/null
+++ b/crates/conf/src/inventory/check.rs
@@ -0,0 +1,205 @@
+//! Checks of an inventory.
+
+use std::ops::RangeInclusive;
+
+use dfs_ids::FailureDomain;
+use dfs_ids::IdError;
+use dfs_ids::ServiceName;
+use dfs_ids::Slots;
+use dfs_ids::TargetId;
+use dfs_wire::target::Resources;
+use serde_json::Value;
+
+use super::Group;
+use super::Inventory;
+use super::Operator;
+use super::Service;
+use super::Target;
+use crate::Faults;
+use crate::TokenDigest;
+use crate::check::Checker;
+use crate::check::indexed;
+use crate::fault::Fault;
+use crate::fault::FieldPath;
+use crate::fault::Kind;
+use crate::fault::unless_faulty;
+use crate::form;
+use crate::form::Template;
+
+const SHARE: RangeInclusive<f64> = 1e-6..=1e6;
+const SLOTS: RangeInclusive<Slots> = Slots::new(1)..=Slots::new(100_000);
+const CONNECTIONS: RangeInclusive<u32> = 1..=1_000_000;
+const PLACED: RangeInclusive<u32> = 1..=10_000_000;
+
+/// Reads an inventory and checks it whole.
+///
+/// # Errors
+///
+/// All faults. Duplicate and unknown names are looked for once the form is right.
+pub fn check_inventory(document: &Value) -> Result<Inventory, Faults> {
+    let form = form::read::<Inventory>(document.clone()).map_err(|faults| Faults { faults })?;
+    let found = form.value.faults();
+    let (inventory, faults) = form.with(found);
+    unless_faulty(inventory, faults)
+}
+
+impl Inventory {
+    /// Checks every value.
+    ///
+    /// # Errors
+    ///
+    /// All faults.
+    pub fn check(&self) -> Result<(), Faults> {
+        unless_faulty((), self.faults())
+    }
+
+    fn faults(&self) -> Vec<Fault> {
+        let mut checker = Checker::default();
+        self.check_names(&mut checker);
+        self.check_tokens(&mut checker);
+        let names = Names::of(self);
+        for (path, group) in indexed(&FieldPath::new("groups"), &self.groups) {
+            check_group(&mut checker, &path, group, &names);
+        }
+        for (path, target) in indexed(&FieldPath::new("targets"), &self.targets) {
+            check_target(&mut checker, &path, target, &names);
+        }
+        checker.into_faults()
+    }
+
+    fn check_names(&self, checker: &mut Checker) {
+        let domains = FieldPath::new("domains");
+        let operators = FieldPath::new("operators");
+        let services = FieldPath::new("services");
+        let groups = FieldPath::new("groups");
+        let targets = FieldPath::new("targets");
+        checker.not_empty(domains.clone(), self.domains.is_empty(), Kind::Domain);
+        checker.not_empty(operators.clone(), self.operators.is_empty(), Kind::Operator);
+        checker.not_empty(services.clone(), self.services.is_empty(), Kind::Service);
+        checker.not_empty(groups.clone(), self.groups.is_empty(), Kind::Group);
+        checker.unique(indexed(&domains, &self.domains));
+        let named = |path: FieldPath, name: &str| path.field(name);
+        checker.unique(
+            indexed(&operators, &self.operators).map(|(p, o)| (named(p, "operator"), &o.operator)),
+        );
+        checker.unique(
+            indexed(&services, &self.services).map(|(p, s)| (named(p, "service"), &s.service)),
+        );
+        checker.unique(indexed(&groups, &self.groups).map(|(p, g)| (named(p, "group"), &g.group)));
+        checker
+            .unique(indexed(&targets, &self.targets).map(|(p, t)| (named(p, "target"), &t.target)));
+        for (path, operator) in indexed(&operators, &self.operators) {
+            let is_empty = operator.operator.is_empty();
+            checker.not_empty(path.field("operator"), is_empty, Kind::Character);
+        }
+    }
+
+    /// No two groups or operators share a token.
+    fn check_tokens(&self, checker: &mut Checker) {
+        let operators = FieldPath::new("operators");
+        let groups = FieldPath::new("groups");
+        let mut digests = Vec::new();
+        for (path, operator) in indexed(&operators, &self.operators) {
+            digests.push((path.field("token_sha256"), &operator.token_sha256));
+        }
+        for (path, group) in indexed(&groups, &self.groups) {
+            let list = path.field("tokens_sha256");
+            checker.not_empty(list.clone(), group.tokens_sha256.is_empty(), Kind::Token);
+            digests.extend(indexed(&list, &group.tokens_sha256));
+        }
+        checker.unique(digests);
+    }
+}
+
+/// Names that groups and targets may refer to.
+struct Names<'a> {
+    domains: Vec<&'a FailureDomain>,
+    services: Vec<&'a ServiceName>,
+    /// Empty if the inventory lists no targets, so that any may announce itself.
+    targets: Vec<&'a TargetId>,
+}
+
+impl<'a> Names<'a> {
+    fn of(inventory: &'a Inventory) -> Self {
+        Self {
+            domains: inventory.domains.iter().collect(),
+            services: inventory.services.iter().map(|s| &s.service).collect(),
+            targets: inventory.targets.iter().map(|t| &t.target).collect(),
+        }
+    }
+}
+
+fn check_group(checker: &mut Checker, path: &FieldPath, group: &Group, names: &Names) {
+    checker.range(path.field("share"), group.share, &SHARE);
+    if let Some(max_placed) = group.max_placed {
+        checker.range(path.field("max_placed"), max_placed, &PLACED);
+    }
+    check_services(checker, &path.field("services"), &group.services, names);
+    let targets = path.field("targets");
+    checker.unique(indexed(&targets, &group.targets));
+    if !names.targets.is_empty() {
+        checker.known(&targets, &group.targets, Kind::Target, &names.targets);
+    }
+}
+
+fn check_target(checker: &mut Checker, path: &FieldPath, target: &Target, names: &Names) {
+    let domain = path.field("domain");
+    checker.known_name(domain, &target.domain, Kind::Domain, &names.domains);
+    checker.not_empty(path.field("rack"), target.rack.is_empty(), Kind::Character);
+    check_services(checker, &path.field("services"), &target.services, names);
+    checker.range(path.field("slots"), target.slots, &SLOTS);
+    checker.range(path.field("connections"), target.connections, &CONNECTIONS);
+}
+
+fn check_services(
+    checker: &mut Checker,
+    path: &FieldPath,
+    services: &[ServiceName],
+    names: &Names,
+) {
+    checker.not_empty(path.clone(), services.is_empty(), Kind::Service);
+    checker.unique(indexed(path, services));
+    checker.known(path, services, Kind::Service, &names.services);
+}
+
+impl Template for Inventory {
+    fn template() -> Self {
+        template().expect("the names of the template are identifiers")
+    }
+}
+
+fn template() -> Result<Inventory, IdError> {
+    let domain: FailureDomain = "domain".parse()?;
+    let service: ServiceName = "service".parse()?;
+    let target: TargetId = "target".parse()?;
+    let group = Group {
+        group: "group".parse()?,
+        share: 1.0,
+        tokens_sha256: vec![TokenDigest::of("group")],
+        services: vec![service.clone()],
+        targets: vec![target.clone()],
+        max_placed: Some(1),
+    };
+    let target = Target {
+        target,
+        domain: domain.clone(),
+        rack: "rack".to_owned(),
+        services: vec![service.clone()],
+        slots: Slots::new(1),
+        connections: 1,
+        resources: Resources::default(),
+    };
+    Ok(Inventory {
+        domains: vec![domain],
+        operators: vec![Operator {
+            operator: "operator".to_owned(),
+            token_sha256: TokenDigest::of("operator"),
+        }],
+        services: vec![Service {
+            service,
+            requires: Resources::default(),
+        }],
+        groups: vec![group],
+        targets: vec![target],
+    })
+}
--- a/crates/conf/src/inventory/mod.rs
+++ b/crates/conf/src/inventory/mod.rs
@@ -1,5 +1,8 @@
 //! The inventory, drawn from the operators' asset register.
 
+mod check;
+mod warning;
+
 use dfs_ids::FailureDomain;
 use dfs_ids::GroupId;
 use dfs_ids::ServiceName;
@@ -9,6 +12,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use check::check_inventory;
+pub use warning::Warning;
+
 use crate::TokenDigest;
 
 /// Groups, services, targets and operators.
--- /dev/null
+++ b/crates/conf/src/rules/check.rs
@@ -0,0 +1,130 @@
+//! Checks of the rules.
+
+use std::ops::RangeInclusive;
+
+use dfs_ids::Millis;
+use serde_json::Value;
+
+use super::Admission;
+use super::Deadlines;
+use super::Ejection;
+use super::PlacementRules;
+use super::RetryRules;
+use super::Rules;
+use crate::Faults;
+use crate::check::Checker;
+use crate::fault::Fault;
+use crate::fault::FieldPath;
+use crate::fault::unless_faulty;
+use crate::form;
+use crate::form::Template;
+
+const DAY_MS: Millis = Millis::new(86_400_000);
+const SPAN_MS: RangeInclusive<Millis> = Millis::new(1)..=DAY_MS;
+const TASKS_PER_JOB: RangeInclusive<u32> = 1..=100_000;
+const QUEUED_TASKS: RangeInclusive<u32> = 1..=10_000_000;
+const OPEN_TASKS_PER_SLOT: RangeInclusive<f64> = 1.0..=1_000.0;
+const HINT_CADENCE_MS: RangeInclusive<Millis> = Millis::new(1)..=Millis::new(60_000);
+const BUDGET_RATIO: RangeInclusive<f64> = 0.0..=1.0;
+const BUDGET_BURST: RangeInclusive<u32> = 0..=1_000_000;
+const ATTEMPTS: RangeInclusive<u32> = 1..=100;
+const FAILURES_IN_A_ROW: RangeInclusive<u32> = 1..=1_000_000;
+/// A service keeps at least two thirds of its targets.
+const EJECTED_PART: RangeInclusive<f64> = 0.0..=1.0 / 3.0;
+
+/// Reads rules and checks them whole.
+///
+/// # Errors
+///
+/// All faults.
+pub fn check_rules(document: &Value) -> Result<Rules, Faults> {
+    let form = form::read::<Rules>(document.clone()).map_err(|faults| Faults { faults })?;
+    let found = form.value.faults();
+    let (rules, faults) = form.with(found);
+    unless_faulty(rules, faults)
+}
+
+impl Template for Rules {
+    fn template() -> Self {
+        Self::default()
+    }
+}
+
+impl Rules {
+    /// Checks every value.
+    ///
+    /// # Errors
+    ///
+    /// All faults.
+    pub fn check(&self) -> Result<(), Faults> {
+        unless_faulty((), self.faults())
+    }
+
+    fn faults(&self) -> Vec<Fault> {
+        let mut checker = Checker::default();
+        check_deadlines(&mut checker, &self.deadlines);
+        check_admission(&mut checker, &self.admission);
+        check_placement(&mut checker, &self.placement);
+        check_retry(&mut checker, &self.retry);
+        check_ejection(&mut checker, &self.ejection);
+        checker.into_faults()
+    }
+}
+
+fn check_deadlines(checker: &mut Checker, deadlines: &Deadlines) {
+    let at = |name| FieldPath::new("deadlines").field(name);
+    checker.range(at("default_ms"), deadlines.default_ms, &SPAN_MS);
+    checker.range(at("max_ms"), deadlines.max_ms, &SPAN_MS);
+    checker.at_most(
+        (at("default_ms"), deadlines.default_ms),
+        (at("max_ms"), deadlines.max_ms),
+    );
+}
+
+fn check_admission(checker: &mut Checker, admission: &Admission) {
+    let at = |name| FieldPath::new("admission").field(name);
+    let per_job = admission.max_tasks_per_job;
+    let queued = admission.max_queued_tasks;
+    let per_group = admission.max_queued_tasks_per_group;
+    checker.range(at("max_tasks_per_job"), per_job, &TASKS_PER_JOB);
+    checker.range(at("max_queued_tasks"), queued, &QUEUED_TASKS);
+    checker.range(at("max_queued_tasks_per_group"), per_group, &QUEUED_TASKS);
+    checker.at_most(
+        (at("max_tasks_per_job"), per_job),
+        (at("max_queued_tasks_per_group"), per_group),
+    );
+    checker.at_most(
+        (at("max_queued_tasks_per_group"), per_group),
+        (at("max_queued_tasks"), queued),
+    );
+}
+
+fn check_placement(checker: &mut Checker, placement: &PlacementRules) {
+    let at = |name| FieldPath::new("placement").field(name);
+    let ageing = placement.ageing_ms_per_task;
+    checker.range(at("ageing_ms_per_task"), ageing, &SPAN_MS);
+    let open = placement.open_tasks_per_slot;
+    checker.range(at("open_tasks_per_slot"), open, &OPEN_TASKS_PER_SLOT);
+    let cadence = placement.hint_cadence_ms;
+    checker.range(at("hint_cadence_ms"), cadence, &HINT_CADENCE_MS);
+}
+
+fn check_retry(checker: &mut Checker, retry: &RetryRules) {
+    let at = |name| FieldPath::new("retry").field(name);
+    checker.range(at("budget_ratio"), retry.budget_ratio, &BUDGET_RATIO);
+    checker.range(at("budget_burst"), retry.budget_burst, &BUDGET_BURST);
+    checker.range(at("max_attempts"), retry.max_attempts, &ATTEMPTS);
+}
+
+fn check_ejection(checker: &mut Checker, ejection: &Ejection) {
+    let at = |name| FieldPath::new("ejection").field(name);
+    let failures = ejection.failures_in_a_row;
+    checker.range(at("failures_in_a_row"), failures, &FAILURES_IN_A_ROW);
+    checker.range(at("first_ms"), ejection.first_ms, &SPAN_MS);
+    checker.range(at("max_ms"), ejection.max_ms, &SPAN_MS);
+    checker.range(at("max_part"), ejection.max_part, &EJECTED_PART);
+    checker.at_most(
+        (at("first_ms"), ejection.first_ms),
+        (at("max_ms"), ejection.max_ms),
+    );
+}
--- a/crates/conf/src/rules/mod.rs
+++ b/crates/conf/src/rules/mod.rs
@@ -1,9 +1,13 @@
 //! The rules: limits and policies that operators add to the inventory.
 
+mod check;
+
 use dfs_ids::Millis;
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use check::check_rules;
+
 /// All rules; each has a default.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/conf/src/settings/agent.rs
+++ b/crates/conf/src/settings/agent.rs
@@ -56,6 +56,36 @@
     pub log: LogSettings,
 }
 
+impl AgentSettings {
+    /// The defaults for an agent.
+    #[must_use]
+    pub fn new(
+        agent: AgentId,
+        domain: FailureDomain,
+        listen_address: SocketAddr,
+        entry_addresses: Vec<SocketAddr>,
+        session_secret: String,
+    ) -> Self {
+        Self {
+            agent,
+            domain,
+            listen_address,
+            entry_addresses,
+            session_secret,
+            max_sessions: default_max_sessions(),
+            redial_ms: default_redial_ms(),
+            redial_max_ms: default_redial_max_ms(),
+            target_connect_timeout_ms: default_connect_timeout_ms(),
+            target_run_timeout_ms: default_run_timeout_ms(),
+            max_answer_bytes: default_max_answer_bytes(),
+            max_message_bytes: default_max_message_bytes(),
+            keep_results_ms: default_keep_ms(),
+            drain_ms: default_drain_ms(),
+            log: LogSettings::default(),
+        }
+    }
+}
+
 fn default_max_sessions() -> u32 {
     16
 }
--- /dev/null
+++ b/crates/conf/src/settings/agent_check.rs
@@ -0,0 +1,127 @@
+//! Checks of the settings of an agent.
+
+use std::ops::RangeInclusive;
+
+use dfs_ids::Millis;
+
+use super::AgentSettings;
+use super::SettingsError;
+use super::common;
+use super::read::read;
+use crate::Faults;
+use crate::LogSettings;
+use crate::check::Checker;
+use crate::check::indexed;
+use crate::fault::Fault;
+use crate::fault::FieldPath;
+use crate::fault::Kind;
+use crate::fault::Rule;
+use crate::fault::unless_faulty;
+use crate::form::Template;
+
+const SESSIONS: RangeInclusive<u32> = 1..=1_024;
+const REDIAL_MS: RangeInclusive<Millis> = Millis::new(1)..=Millis::new(60_000);
+const CONNECT_TIMEOUT_MS: RangeInclusive<Millis> = Millis::new(1)..=Millis::new(60_000);
+const RUN_TIMEOUT_MS: RangeInclusive<Millis> = Millis::new(1)..=Millis::new(86_400_000);
+const ANSWER_BYTES: RangeInclusive<u32> = 64..=256 << 20;
+const KEEP_MS: RangeInclusive<Millis> = Millis::new(0)..=Millis::new(3_600_000);
+
+impl AgentSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The text is not JSON, or has faults, all of which are named.
+    pub fn from_json(json: &str) -> Result<Self, SettingsError> {
+        read(json, Self::faults)
+    }
+
+    /// Checks every value.
+    ///
+    /// # Errors
+    ///
+    /// All faults.
+    pub fn check(&self) -> Result<(), Faults> {
+        unless_faulty((), self.faults())
+    }
+
+    /// Valid settings with every default.
+    #[must_use]
+    pub fn example() -> Self {
+        Self {
+            log: LogSettings {
+                statsd_address: Some(common::example_address(8_125)),
+                ..LogSettings::default()
+            },
+            ..Self::new(
+                common::example_name("agent-1"),
+                common::example_name("domain-1"),
+                common::example_address(8_090),
+                vec![common::example_address(8_081)],
+                common::EXAMPLE_SECRET.to_owned(),
+            )
+        }
+    }
+
+    fn faults(&self) -> Vec<Fault> {
+        let mut checker = Checker::default();
+        self.check_entry_addresses(&mut checker);
+        common::check_secret(&mut checker, &self.session_secret);
+        common::check_log(&mut checker, &self.log);
+        self.check_times(&mut checker);
+        self.check_sizes(&mut checker);
+        checker.into_faults()
+    }
+
+    fn check_entry_addresses(&self, checker: &mut Checker) {
+        let path = FieldPath::new("entry_addresses");
+        let list = &self.entry_addresses;
+        checker.not_empty(path.clone(), list.is_empty(), Kind::EntryAddress);
+        checker.unique(indexed(&path, list));
+        for (path, address) in indexed(&path, list) {
+            checker.dialable(path.clone(), *address);
+            if common::share_a_port(self.listen_address, *address) {
+                let other = FieldPath::new("listen_address");
+                checker.contradiction(path, address, other, Rule::Distinct);
+            }
+        }
+    }
+
+    fn check_times(&self, checker: &mut Checker) {
+        let at = |name: &str| FieldPath::new(name);
+        checker.range(at("redial_ms"), self.redial_ms, &REDIAL_MS);
+        checker.range(at("redial_max_ms"), self.redial_max_ms, &REDIAL_MS);
+        let connect = self.target_connect_timeout_ms;
+        checker.range(
+            at("target_connect_timeout_ms"),
+            connect,
+            &CONNECT_TIMEOUT_MS,
+        );
+        let run = self.target_run_timeout_ms;
+        checker.range(at("target_run_timeout_ms"), run, &RUN_TIMEOUT_MS);
+        checker.range(at("keep_results_ms"), self.keep_results_ms, &KEEP_MS);
+        checker.range(at("drain_ms"), self.drain_ms, &common::DRAIN_MS);
+        checker.at_most(
+            (at("redial_ms"), self.redial_ms),
+            (at("redial_max_ms"), self.redial_max_ms),
+        );
+    }
+
+    fn check_sizes(&self, checker: &mut Checker) {
+        let at = |name: &str| FieldPath::new(name);
+        checker.range(at("max_sessions"), self.max_sessions, &SESSIONS);
+        checker.range(at("max_answer_bytes"), self.max_answer_bytes, &ANSWER_BYTES);
+        let message = self.max_message_bytes;
+        checker.range(at("max_message_bytes"), message, &common::MESSAGE_BYTES);
+        checker.at_most(
+            (at("max_answer_bytes"), self.max_answer_bytes),
+            (at("max_message_bytes"), self.max_message_bytes),
+        );
+    }
+}
+
+impl Template for AgentSettings {
+    fn template() -> Self {
+        Self::example()
+    }
+}
--- /dev/null
+++ b/crates/conf/src/settings/common.rs
@@ -0,0 +1,69 @@
+//! Checks and example values that entry and agent share.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+
+use dfs_ids::IdError;
+use dfs_ids::Millis;
+
+use crate::LogSettings;
+use crate::StoreSettings;
+use crate::check::Checker;
+use crate::fault::FieldPath;
+use crate::fault::Problem;
+
+pub(super) const MESSAGE_BYTES: RangeInclusive<u32> = 1_024..=256 << 20;
+pub(super) const DRAIN_MS: RangeInclusive<Millis> = Millis::new(0)..=Millis::new(3_600_000);
+pub(super) const EXAMPLE_SECRET: &str = "replace-by-a-secret-of-your-own";
+
+const STORE_TIMEOUT_MS: RangeInclusive<Millis> = Millis::new(10)..=Millis::new(60_000);
+/// A change shall be in force everywhere within 13 s.
+const POLL_MS: RangeInclusive<Millis> = Millis::new(10)..=Millis::new(10_000);
+const WRITES_PER_S: RangeInclusive<u32> = 1..=10_000;
+const MIN_SECRET_BYTES: usize = 16;
+
+pub(super) fn check_secret(checker: &mut Checker, secret: &str) {
+    if secret.len() < MIN_SECRET_BYTES {
+        let problem = Problem::ShortSecret {
+            bytes: secret.len(),
+            min_bytes: MIN_SECRET_BYTES,
+        };
+        checker.add(FieldPath::new("session_secret"), problem);
+    }
+}
+
+pub(super) fn check_store(checker: &mut Checker, store: &StoreSettings) {
+    let at = |name| FieldPath::new("store").field(name);
+    checker.dialable(at("table_address"), store.table_address);
+    checker.dialable(at("object_address"), store.object_address);
+    checker.range(at("timeout_ms"), store.timeout_ms, &STORE_TIMEOUT_MS);
+    checker.range(at("poll_ms"), store.poll_ms, &POLL_MS);
+    let writes = store.max_writes_per_s;
+    checker.range(at("max_writes_per_s"), writes, &WRITES_PER_S);
+}
+
+pub(super) fn check_log(checker: &mut Checker, log: &LogSettings) {
+    if let Some(address) = log.statsd_address {
+        checker.dialable(FieldPath::new("log.statsd_address"), address);
+    }
+}
+
+/// Whether two addresses cannot both be listened on by one process; port 0 is any free port.
+pub(super) fn share_a_port(a: SocketAddr, b: SocketAddr) -> bool {
+    let overlap = a.ip() == b.ip() || a.ip().is_unspecified() || b.ip().is_unspecified();
+    a.port() != 0 && a.port() == b.port() && overlap
+}
+
+pub(super) const fn example_address(port: u16) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port)
+}
+
+/// # Panics
+///
+/// The name is not an identifier.
+pub(super) fn example_name<T: FromStr<Err = IdError>>(name: &str) -> T {
+    name.parse().expect("an identifier")
+}
--- /dev/null
+++ b/crates/conf/src/settings/entry_check.rs
@@ -0,0 +1,157 @@
+//! Checks of the settings of an entry.
+
+use std::ops::RangeInclusive;
+
+use dfs_ids::Millis;
+
+use super::EntryLimits;
+use super::EntrySettings;
+use super::LeaseSettings;
+use super::SettingsError;
+use super::common;
+use super::read::read;
+use crate::Faults;
+use crate::LogSettings;
+use crate::StoreSettings;
+use crate::check::Checker;
+use crate::fault::Fault;
+use crate::fault::FieldPath;
+use crate::fault::Rule;
+use crate::fault::unless_faulty;
+use crate::form::Template;
+
+const LEASE_MS: RangeInclusive<Millis> = Millis::new(30)..=Millis::new(60_000);
+const RENEW_MS: RangeInclusive<Millis> = Millis::new(1)..=Millis::new(60_000);
+const BODY_BYTES: RangeInclusive<u32> = 64..=64 << 20;
+const HEADERS: RangeInclusive<u32> = 1..=1_024;
+const BODY_TIMEOUT_MS: RangeInclusive<Millis> = Millis::new(10)..=Millis::new(600_000);
+const CONNECTIONS: RangeInclusive<u32> = 1..=1_000_000;
+const SESSIONS: RangeInclusive<u32> = 1..=100_000;
+const BUFFER_MESSAGES: RangeInclusive<u32> = 1..=1_000_000;
+const BUSY_RENEWALS_PER_LEASE: u64 = 3;
+
+impl EntrySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The text is not JSON, or has faults, all of which are named.
+    pub fn from_json(json: &str) -> Result<Self, SettingsError> {
+        read(json, Self::faults)
+    }
+
+    /// Checks every value.
+    ///
+    /// # Errors
+    ///
+    /// All faults.
+    pub fn check(&self) -> Result<(), Faults> {
+        unless_faulty((), self.faults())
+    }
+
+    /// Valid settings with every default, for an instance with one address.
+    #[must_use]
+    pub fn example() -> Self {
+        Self {
+            entry: common::example_name("entry-1"),
+            domain: common::example_name("domain-1"),
+            listen_address: common::example_address(8_080),
+            session_address: common::example_address(8_081),
+            advertised_address: Some(common::example_address(8_081)),
+            session_secret: common::EXAMPLE_SECRET.to_owned(),
+            store: StoreSettings::new(
+                common::example_address(9_000),
+                common::example_address(9_001),
+            ),
+            lease: LeaseSettings::default(),
+            limits: EntryLimits::default(),
+            log: LogSettings {
+                statsd_address: Some(common::example_address(8_125)),
+                ..LogSettings::default()
+            },
+        }
+    }
+
+    fn faults(&self) -> Vec<Fault> {
+        let mut checker = Checker::default();
+        self.check_addresses(&mut checker);
+        common::check_secret(&mut checker, &self.session_secret);
+        common::check_store(&mut checker, &self.store);
+        common::check_log(&mut checker, &self.log);
+        check_lease(&mut checker, &self.lease);
+        check_limits(&mut checker, &self.limits);
+        checker.into_faults()
+    }
+
+    fn check_addresses(&self, checker: &mut Checker) {
+        let session = FieldPath::new("session_address");
+        let advertised = FieldPath::new("advertised_address");
+        if common::share_a_port(self.listen_address, self.session_address) {
+            let other = FieldPath::new("listen_address");
+            let path = session.clone();
+            checker.contradiction(path, &self.session_address, other, Rule::Distinct);
+        }
+        match self.advertised_address {
+            Some(address) => checker.dialable(advertised, address),
+            None if self.session_address.ip().is_unspecified() => {
+                let rule = Rule::NeedsAdvertised;
+                checker.contradiction(session, &self.session_address, advertised, rule);
+            }
+            None => {}
+        }
+    }
+}
+
+impl Template for EntrySettings {
+    fn template() -> Self {
+        Self::example()
+    }
+}
+
+fn check_lease(checker: &mut Checker, lease: &LeaseSettings) {
+    let at = |name| FieldPath::new("lease").field(name);
+    checker.range(at("lease_ms"), lease.lease_ms, &LEASE_MS);
+    checker.range(at("busy_renew_ms"), lease.busy_renew_ms, &RENEW_MS);
+    checker.range(at("idle_renew_ms"), lease.idle_renew_ms, &RENEW_MS);
+    checker.range(at("fresh_ms"), lease.fresh_ms, &RENEW_MS);
+    if lease
+        .busy_renew_ms
+        .get()
+        .saturating_mul(BUSY_RENEWALS_PER_LEASE)
+        > lease.lease_ms.get()
+    {
+        let path = at("busy_renew_ms");
+        let other = at("lease_ms");
+        checker.contradiction(path, &lease.busy_renew_ms, other, Rule::AtMostThird);
+    }
+    checker.at_most(
+        (at("fresh_ms"), lease.fresh_ms),
+        (at("lease_ms"), lease.lease_ms),
+    );
+}
+
+fn check_limits(checker: &mut Checker, limits: &EntryLimits) {
+    let at = |name| FieldPath::new("limits").field(name);
+    checker.range(at("max_body_bytes"), limits.max_body_bytes, &BODY_BYTES);
+    checker.range(at("max_headers"), limits.max_headers, &HEADERS);
+    checker.range(
+        at("body_timeout_ms"),
+        limits.body_timeout_ms,
+        &BODY_TIMEOUT_MS,
+    );
+    checker.range(at("max_connections"), limits.max_connections, &CONNECTIONS);
+    checker.range(at("max_sessions"), limits.max_sessions, &SESSIONS);
+    let buffer = limits.session_buffer_messages;
+    checker.range(at("session_buffer_messages"), buffer, &BUFFER_MESSAGES);
+    let message = limits.max_message_bytes;
+    checker.range(at("max_message_bytes"), message, &common::MESSAGE_BYTES);
+    checker.range(at("drain_ms"), limits.drain_ms, &common::DRAIN_MS);
+    checker.at_most(
+        (at("max_body_bytes"), limits.max_body_bytes),
+        (at("max_message_bytes"), limits.max_message_bytes),
+    );
+    checker.at_most(
+        (at("unready_ms"), limits.unready_ms),
+        (at("drain_ms"), limits.drain_ms),
+    );
+}
--- /dev/null
+++ b/crates/conf/src/settings/error.rs
@@ -0,0 +1,23 @@
+//! Why settings are not accepted.
+
+use snafu::Snafu;
+
+use crate::Faults;
+
+/// Why a settings file is not accepted.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum SettingsError {
+    /// The file is not JSON.
+    #[snafu(display("the settings are not JSON: {source}"))]
+    Syntax {
+        /// Where and why.
+        source: serde_json::Error,
+    },
+    /// The file has faults.
+    #[snafu(transparent)]
+    Faulty {
+        /// All of them.
+        source: Faults,
+    },
+}
--- a/crates/conf/src/settings/mod.rs
+++ b/crates/conf/src/settings/mod.rs
@@ -1,14 +1,20 @@
 //! Settings of the processes.
 
 mod agent;
+mod agent_check;
+mod common;
 mod entry;
+mod entry_check;
+mod error;
 mod log;
+mod read;
 mod store;
 
 pub use agent::AgentSettings;
 pub use entry::EntryLimits;
 pub use entry::EntrySettings;
 pub use entry::LeaseSettings;
+pub use error::SettingsError;
 pub use log::LogLevel;
 pub use log::LogSettings;
 pub use store::StoreSettings;
--- a/crates/conf/src/settings/store.rs
+++ b/crates/conf/src/settings/store.rs
@@ -25,6 +25,20 @@
     pub max_writes_per_s: u32,
 }
 
+impl StoreSettings {
+    /// The defaults for a platform at these addresses.
+    #[must_use]
+    pub fn new(table_address: SocketAddr, object_address: SocketAddr) -> Self {
+        Self {
+            table_address,
+            object_address,
+            timeout_ms: default_timeout_ms(),
+            poll_ms: default_poll_ms(),
+            max_writes_per_s: default_writes_per_s(),
+        }
+    }
+}
+
 fn default_timeout_ms() -> Millis {
     Millis::new(1_000)
 }
--- a/crates/conf/src/token.rs
+++ b/crates/conf/src/token.rs
@@ -42,6 +42,15 @@
         Self(Sha256::digest(token.as_bytes()).into())
     }
 
+    /// The first eight bytes, by which an index finds candidates.
+    #[must_use]
+    pub(crate) fn prefix(&self) -> u64 {
+        self.0
+            .iter()
+            .take(size_of::<u64>())
+            .fold(0, |prefix, byte| prefix << u8::BITS | u64::from(*byte))
+    }
+
     /// Compares in constant time.
     #[must_use]
     pub fn matches(&self, other: &Self) -> bool {
--- /dev/null
+++ b/crates/conf/tests/inventory.rs
@@ -0,0 +1,241 @@
+//! Inventories are checked whole: references, names, tokens, shares and sizes.
+
+use dfs_conf::Inventory;
+use dfs_conf::check_inventory;
+use googletest::prelude::*;
+use serde_json::Value;
+use serde_json::json;
+
+const A: &str = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa";
+const B: &str = "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb";
+
+fn valid() -> Value {
+    let target = |name: &str, cores: u32| {
+        json!({
+            "target": name, "domain": "aba", "rack": "r1", "services": ["desk"],
+            "slots": 8, "connections": 64, "resources": {"cores": cores, "memory_mib": 65_536},
+        })
+    };
+    json!({
+        "domains": ["aba"],
+        "operators": [{"operator": "ada", "token_sha256": A}],
+        "services": [{"service": "desk", "requires": {"cores": 8}}],
+        "groups": [{"group": "printers", "share": 2.5, "tokens_sha256": [B], "services": ["desk"]}],
+        "targets": [target("t1", 16), target("t2", 4)],
+    })
+}
+
+fn with(pointer: &str, value: Value) -> Value {
+    let mut document = valid();
+    let (parent, name) = pointer.rsplit_once('/').unwrap();
+    let parent = document.pointer_mut(parent).unwrap();
+    match parent {
+        Value::Array(elements) => elements[name.parse::<usize>().unwrap()] = value,
+        _ => parent[name] = value,
+    }
+    document
+}
+
+fn faults(document: &Value) -> Vec<String> {
+    let outcome = check_inventory(document);
+    let text = outcome.err().map(|e| e.to_string()).unwrap_or_default();
+    text.lines().map(str::to_owned).collect()
+}
+
+fn warnings(document: &Value) -> Vec<String> {
+    let inventory: Inventory = check_inventory(document).unwrap();
+    inventory
+        .warnings()
+        .iter()
+        .map(ToString::to_string)
+        .collect()
+}
+
+#[googletest::test]
+fn a_valid_inventory_has_no_faults() {
+    expect_that!(faults(&valid()), is_empty());
+    expect_that!(warnings(&valid()), is_empty());
+}
+
+fn reference_cases() -> Vec<(&'static str, Value, &'static str)> {
+    vec![
+        (
+            "/groups/0/services",
+            json!(["desk", "dusk"]),
+            "groups[0].services[1]: dusk is not a known service; known: desk",
+        ),
+        (
+            "/groups/0/targets",
+            json!(["t3"]),
+            "groups[0].targets[0]: t3 is not a known target; known: t1, t2",
+        ),
+        (
+            "/targets/1/domain",
+            json!("lagos"),
+            "targets[1].domain: lagos is not a known failure domain; known: aba",
+        ),
+        (
+            "/targets/1/services",
+            json!(["dusk"]),
+            "targets[1].services[0]: dusk is not a known service",
+        ),
+        (
+            "/targets/1/target",
+            json!("t1"),
+            "targets[1].target: t1 is already used by targets[0].target",
+        ),
+        (
+            "/domains",
+            json!(["aba", "aba"]),
+            "domains[1]: aba is already used by domains[0]",
+        ),
+        (
+            "/groups/0/services",
+            json!(["desk", "desk"]),
+            "groups[0].services[1]: desk is already used by groups[0].services[0]",
+        ),
+        (
+            "/groups/0/tokens_sha256",
+            json!([A]),
+            "groups[0].tokens_sha256[0]: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\
+             aaaaaaaaaaaa is already used by operators[0].token_sha256",
+        ),
+    ]
+}
+
+fn value_cases() -> Vec<(&'static str, Value, &'static str)> {
+    vec![
+        (
+            "/groups/0/share",
+            json!(0),
+            "groups[0].share: 0 is out of range; allowed: 0.000001 to 1000000",
+        ),
+        (
+            "/groups/0/share",
+            json!(-1),
+            "groups[0].share: -1 is out of",
+        ),
+        (
+            "/groups/0/share",
+            json!("much"),
+            "groups[0].share: \"much\" is not valid",
+        ),
+        (
+            "/groups/0/tokens_sha256",
+            json!(["abc"]),
+            "groups[0].tokens_sha256[0]: \"abc\" is not valid: a SHA-256 digest has 64",
+        ),
+        (
+            "/groups/0/tokens_sha256",
+            json!([]),
+            "groups[0].tokens_sha256: empty; at least one token digest is needed",
+        ),
+        (
+            "/groups/0/max_placed",
+            json!(0),
+            "groups[0].max_placed: 0 is out of range",
+        ),
+        (
+            "/operators",
+            json!([]),
+            "operators: empty; at least one operator is needed",
+        ),
+        (
+            "/operators/0/operator",
+            json!(""),
+            "operators[0].operator: empty",
+        ),
+        ("/targets/0/slots", json!(0), "targets[0].slots: 0 is out"),
+        (
+            "/targets/0/connections",
+            json!(0),
+            "targets[0].connections: 0 is out of range",
+        ),
+        ("/targets/0/rack", json!(""), "targets[0].rack: empty"),
+        (
+            "/targets/0/resources/memory_gb",
+            json!(64),
+            "targets[0].resources.memory_gb: unknown unit; write it as memory_mib",
+        ),
+        (
+            "/targets/0/zone",
+            json!("z"),
+            "targets[0].zone: unknown field; allowed: ",
+        ),
+    ]
+}
+
+#[googletest::test]
+fn each_fault_is_named() {
+    for (pointer, value, expected) in reference_cases().into_iter().chain(value_cases()) {
+        let faults = faults(&with(pointer, value));
+        expect_that!(faults, elements_are![starts_with(expected)]);
+    }
+}
+
+#[googletest::test]
+fn a_share_that_is_not_finite_is_refused() {
+    let mut inventory = check_inventory(&valid()).unwrap();
+    for share in [f64::NAN, f64::INFINITY] {
+        inventory.groups[0].share = share;
+        expect_that!(inventory.check(), err(anything()));
+    }
+}
+
+#[googletest::test]
+fn faults_of_all_sections_are_named_at_once() {
+    let mut document = with("/groups/0/share", json!(0));
+    document["targets"][0]["slots"] = json!(0);
+    document["targets"][1]["domain"] = json!("lagos");
+    document["operators"] = json!([]);
+    expect_that!(faults(&document), len(eq(4)));
+}
+
+#[googletest::test]
+fn a_fault_of_the_form_causes_no_further_ones() {
+    let document = with("/targets/0/target", json!("a b"));
+    expect_that!(faults(&document), len(eq(1)));
+    let document = with("/groups/0", json!(7));
+    expect_that!(
+        faults(&document),
+        elements_are![starts_with("groups[0]: 7 is not valid")]
+    );
+}
+
+#[googletest::test]
+fn without_listed_targets_any_may_be_named() {
+    let mut document = with("/targets", json!([]));
+    document["groups"][0]["targets"] = json!(["t9"]);
+    expect_that!(faults(&document), is_empty());
+    expect_that!(warnings(&document), is_empty());
+}
+
+#[googletest::test]
+fn what_can_never_run_is_a_warning() {
+    let cases = [
+        (
+            "/services/0/requires/cores",
+            json!(32),
+            "service desk: no target that runs it has 32 cores, 0 MiB of memory and 0 acc",
+        ),
+        (
+            "/groups/0/targets",
+            json!(["t2"]),
+            "group printers: none of its targets can run service desk",
+        ),
+        (
+            "/targets/1/connections",
+            json!(7),
+            "target t2: 7 connections do not serve 8 slots at once",
+        ),
+        (
+            "/services",
+            json!([{"service": "desk"}, {"service": "dusk"}]),
+            "service dusk: no target of the inventory runs it",
+        ),
+    ];
+    for (pointer, value, expected) in cases {
+        let warnings = warnings(&with(pointer, value));
+        expect_that!(warnings, elements_are![starts_with(expected)]);
+    }
+}
--- /dev/null
+++ b/crates/conf/tests/versions.rs
@@ -0,0 +1,153 @@
+//! Differences between versions, the adoption of versions, and the index of tokens.
+
+use dfs_conf::Adoption;
+use dfs_conf::Config;
+use dfs_conf::ConfigDiff;
+use dfs_conf::ConfigHolder;
+use dfs_conf::ConfigUpdate;
+use dfs_conf::DiffError;
+use dfs_conf::Identity;
+use dfs_conf::SectionDiff;
+use dfs_conf::TokenDigest;
+use dfs_conf::TokenIndex;
+use dfs_ids::ConfigVersion;
+use googletest::prelude::*;
+use serde_json::Value;
+use serde_json::json;
+
+fn version(n: u64) -> ConfigVersion {
+    ConfigVersion::new(n)
+}
+
+fn group(name: &str, share: f64) -> Value {
+    json!({
+        "group": name, "share": share, "services": ["desk"],
+        "tokens_sha256": [TokenDigest::of(name)],
+    })
+}
+
+fn config(n: u64, groups: &[Value]) -> Config {
+    let config = json!({
+        "version": n,
+        "inventory": {
+            "domains": ["aba"],
+            "operators": [{"operator": "ada", "token_sha256": TokenDigest::of("ada")}],
+            "services": [{"service": "desk"}],
+            "groups": groups,
+        },
+        "rules": {},
+    });
+    serde_json::from_value(config).unwrap()
+}
+
+/// The configuration as JSON, which shows a difference in an assertion.
+fn shown(config: &Config) -> Value {
+    serde_json::to_value(config).unwrap()
+}
+
+/// Sends a difference over the wire and applies it.
+fn over_the_wire(old: &Config, new: &Config) -> Config {
+    let diff = ConfigDiff::between(old, new);
+    let json = serde_json::to_string(&diff).unwrap();
+    let received: ConfigDiff = serde_json::from_str(&json).unwrap();
+    expect_that!(received, eq(&diff));
+    received.apply(old).unwrap()
+}
+
+#[googletest::test]
+fn a_difference_leads_to_the_later_version() {
+    let old = config(1, &[group("a", 1.0), group("b", 1.0), group("c", 1.0)]);
+    let cases = [
+        vec![group("a", 1.0), group("b", 1.0), group("c", 1.0)],
+        vec![group("a", 1.0), group("b", 2.0), group("c", 1.0)],
+        vec![group("a", 1.0), group("c", 1.0)],
+        vec![group("a", 3.0), group("c", 1.0), group("d", 1.0)],
+        vec![group("c", 1.0), group("a", 1.0)],
+        vec![],
+    ];
+    for groups in cases {
+        let new = config(2, &groups);
+        expect_that!(shown(&over_the_wire(&old, &new)), eq(&shown(&new)));
+    }
+}
+
+#[googletest::test]
+fn a_difference_holds_only_what_differs() {
+    let old = config(1, &[group("a", 1.0), group("b", 1.0)]);
+    let mut new = config(2, &[group("a", 1.0), group("b", 2.0)]);
+    let diff = ConfigDiff::between(&old, &new);
+    let changed = matches_pattern!(SectionDiff::Edited {
+        changed: len(eq(1)),
+        removed: is_empty(),
+    });
+    expect_that!(diff.groups, changed);
+    expect_true!(diff.services.is_same());
+    expect_true!(diff.targets.is_same());
+    expect_that!(diff.rules, none());
+    new.rules.retry.max_attempts = 2;
+    new.inventory.domains.push("lagos".parse().unwrap());
+    expect_that!(shown(&over_the_wire(&old, &new)), eq(&shown(&new)));
+}
+
+#[googletest::test]
+fn a_difference_to_another_base_is_refused() {
+    let diff = ConfigDiff::between(&config(1, &[]), &config(2, &[group("a", 1.0)]));
+    let wrong = DiffError::WrongBase {
+        base: version(1),
+        held: version(3),
+    };
+    expect_that!(diff.apply(&config(3, &[])), err(eq(&wrong)));
+}
+
+#[googletest::test]
+fn only_higher_versions_are_adopted() {
+    let mut holder = ConfigHolder::default();
+    expect_that!(holder.version(), none());
+    expect_true!(holder.is_news(version(0)));
+    let adopted = Adoption::Adopted(version(5));
+    expect_that!(holder.offer(config(5, &[])), eq(adopted));
+    let kept = Adoption::NotNewer { held: version(5) };
+    expect_that!(holder.offer(config(5, &[group("a", 1.0)])), eq(kept));
+    expect_that!(holder.offer(config(4, &[])), eq(kept));
+    expect_that!(
+        shown(holder.current().unwrap()),
+        eq(&shown(&config(5, &[])))
+    );
+    expect_false!(holder.is_news(version(5)));
+    expect_that!(
+        holder.offer(config(9, &[])),
+        eq(Adoption::Adopted(version(9)))
+    );
+}
+
+#[googletest::test]
+fn updates_in_any_order_leave_the_highest_version() {
+    let versions: Vec<Config> = (1..=4)
+        .map(|n| config(n, &[group("a", f64::from(u32::try_from(n).unwrap()))]))
+        .collect();
+    let whole = |i: usize| ConfigUpdate::Whole(versions[i].clone());
+    let diff =
+        |i: usize, j: usize| ConfigUpdate::Diff(ConfigDiff::between(&versions[i], &versions[j]));
+    let mut holder = ConfigHolder::default();
+    let nothing = DiffError::NothingHeld { base: version(1) };
+    expect_that!(holder.offer_update(diff(0, 1)), err(eq(nothing)));
+    holder.offer_update(whole(1)).unwrap();
+    holder.offer_update(whole(0)).unwrap();
+    holder.offer_update(diff(0, 1)).unwrap();
+    expect_that!(holder.version(), some(eq(version(2))));
+    expect_that!(holder.offer_update(diff(2, 3)), err(anything()));
+    holder.offer_update(diff(1, 3)).unwrap();
+    holder.offer_update(whole(2)).unwrap();
+    expect_that!(shown(holder.current().unwrap()), eq(&shown(&versions[3])));
+}
+
+#[googletest::test]
+fn a_token_has_its_owner() {
+    let index = TokenIndex::new(&config(1, &[group("a", 1.0), group("b", 1.0)]).inventory);
+    let b = Identity::Group("b".parse().unwrap());
+    expect_that!(index.owner("b"), some(eq(&b)));
+    let ada = Identity::Operator("ada".to_owned());
+    expect_that!(index.owner("ada"), some(eq(&ada)));
+    expect_that!(index.owner("c"), none());
+    expect_that!(index.owner(""), none());
+}
