Differences, checks and one source of configurations for each agent

Cause: every change went whole to each agent, all agents would have chosen the same entry as their source (lowest incarnation), and a replaced entry asked every agent for the whole configuration at once. Ruled out: a push to all sessions (650 sessions an entry times some 300 bytes every 13 s is over the 4 KB/s). Change: difference to one of the 16 earlier versions, else whole; source chosen by rendezvous hashing; an entry asks one agent at a time, after 3 s behind or at once if it holds none; the version rides on reports to the other entries; settings, inventory and rules are checked whole.

--- a/crates/agent/src/process/start.rs
+++ b/crates/agent/src/process/start.rs
@@ -70,7 +70,7 @@
         let address = listener.local_addr().context(ListenSnafu { address })?;
         let (roster_sender, roster_events) = mpsc::unbounded_channel();
         let (core, handle, stopped) = Core::new(
-            policy::Agent::new(settings.keep_results_ms),
+            policy::Agent::new(incarnation, settings.keep_results_ms),
             Clock::start(),
             metrics,
             Runner::new(&settings),
--- a/crates/agent/src/process/version.rs
+++ b/crates/agent/src/process/version.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
+use dfs_conf::Adoption;
 use dfs_conf::Config;
+use dfs_conf::ConfigHolder;
+use dfs_conf::ConfigUpdate;
 use dfs_ids::FailureDomain;
 use dfs_log::ConfigEvent;
 use dfs_log::ConfigSource;
@@ -13,38 +16,39 @@
 #[derive(Debug)]
 pub(crate) struct Versions {
     domain: FailureDomain,
-    held: Option<Arc<Config>>,
+    holder: ConfigHolder,
 }
 
 impl Versions {
     pub fn new(domain: FailureDomain) -> Self {
-        Self { domain, held: None }
+        Self {
+            domain,
+            holder: ConfigHolder::default(),
+        }
     }
 
     /// Adopts a higher version; none if the message brings none.
+    ///
+    /// A difference to another version than the one held is dropped: the entry learns from the
+    /// agent's next report which version it holds, and sends the right one.
     pub fn adopt(&mut self, body: &RawValue) -> Option<Arc<Config>> {
-        let config: Config = serde_json::from_str(body.get()).ok()?;
-        if self
-            .held
-            .as_ref()
-            .is_some_and(|held| config.version <= held.version)
-        {
+        let update: ConfigUpdate = serde_json::from_str(body.get()).ok()?;
+        let Ok(Adoption::Adopted(version)) = self.holder.offer_update(update) else {
             return None;
-        }
-        let (version, domain) = (config.version, self.domain.clone());
+        };
+        let domain = self.domain.clone();
+        let source = ConfigSource::Session;
         dfs_log::emit(ConfigEvent::Adopted {
             version,
             domain,
-            source: ConfigSource::Session,
+            source,
         });
-        let config = Arc::new(config);
-        self.held = Some(Arc::clone(&config));
-        Some(config)
+        self.holder.current().cloned()
     }
 
     /// The version held, as a message.
     pub fn whole(&self) -> Option<Box<RawValue>> {
-        let held = self.held.as_deref()?;
-        to_raw_value(held).ok()
+        let held = Config::clone(self.holder.current()?);
+        to_raw_value(&ConfigUpdate::Whole(held)).ok()
     }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,16 +1,17 @@
 //! Running a role from its settings.
 
-use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use dfs_agent::Agent;
 use dfs_conf::AgentSettings;
 use dfs_conf::EntrySettings;
+use dfs_conf::SettingsError;
 use dfs_entry::Entry;
+use dfs_log::ErrorText;
 use dfs_log::ProcessEvent;
 use dfs_log::ProcessName;
-use serde::de::DeserializeOwned;
+use serde::Serialize;
 use snafu::ResultExt;
 use snafu::Snafu;
 
@@ -36,12 +37,18 @@
         source: std::io::Error,
     },
     /// The settings are not valid.
-    #[snafu(display("settings file {}: {message}", path.display()))]
+    #[snafu(display("settings file {}: {source}", path.display()))]
     Settings {
         /// The file.
         path: PathBuf,
         /// Every fault.
-        message: String,
+        source: SettingsError,
+    },
+    /// The example settings could not be printed.
+    #[snafu(display("cannot print the settings: {source}"))]
+    Print {
+        /// What the library says.
+        source: serde_json::Error,
     },
     /// The runtime could not be started.
     #[snafu(display("cannot start the runtime: {source}"))]
@@ -78,36 +85,59 @@
 /// Runs the role until it is stopped.
 pub fn run(cli: Cli) -> Result<ExitCode, RunError> {
     match cli.role {
-        Role::Entry(options) => {
-            let Some(settings) = load::<EntrySettings>(&options)? else {
-                return Ok(ExitCode::SUCCESS);
-            };
-            runtime()?.block_on(run_entry(settings))
-        }
-        Role::Agent(options) => {
-            let Some(settings) = load::<AgentSettings>(&options)? else {
-                return Ok(ExitCode::SUCCESS);
-            };
-            runtime()?.block_on(run_agent(settings))
-        }
+        Role::Entry(options) => match load::<EntrySettings>(&options)? {
+            Some(settings) => runtime()?.block_on(run_entry(settings)),
+            None => Ok(ExitCode::SUCCESS),
+        },
+        Role::Agent(options) => match load::<AgentSettings>(&options)? {
+            Some(settings) => runtime()?.block_on(run_agent(settings)),
+            None => Ok(ExitCode::SUCCESS),
+        },
+    }
+}
+
+/// Settings of a role.
+trait Settings: Serialize + Sized {
+    fn parse(json: &str) -> Result<Self, SettingsError>;
+    fn defaults() -> Self;
+}
+
+impl Settings for EntrySettings {
+    fn parse(json: &str) -> Result<Self, SettingsError> {
+        Self::from_json(json)
+    }
+
+    fn defaults() -> Self {
+        Self::example()
+    }
+}
+
+impl Settings for AgentSettings {
+    fn parse(json: &str) -> Result<Self, SettingsError> {
+        Self::from_json(json)
+    }
+
+    fn defaults() -> Self {
+        Self::example()
     }
 }
 
 /// The settings to run with, or none if there is nothing to run.
-fn load<S: DeserializeOwned>(options: &Options) -> Result<Option<S>, RunError> {
+fn load<S: Settings>(options: &Options) -> Result<Option<S>, RunError> {
     let Some(path) = &options.settings else {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&S::defaults()).context(PrintSnafu)?
+        );
         return Ok(None);
     };
     let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
-    let settings = parse(path, &text)?;
-    Ok((!options.check_settings).then_some(settings))
-}
-
-fn parse<S: DeserializeOwned>(path: &Path, text: &str) -> Result<S, RunError> {
-    serde_json::from_str(text).map_err(|error| RunError::Settings {
-        path: path.to_owned(),
-        message: error.to_string(),
-    })
+    let settings = S::parse(&text).context(SettingsSnafu { path });
+    if let Err(error) = &settings {
+        let error = ErrorText::new(error);
+        dfs_log::emit(ProcessEvent::SettingsRejected { error });
+    }
+    Ok((!options.check_settings).then_some(settings?))
 }
 
 fn runtime() -> Result<tokio::runtime::Runtime, RunError> {
--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -249,18 +249,18 @@
 ) {
     while let Some(outgoing) = incoming.recv().await {
         match outgoing {
-            Outgoing::OfferConfig { connection, .. } => {
-                let Some(config) = holder.held() else {
+            Outgoing::OfferConfig { connection, have } => {
+                let Some(update) = holder.update_for(have) else {
                     continue;
                 };
-                if let Ok(body) = serde_json::value::to_raw_value(&*config) {
+                if let Ok(body) = serde_json::value::to_raw_value(&update) {
                     let item = EntryItem::Config(body);
                     core.event(EntryEvent::SendItem { connection, item });
                 }
             }
             Outgoing::ConfigReceived(body) => {
-                if let Ok(config) = serde_json::from_str(body.get()) {
-                    holder.adopt(config, ConfigSource::Session);
+                if let Ok(update) = serde_json::from_str(body.get()) {
+                    holder.adopt(update, ConfigSource::Session);
                 }
             }
             Outgoing::Stopped => {
--- a/crates/entry/src/request/operate.rs
+++ b/crates/entry/src/request/operate.rs
@@ -9,6 +9,7 @@
 use axum::http::StatusCode;
 use axum::response::IntoResponse;
 use axum::response::Response;
+use dfs_conf::Identity;
 use dfs_wire::api::ApplyAnswer;
 use dfs_wire::api::ConfigAnswer;
 use dfs_wire::api::ConfigError;
@@ -94,7 +95,10 @@
 fn operator(state: &State, headers: &HeaderMap) -> Result<String, Refusal> {
     let token = body::token(headers)?;
     let operator = match state.holder.held() {
-        Some(_) => state.holder.operator_of(token),
+        Some(_) => match state.holder.owner(token) {
+            Some(Identity::Operator(operator)) => Some(operator),
+            Some(Identity::Group(_)) | None => None,
+        },
         None => state
             .is_bootstrap(token)
             .then(|| BOOTSTRAP_OPERATOR.to_owned()),
--- a/crates/entry/src/request/submit.rs
+++ b/crates/entry/src/request/submit.rs
@@ -12,7 +12,7 @@
 use axum::http::HeaderMap;
 use axum::http::StatusCode;
 use axum::response::Response;
-use dfs_conf::Group;
+use dfs_conf::Identity;
 use dfs_ids::GroupId;
 use dfs_ids::Millis;
 use dfs_ids::RequestKey;
@@ -48,7 +48,7 @@
     let job: JobRequest = body::read(&state.limits, body).await?;
     let submission = Submission {
         submission: state.next_submission(),
-        group: group.group,
+        group,
         service: job.service,
         tasks: job.tasks.into_iter().map(Arc::from).collect(),
         deadline_ms: job.deadline_ms,
@@ -68,7 +68,7 @@
     let request: SingleRequest = body::read(&state.limits, body).await?;
     let submission = Submission {
         submission: state.next_submission(),
-        group: group.group,
+        group,
         service: request.service,
         tasks: vec![Arc::from(request.body)],
         deadline_ms: request.deadline_ms,
@@ -88,24 +88,31 @@
     let name: SubmissionId = name
         .parse()
         .map_err(|error| Refusal::new(FailureReason::BadRequest, format!("{error}")))?;
-    let Some(submission) = state.find(&group.group, &name) else {
-        let message = format!("no submission {name} of group {} is open here", group.group);
+    let Some(submission) = state.find(&group, &name) else {
+        let message = format!("no submission {name} of group {group} is open here");
         return Err(Refusal::new(FailureReason::UnknownSubmission, message));
     };
     state.core.event(EntryEvent::Cancel { submission });
     Ok(StatusCode::NO_CONTENT)
 }
 
-fn group(state: &State, headers: &HeaderMap) -> Result<Group, Refusal> {
+fn group(state: &State, headers: &HeaderMap) -> Result<GroupId, Refusal> {
     let token = body::token(headers)?;
     if state.holder.held().is_none() {
         let message = "this entry holds no configuration yet: try another one";
         return Err(Refusal::new(FailureReason::NotReady, message).retry_after(SOON_MS));
     }
-    state.holder.group_of(token).ok_or_else(|| {
-        let message = "no group has this token: ask an operator for one";
-        Refusal::new(FailureReason::UnknownToken, message)
-    })
+    match state.holder.owner(token) {
+        Some(Identity::Group(group)) => Ok(group),
+        Some(Identity::Operator(_)) => {
+            let message = "an operator's token submits nothing: use a group's";
+            Err(Refusal::new(FailureReason::Forbidden, message))
+        }
+        None => {
+            let message = "no group has this token: ask an operator for one";
+            Err(Refusal::new(FailureReason::UnknownToken, message))
+        }
+    }
 }
 
 /// Wait that is advised while an entry starts.
--- a/crates/entry/src/version/apply.rs
+++ b/crates/entry/src/version/apply.rs
@@ -1,18 +1,19 @@
 //! Applying an operator's change.
 
 use dfs_conf::Config;
-use dfs_conf::Inventory;
-use dfs_conf::Rules;
+use dfs_conf::ConfigUpdate;
+use dfs_conf::Faults;
+use dfs_conf::check_inventory;
+use dfs_conf::check_rules;
 use dfs_ids::ConfigVersion;
 use dfs_log::ConfigEvent;
 use dfs_log::ConfigSource;
+use dfs_log::ErrorText;
 use dfs_store::ApplyError;
 use dfs_store::Change;
 use dfs_store::ConfigStore;
 use dfs_wire::api::ApplyConfig;
 use dfs_wire::api::ConfigError;
-use serde::de::DeserializeOwned;
-use serde_json::Value;
 
 use super::Holder;
 
@@ -24,7 +25,7 @@
     request: ApplyConfig,
 ) -> Result<ConfigVersion, ConfigError> {
     let base = base_config(store, request.base).await?;
-    let config = merge(&request, base)?;
+    let config = merge(&request, base).inspect_err(|error| tell_invalid(&operator, error))?;
     let change = Change {
         change: request.change.clone(),
         base: request.base,
@@ -39,7 +40,7 @@
         change: request.change,
         operator,
     });
-    holder.adopt(config, ConfigSource::Apply);
+    holder.adopt(ConfigUpdate::Whole(config), ConfigSource::Apply);
     Ok(version)
 }
 
@@ -58,32 +59,41 @@
 }
 
 fn merge(request: &ApplyConfig, base: Option<Config>) -> Result<Config, ConfigError> {
-    let version = request.base.next();
     let (old_inventory, old_rules) = match base {
         Some(base) => (Some(base.inventory), Some(base.rules)),
         None => (None, None),
     };
-    let inventory: Option<Inventory> = parse(request.inventory.as_ref(), "inventory")?;
-    let rules: Option<Rules> = parse(request.rules.as_ref(), "rules")?;
+    let inventory = request.inventory.as_ref().map(check_inventory).transpose();
+    let rules = request.rules.as_ref().map(check_rules).transpose();
+    let inventory = inventory.map_err(|faults| invalid(&faults))?;
+    let rules = rules.map_err(|faults| invalid(&faults))?;
     let Some(inventory) = inventory.or(old_inventory) else {
         let fault = "inventory: the first change must bring one".to_owned();
         return Err(ConfigError::Invalid {
             faults: vec![fault],
         });
     };
-    let rules = rules.or(old_rules).unwrap_or_default();
-    Ok(Config {
-        version,
+    let config = Config {
+        version: request.base.next(),
         inventory,
-        rules,
-    })
+        rules: rules.or(old_rules).unwrap_or_default(),
+    };
+    config.check().map_err(|faults| invalid(&faults))?;
+    Ok(config)
+}
+
+fn tell_invalid(operator: &str, error: &ConfigError) {
+    if let ConfigError::Invalid { faults } = error {
+        dfs_log::emit(ConfigEvent::Invalid {
+            operator: operator.to_owned(),
+            error: ErrorText::from(faults.join("; ").as_str()),
+        });
+    }
 }
 
-fn parse<T: DeserializeOwned>(value: Option<&Value>, what: &str) -> Result<Option<T>, ConfigError> {
-    let parsed = value.map(|value| T::deserialize(value)).transpose();
-    parsed.map_err(|error| ConfigError::Invalid {
-        faults: vec![format!("{what}: {error}")],
-    })
+fn invalid(faults: &Faults) -> ConfigError {
+    let faults = faults.faults.iter().map(ToString::to_string).collect();
+    ConfigError::Invalid { faults }
 }
 
 fn refusal(change: &Change, operator: &str, error: ApplyError) -> ConfigError {
--- a/crates/entry/src/version/holder.rs
+++ b/crates/entry/src/version/holder.rs
@@ -1,13 +1,19 @@
 //! The version in force in this process.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use dfs_conf::Adoption;
 use dfs_conf::Config;
-use dfs_conf::Group;
-use dfs_conf::Operator;
-use dfs_conf::TokenDigest;
+use dfs_conf::ConfigDiff;
+use dfs_conf::ConfigHolder;
+use dfs_conf::ConfigUpdate;
+use dfs_conf::Identity;
+use dfs_conf::TokenIndex;
+use dfs_ids::Clock;
 use dfs_ids::ConfigVersion;
 use dfs_ids::FailureDomain;
 use dfs_ids::Millis;
@@ -17,27 +23,35 @@
 use dfs_log::Gauge;
 use dfs_log::Metrics;
 use dfs_policy::entry::EntryEvent;
-use tokio::sync::watch;
 
 use crate::process::CoreHandle;
-use dfs_ids::Clock;
+
+/// Earlier versions that are kept to work out differences.
+const KEPT_VERSIONS: usize = 16;
 
 /// Holds the version in force; it only ever moves to a higher one.
 #[derive(Debug, Clone)]
 pub(crate) struct Holder {
-    held: watch::Sender<Option<Arc<Config>>>,
-    confirmed_at: Arc<Mutex<Option<Moment>>>,
+    state: Arc<Mutex<State>>,
     clock: Clock,
     core: CoreHandle,
     metrics: Metrics,
     domain: FailureDomain,
 }
 
+#[derive(Debug, Default)]
+struct State {
+    holder: ConfigHolder,
+    tokens: TokenIndex,
+    /// Versions that were in force before, the newest last.
+    earlier: VecDeque<Arc<Config>>,
+    confirmed_at: Option<Moment>,
+}
+
 impl Holder {
     pub fn new(clock: Clock, core: CoreHandle, metrics: Metrics, domain: FailureDomain) -> Self {
         Self {
-            held: watch::Sender::new(None),
-            confirmed_at: Arc::default(),
+            state: Arc::default(),
             clock,
             core,
             metrics,
@@ -46,85 +60,80 @@
     }
 
     /// Puts a version in force if it is higher than the one held.
-    pub fn adopt(&self, config: Config, source: ConfigSource) {
+    pub fn adopt(&self, update: ConfigUpdate, source: ConfigSource) {
+        let Some(config) = self.state().adopt(update) else {
+            return;
+        };
         let version = config.version;
-        let config = Arc::new(config);
-        let adopted = self.held.send_if_modified(|held| {
-            let higher = held.as_ref().is_none_or(|old| version > old.version);
-            if higher {
-                *held = Some(Arc::clone(&config));
-            }
-            higher
+        self.core.event(EntryEvent::Configured(config));
+        self.metrics.set(Gauge::ConfigVersion, version.get());
+        let domain = self.domain.clone();
+        dfs_log::emit(ConfigEvent::Adopted {
+            version,
+            domain,
+            source,
         });
-        if adopted {
-            self.core.event(EntryEvent::Configured(config));
-            self.metrics.set(Gauge::ConfigVersion, version.get());
-            let domain = self.domain.clone();
-            dfs_log::emit(ConfigEvent::Adopted {
-                version,
-                domain,
-                source,
-            });
-        }
     }
 
     pub fn held(&self) -> Option<Arc<Config>> {
-        self.held.borrow().clone()
+        self.state().holder.current().cloned()
     }
 
+    /// The version in force, or zero.
     pub fn version(&self) -> ConfigVersion {
-        self.held
-            .borrow()
-            .as_ref()
-            .map(|config| config.version)
-            .unwrap_or_default()
+        self.state().holder.version().unwrap_or_default()
+    }
+
+    /// What a process that holds version `have` needs, if anything.
+    pub fn update_for(&self, have: ConfigVersion) -> Option<ConfigUpdate> {
+        let state = self.state();
+        let current = state.holder.current()?;
+        if have >= current.version {
+            return None;
+        }
+        let base = state.earlier.iter().find(|config| config.version == have);
+        Some(match base {
+            Some(base) => ConfigUpdate::Diff(ConfigDiff::between(base, current)),
+            None => ConfigUpdate::Whole(Config::clone(current)),
+        })
     }
 
     /// Notes that the table service has just confirmed the head.
     pub fn confirm(&self) {
-        let mut confirmed = self
-            .confirmed_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *confirmed = Some(self.clock.now());
+        self.state().confirmed_at = Some(self.clock.now());
     }
 
     /// Time since the table service last confirmed the head.
     pub fn age_ms(&self) -> Option<Millis> {
-        let confirmed = *self
-            .confirmed_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        confirmed.map(|at| self.clock.now().since(at))
+        let confirmed_at = self.state().confirmed_at;
+        confirmed_at.map(|at| self.clock.now().since(at))
     }
 
-    /// The group of a token. Every digest is compared, so that the time tells nothing.
-    pub fn group_of(&self, token: &str) -> Option<Group> {
-        let config = self.held()?;
-        let digest = TokenDigest::of(token);
-        let has_token = |group: &&Group| {
-            group
-                .tokens_sha256
-                .iter()
-                .filter(|d| d.matches(&digest))
-                .count()
-                > 0
-        };
-        let groups: Vec<_> = config.inventory.groups.iter().filter(has_token).collect();
-        groups.first().map(|group| Group::clone(group))
+    /// The owner of a token.
+    pub fn owner(&self, token: &str) -> Option<Identity> {
+        self.state().tokens.owner(token).cloned()
+    }
+
+    /// Every update leaves the state whole, so that a panic elsewhere does no harm to it.
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+}
 
-    /// The operator of a token; every digest is compared, as for groups.
-    pub fn operator_of(&self, token: &str) -> Option<String> {
-        let config = self.held()?;
-        let digest = TokenDigest::of(token);
-        let has_token = |operator: &&Operator| operator.token_sha256.matches(&digest);
-        let operators: Vec<_> = config
-            .inventory
-            .operators
-            .iter()
-            .filter(has_token)
-            .collect();
-        operators.first().map(|operator| operator.operator.clone())
+impl State {
+    fn adopt(&mut self, update: ConfigUpdate) -> Option<Arc<Config>> {
+        let before = self.holder.current().cloned();
+        // A difference to another version is dropped; the sender learns the version held.
+        let adoption = self.holder.offer_update(update).ok()?;
+        if matches!(adoption, Adoption::NotNewer { .. }) {
+            return None;
+        }
+        let config = self.holder.current()?.clone();
+        self.tokens = TokenIndex::new(&config.inventory);
+        self.earlier.extend(before);
+        if self.earlier.len() > KEPT_VERSIONS {
+            self.earlier.pop_front();
+        }
+        Some(config)
     }
 }
--- a/crates/entry/src/version/poll.rs
+++ b/crates/entry/src/version/poll.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use dfs_conf::ConfigUpdate;
 use dfs_conf::StoreSettings;
 use dfs_ids::Millis;
 use dfs_log::ConfigEvent;
@@ -44,7 +45,7 @@
     };
     if head.version > holder.version() {
         let config = store.read_version(head.version).await?;
-        holder.adopt(config, ConfigSource::Store);
+        holder.adopt(ConfigUpdate::Whole(config), ConfigSource::Store);
     }
     Ok(())
 }
--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -16,6 +16,7 @@
 use super::view::EntryView;
 use super::view::Phase;
 use crate::ConnectionId;
+use crate::membership::weight;
 
 impl Agent {
     pub(super) fn on_message(
@@ -220,9 +221,9 @@
         }
     }
 
-    /// One session at a time brings configurations, so that each change arrives once.
+    /// One session at a time brings configurations, so that each change arrives once; agents
+    /// spread over the entries by rendezvous hashing.
     fn choose_config_source(&mut self) {
-        let connected = |view: &&mut EntryView| view.connection.is_some();
         if self
             .entries
             .values()
@@ -230,12 +231,16 @@
         {
             return;
         }
-        for view in self.entries.values_mut() {
-            view.is_config_source = false;
-        }
-        if let Some(view) = self.entries.values_mut().find(connected) {
-            view.is_config_source = true;
-            view.tell_version = true;
+        let own = self.incarnation;
+        let connected = self
+            .entries
+            .iter_mut()
+            .filter(|(_, view)| view.connection.is_some());
+        let chosen = connected.max_by_key(|(entry, _)| weight(&own, entry));
+        let chosen = chosen.map(|(entry, _)| *entry);
+        for (entry, view) in &mut self.entries {
+            view.is_config_source = Some(*entry) == chosen;
+            view.tell_version |= view.is_config_source;
         }
     }
 
--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -39,6 +39,8 @@
     shares: ShareLedger,
     rules: PlacementRules,
     version: Option<ConfigVersion>,
+    /// Life of this agent; spreads the agents' choices of a config source.
+    incarnation: Incarnation,
     keep_results_ms: Millis,
     running: u32,
     queued: u32,
@@ -57,7 +59,7 @@
 impl Agent {
     /// An agent that knows no entry, no target and no configuration.
     #[must_use]
-    pub fn new(keep_results_ms: Millis) -> Self {
+    pub fn new(incarnation: Incarnation, keep_results_ms: Millis) -> Self {
         Self {
             entries: BTreeMap::new(),
             records: BTreeMap::new(),
@@ -65,6 +67,7 @@
             shares: ShareLedger::default(),
             rules: PlacementRules::default(),
             version: None,
+            incarnation,
             keep_results_ms,
             running: 0,
             queued: 0,
--- a/crates/policy/src/agent/report.rs
+++ b/crates/policy/src/agent/report.rs
@@ -129,7 +129,9 @@
                 hint != view.told_hint && now >= view.told_hint_at + self.rules.hint_cadence_ms
             }
         };
-        let news = view.tell_target || view.tell_version || view.config_body.is_some();
+        // To the other entries the version rides on the next report.
+        let tells_source = view.tell_version && view.is_config_source;
+        let news = view.tell_target || tells_source || view.config_body.is_some();
         let answers = !results.is_empty() || !view.not_run.is_empty() || view.probed;
         if !(renewal_due || window_changed || hint_due || news || answers) {
             return None;
--- a/crates/policy/src/entry/config.rs
+++ b/crates/policy/src/entry/config.rs
@@ -3,9 +3,16 @@
 use std::sync::Arc;
 
 use dfs_conf::Config;
+use dfs_ids::Millis;
+use dfs_ids::Moment;
+use dfs_wire::session::EntryItem;
 
 use super::Entry;
 use super::EntryAction;
+use super::view::AgentView;
+
+/// Time in which the table service is expected to give a version that an agent holds already.
+const PATIENCE_MS: Millis = Millis::new(3_000);
 
 impl Entry {
     /// Adopts only a higher version.
@@ -33,5 +40,29 @@
             }
         }
         self.config = Some(config);
+        self.behind_since = None;
+    }
+
+    /// Asks one agent at a time for a version that the table service has not given in time.
+    pub(super) fn ask_config(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
+        let own = self.config.as_ref().map(|config| config.version);
+        let held = own.unwrap_or_default();
+        let newer = |view: &&AgentView| view.is_open && view.version.unwrap_or_default() > held;
+        let newest = self.agents.values().filter(newer).max_by_key(|v| v.version);
+        let Some(connection) = newest.and_then(|view| view.connection) else {
+            self.behind_since = None;
+            return;
+        };
+        let behind_since = *self.behind_since.get_or_insert(now);
+        let patience_ms = if own.is_some() {
+            PATIENCE_MS
+        } else {
+            Millis::default()
+        };
+        let asked_lately = self.asked_at.is_some_and(|at| now < at + PATIENCE_MS);
+        if now >= behind_since + patience_ms && !asked_lately {
+            self.asked_at = Some(now);
+            self.send_to(connection, vec![EntryItem::WantConfig], out);
+        }
     }
 }
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -74,6 +74,10 @@
     shares: ShareLedger,
     retries: RetryBudget,
     ejection: Ejection,
+    /// Since when an agent holds a higher version.
+    behind_since: Option<Moment>,
+    /// When an agent was last asked for its configuration.
+    asked_at: Option<Moment>,
     next_session: SessionNumber,
     /// Entries that agents may dial.
     entries: Vec<EntryAddress>,
@@ -98,6 +102,8 @@
             shares: ShareLedger::default(),
             retries: RetryBudget::default(),
             ejection: Ejection::default(),
+            behind_since: None,
+            asked_at: None,
             next_session: SessionNumber::default(),
             entries: Vec::new(),
             random: SmallRng::seed_from_u64(seed),
@@ -137,6 +143,7 @@
     /// submission that go to one agent travel in one message.
     pub fn flush(&mut self, now: Moment) -> Vec<EntryAction> {
         let mut out = Vec::new();
+        self.ask_config(now, &mut out);
         self.dispatch(now, &mut out);
         if self.stopping && self.jobs.is_empty() && !self.stopped {
             self.stopped = true;
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -5,7 +5,6 @@
 use dfs_ids::Moment;
 use dfs_wire::session::Ack;
 use dfs_wire::session::AgentItem;
-use dfs_wire::session::EntryItem;
 use dfs_wire::session::Held;
 use dfs_wire::session::LoadHint;
 use dfs_wire::session::Report;
@@ -152,9 +151,7 @@
             .as_ref()
             .map(|config| config.version)
             .unwrap_or_default();
-        if version > own {
-            self.send_to(connection, vec![EntryItem::WantConfig], out);
-        } else if source && version < own {
+        if source && version < own {
             out.push(EntryAction::OfferConfig {
                 connection,
                 have: version,
--- a/crates/policy/src/entry/status.rs
+++ b/crates/policy/src/entry/status.rs
@@ -100,9 +100,11 @@
             .as_ref()
             .map(|config| config.version)
             .unwrap_or_default();
+        // Each agent is counted by the one entry that brings it its configuration.
         let agents = self
             .agents
             .values()
+            .filter(|v| v.takes_config)
             .map(|v| (&v.domain, v.version.unwrap_or_default()));
         let mut versions: BTreeMap<&FailureDomain, Vec<ConfigVersion>> = BTreeMap::new();
         for (domain, version) in agents.chain([(&self.identity.domain, own)]) {
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -45,7 +45,8 @@
         .collect()
 }
 
-fn weight(agent: &AgentId, entry: &EntryId) -> u64 {
+/// Weight of an entry in the choice of an agent.
+pub(crate) fn weight(agent: &impl Hash, entry: &impl Hash) -> u64 {
     let mut hasher = SeaHasher::new();
     agent.hash(&mut hasher);
     entry.hash(&mut hasher);
