Demo of a whole pool in one process

Cause: README needs one command that runs the main job. Ruled out: a release build in the command, which takes minutes on a fresh clone.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -100,6 +100,8 @@
     /// Send a described mix of submissions and report response times
     #[command(after_help = LOAD_EXAMPLES)]
     Load(LoadArgs),
+    /// Run a whole pool in this process, with jobs for two groups
+    Demo,
     /// Print a completion script for a shell
     #[command(after_help = COMPLETIONS_EXAMPLES)]
     Completions {
--- /dev/null
+++ b/crates/cli/src/demo/pool.rs
@@ -0,0 +1,220 @@
+//! Entries in two failure domains, agents, targets and the stand-in platform in one process.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dfs_agent::Agent;
+use dfs_conf::AgentSettings;
+use dfs_conf::EntrySettings;
+use dfs_conf::Inventory;
+use dfs_conf::LogLevel;
+use dfs_conf::LogSettings;
+use dfs_entry::Entry;
+use dfs_ids::Millis;
+use dfs_log::Metrics;
+use dfs_log::ProcessName;
+use dfs_standin::Platform;
+use dfs_standin::TargetOptions;
+use dfs_standin::TargetStandin;
+use dfs_wire::api::EntryStatus;
+use dfs_wire::target::Offer;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_json::json;
+use snafu::ResultExt;
+
+use super::DemoError;
+use super::error::AgentSnafu;
+use super::error::EntrySnafu;
+use super::error::ExampleSnafu;
+use super::error::LogSnafu;
+use super::error::StandinSnafu;
+use crate::client::Call;
+use crate::client::Client;
+use crate::options::Token;
+use crate::submit::random_id;
+
+const INVENTORY: &str = include_str!("../../../../examples/member-desk/inventory.json");
+const RULES: &str = include_str!("../../../../examples/member-desk/rules.json");
+const OPERATOR_TOKEN: &str = "demo-member-desk-operator";
+const SESSION_SECRET: &str = "demo-session-secret";
+const ENTRY_DOMAINS: [&str; 2] = ["Lagos", "Ibadan"];
+const CALL_TIMEOUT_MS: Millis = Millis::new(5_000);
+const READY_WAIT_S: u64 = 30;
+const READY_LOOK: Duration = Duration::from_millis(50);
+
+/// The embedded pool.
+pub struct Pool {
+    entries: Vec<Entry>,
+    agents: Vec<Agent>,
+    targets: Vec<TargetStandin>,
+    _platform: Platform,
+}
+
+impl Pool {
+    /// Starts every process on free ports of the loopback interface.
+    pub async fn start() -> Result<Self, DemoError> {
+        let inventory: Inventory = serde_json::from_str(INVENTORY).context(ExampleSnafu)?;
+        let platform = Platform::spawn().await.context(StandinSnafu)?;
+        let mut entries = Vec::new();
+        for domain in ENTRY_DOMAINS {
+            let settings = entry_settings(domain, &platform)?;
+            let metrics = metrics(&ProcessName::Entry(settings.entry.clone()))?;
+            entries.push(Entry::start(settings, metrics).await.context(EntrySnafu)?);
+        }
+        let addresses: Vec<_> = entries.iter().map(|entry| entry.session_address).collect();
+        let mut agents = Vec::new();
+        let mut targets = Vec::new();
+        for target in &inventory.targets {
+            let settings = agent_settings(target, &addresses)?;
+            let metrics = metrics(&ProcessName::Agent(settings.agent.clone()))?;
+            let agent = Agent::start(settings, metrics).await.context(AgentSnafu)?;
+            let options = TargetOptions::new(Some(agent.address), offer(target));
+            targets.push(TargetStandin::spawn(options).await.context(StandinSnafu)?);
+            agents.push(agent);
+        }
+        Ok(Self {
+            entries,
+            agents,
+            targets,
+            _platform: platform,
+        })
+    }
+
+    /// Address of one of the entries, in turn.
+    pub fn entry(&self, n: usize) -> SocketAddr {
+        self.entries[n % self.entries.len()].address
+    }
+
+    /// Applies the example inventory and rules; the session secret may do so once.
+    pub async fn load_inventory(&self) -> Result<(), DemoError> {
+        let body = json!({
+            "change": random_id::<dfs_ids::ChangeId>("demo"),
+            "base": 0,
+            "inventory": parse::<Value>(INVENTORY)?,
+            "rules": parse::<Value>(RULES)?,
+        });
+        let call = Call::post("/v1/config", &body).context(ExampleSnafu)?;
+        let client = Client::new(Token::new(SESSION_SECRET)?, CALL_TIMEOUT_MS);
+        client.send(self.entry(0), &call).await?.accept::<Value>()?;
+        Ok(())
+    }
+
+    /// Waits until every entry has the configuration and a session with every target.
+    pub async fn wait_until_ready(&self) -> Result<(), DemoError> {
+        let ready = async {
+            while !self.is_ready().await {
+                tokio::time::sleep(READY_LOOK).await;
+            }
+        };
+        let wait = Duration::from_secs(READY_WAIT_S);
+        let in_time = tokio::time::timeout(wait, ready).await;
+        in_time.map_err(|_| DemoError::NotReady {
+            seconds: READY_WAIT_S,
+        })
+    }
+
+    async fn is_ready(&self) -> bool {
+        let Ok(statuses) = self.statuses().await else {
+            return false;
+        };
+        let live =
+            |status: &EntryStatus| status.targets.iter().filter(|t| t.target.is_some()).count();
+        statuses
+            .iter()
+            .all(|status| status.ready && live(status) == self.targets.len())
+    }
+
+    async fn statuses(&self) -> Result<Vec<EntryStatus>, DemoError> {
+        let client = Client::new(Token::new(OPERATOR_TOKEN)?, CALL_TIMEOUT_MS);
+        let mut statuses = Vec::new();
+        for entry in &self.entries {
+            let reply = client.send(entry.address, &Call::get("/v1/status")).await?;
+            statuses.push(reply.accept()?);
+        }
+        Ok(statuses)
+    }
+
+    /// Messages between processes for each settled task, renewals included.
+    #[expect(clippy::cast_precision_loss, reason = "a demo has few messages")]
+    pub async fn messages_per_task(&self) -> Result<f64, DemoError> {
+        let statuses = self.statuses().await?;
+        let messages: u64 = statuses.iter().map(|status| status.session_messages).sum();
+        let tasks: u64 = statuses.iter().map(|status| status.tasks_settled).sum();
+        Ok(messages as f64 / tasks.max(1) as f64)
+    }
+
+    /// Stops every process in order.
+    pub async fn stop(self) {
+        futures::future::join_all(self.entries.into_iter().map(Entry::stop)).await;
+        futures::future::join_all(self.agents.into_iter().map(Agent::stop)).await;
+    }
+}
+
+impl fmt::Display for Pool {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let (entries, targets) = (self.entries.len(), self.targets.len());
+        let domains = ENTRY_DOMAINS.join(" and ");
+        write!(
+            f,
+            "{entries} entries in {domains}, {targets} agents with their targets, stand-in platform"
+        )
+    }
+}
+
+fn metrics(process: &ProcessName) -> Result<Metrics, DemoError> {
+    let settings = LogSettings {
+        level: LogLevel::Error,
+        statsd_address: None,
+    };
+    dfs_log::init(&settings, process).context(LogSnafu)
+}
+
+fn entry_settings(domain: &str, platform: &Platform) -> Result<EntrySettings, DemoError> {
+    let platform = platform.addresses();
+    from_value(json!({
+        "entry": format!("entry-{domain}"),
+        "domain": domain,
+        "listen_address": "127.0.0.1:0",
+        "session_address": "127.0.0.1:0",
+        "session_secret": SESSION_SECRET,
+        "limits": { "unready_ms": 0 },
+        "store": {
+            "table_address": platform.table_address,
+            "object_address": platform.object_address,
+            "poll_ms": 200,
+        },
+    }))
+}
+
+fn agent_settings(
+    target: &dfs_conf::Target,
+    entries: &[SocketAddr],
+) -> Result<AgentSettings, DemoError> {
+    from_value(json!({
+        "agent": format!("agent-{}", target.target),
+        "domain": target.domain,
+        "listen_address": "127.0.0.1:0",
+        "entry_addresses": entries,
+        "session_secret": SESSION_SECRET,
+    }))
+}
+
+fn offer(target: &dfs_conf::Target) -> Offer {
+    Offer {
+        target: target.target.clone(),
+        services: target.services.clone(),
+        slots: target.slots,
+        connections: target.connections,
+        resources: target.resources,
+    }
+}
+
+fn from_value<T: DeserializeOwned>(value: Value) -> Result<T, DemoError> {
+    serde_json::from_value(value).context(ExampleSnafu)
+}
+
+fn parse<T: DeserializeOwned>(json: &str) -> Result<T, DemoError> {
+    serde_json::from_str(json).context(ExampleSnafu)
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -7,6 +7,7 @@
 
 use crate::client::CallError;
 use crate::config::ConfigFailure;
+use crate::demo::DemoError;
 use crate::exit::Exit;
 use crate::input::InputError;
 use crate::load::MixError;
@@ -58,6 +59,12 @@
         /// The cause.
         source: ConfigFailure,
     },
+    /// The demo failed.
+    #[snafu(transparent)]
+    Demo {
+        /// The cause.
+        source: DemoError,
+    },
     /// The mix of a load is not valid.
     #[snafu(transparent)]
     Mix {
@@ -71,7 +78,10 @@
     #[must_use]
     pub fn exit(&self) -> Exit {
         match self {
-            Self::Runtime { .. } | Self::Output { .. } | Self::Render { .. } => Exit::Local,
+            Self::Runtime { .. }
+            | Self::Output { .. }
+            | Self::Render { .. }
+            | Self::Demo { .. } => Exit::Local,
             Self::Options { .. } => Exit::Usage,
             Self::Input { source } => source.exit(),
             Self::Call { source } => source.exit(),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod completions;
 mod config;
+mod demo;
 mod error;
 mod exit;
 mod input;
@@ -52,6 +53,7 @@
         Command::Config(command) => config::run_config(command).await,
         Command::Status(args) => status::run(args).await,
         Command::Load(args) => load::run(args).await,
+        Command::Demo => demo::run().await,
         Command::Completions { shell } => completions::run(shell),
     }
 }
--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -224,23 +224,18 @@
     /// One session at a time brings configurations, so that each change arrives once; agents
     /// spread over the entries by rendezvous hashing.
     fn choose_config_source(&mut self) {
-        if self
-            .entries
-            .values()
-            .any(|view| view.is_config_source && view.connection.is_some())
-        {
-            return;
-        }
         let own = self.incarnation;
         let connected = self
             .entries
-            .iter_mut()
+            .iter()
             .filter(|(_, view)| view.connection.is_some());
-        let chosen = connected.max_by_key(|(entry, _)| weight(&own, entry));
-        let chosen = chosen.map(|(entry, _)| *entry);
+        let chosen = connected
+            .max_by_key(|(entry, _)| weight(&own, entry))
+            .map(|(entry, _)| *entry);
         for (entry, view) in &mut self.entries {
-            view.is_config_source = Some(*entry) == chosen;
-            view.tell_version |= view.is_config_source;
+            let is_source = Some(*entry) == chosen;
+            view.tell_version |= is_source != view.is_config_source;
+            view.is_config_source = is_source;
         }
     }
 
