--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -23,6 +23,8 @@
     Refuse,
     /// Takes requests and neither acts nor answers.
     Hang,
+    /// Acts on writes only once the mode changes, also if the client has given up by then.
+    HoldWrites,
 }
 
 /// Requests and replies still to be lost.
@@ -89,6 +91,12 @@
         self.mode.subscribe()
     }
 
+    /// Waits until writes are no longer held.
+    pub(crate) async fn released(&self) {
+        // The sender lives as long as this handle.
+        let _ = self.watch().wait_for(|m| *m != Mode::HoldWrites).await;
+    }
+
     pub(crate) fn set_listening(&self, listening: bool) {
         self.listening.send_replace(listening);
     }
