--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -125,10 +125,16 @@
     if let Err(e) = target.goodbye().await {
         eprintln!("goodbye: {e}");
     }
+    tokio::select! {
+        () = drained(&target) => Ok(()),
+        second = stopped() => second,
+    }
+}
+
+async fn drained(target: &TargetStandin) {
     while target.running() > 0 {
         tokio::time::sleep(DRAIN_INTERVAL).await;
     }
-    Ok(())
 }
 
 /// Waits for SIGTERM or SIGINT.
