--- a/crates/conf/src/check/mod.rs
+++ b/crates/conf/src/check/mod.rs
@@ -1,11 +1,15 @@
 //! Collects faults while a document is checked.
 
+mod known;
+
 use std::collections::HashMap;
 use std::fmt::Display;
 use std::hash::Hash;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 
+pub(crate) use known::Known;
+
 use crate::fault::Fault;
 use crate::fault::FieldPath;
 use crate::fault::Kind;
@@ -100,28 +104,23 @@
         }
     }
 
-    /// Every name of a list must be one of those that exist.
-    pub(crate) fn known<T>(&mut self, path: &FieldPath, names: &[T], kind: Kind, known: &[&T])
+    /// Every name of a list must be known.
+    pub(crate) fn all_known<T>(&mut self, path: &FieldPath, names: &[T], known: &Known<T>)
     where
-        T: Eq + Display,
+        T: Eq + Hash + Display,
     {
         for (path, name) in indexed(path, names) {
-            self.known_name(path, name, kind, known);
+            self.is_known(path, name, known);
         }
     }
 
-    /// A name must be one of those that exist.
-    pub(crate) fn known_name<T>(&mut self, path: FieldPath, name: &T, kind: Kind, known: &[&T])
+    /// A name must be known.
+    pub(crate) fn is_known<T>(&mut self, path: FieldPath, name: &T, known: &Known<T>)
     where
-        T: Eq + Display,
+        T: Eq + Hash + Display,
     {
-        if !known.contains(&name) {
-            let problem = Problem::UnknownName {
-                value: name.to_string(),
-                kind,
-                known: known.iter().map(ToString::to_string).collect(),
-            };
-            self.add(path, problem);
+        if !known.contains(name) {
+            self.add(path, known.unknown(name));
         }
     }
 }
--- a/crates/conf/src/fault.rs
+++ b/crates/conf/src/fault.rs
@@ -116,14 +116,16 @@
         rule: Rule,
     },
     /// The value stands for something that does not exist.
-    #[display("{value} is not a known {kind}; known: {}", known.join(", "))]
+    #[display("{value} is not a known {kind}; known: {}{}", known.join(", "), more(*not_listed))]
     UnknownName {
         /// The value.
         value: String,
         /// What it should name.
         kind: Kind,
-        /// What exists.
+        /// Some of those that exist.
         known: Vec<String>,
+        /// How many more exist.
+        not_listed: usize,
     },
     /// The value stands elsewhere already.
     #[display("{value} is already used by {first}")]
@@ -155,6 +157,13 @@
     },
 }
 
+fn more(not_listed: usize) -> String {
+    match not_listed {
+        0 => String::new(),
+        _ => format!(" and {not_listed} more"),
+    }
+}
+
 impl Problem {
     fn inside(self, outer: &FieldPath) -> Self {
         match self {
--- a/crates/conf/src/inventory/check.rs
+++ b/crates/conf/src/inventory/check.rs
@@ -18,6 +18,7 @@
 use crate::Faults;
 use crate::TokenDigest;
 use crate::check::Checker;
+use crate::check::Known;
 use crate::check::indexed;
 use crate::fault::Fault;
 use crate::fault::FieldPath;
@@ -113,18 +114,20 @@
 
 /// Names that groups and targets may refer to.
 struct Names<'a> {
-    domains: Vec<&'a FailureDomain>,
-    services: Vec<&'a ServiceName>,
+    domains: Known<'a, FailureDomain>,
+    services: Known<'a, ServiceName>,
     /// Empty if the inventory lists no targets, so that any may announce itself.
-    targets: Vec<&'a TargetId>,
+    targets: Known<'a, TargetId>,
 }
 
 impl<'a> Names<'a> {
     fn of(inventory: &'a Inventory) -> Self {
+        let services = inventory.services.iter().map(|s| &s.service);
+        let targets = inventory.targets.iter().map(|t| &t.target);
         Self {
-            domains: inventory.domains.iter().collect(),
-            services: inventory.services.iter().map(|s| &s.service).collect(),
-            targets: inventory.targets.iter().map(|t| &t.target).collect(),
+            domains: Known::new(Kind::Domain, &inventory.domains),
+            services: Known::new(Kind::Service, services),
+            targets: Known::new(Kind::Target, targets),
         }
     }
 }
@@ -138,13 +141,12 @@
     let targets = path.field("targets");
     checker.unique(indexed(&targets, &group.targets));
     if !names.targets.is_empty() {
-        checker.known(&targets, &group.targets, Kind::Target, &names.targets);
+        checker.all_known(&targets, &group.targets, &names.targets);
     }
 }
 
 fn check_target(checker: &mut Checker, path: &FieldPath, target: &Target, names: &Names) {
-    let domain = path.field("domain");
-    checker.known_name(domain, &target.domain, Kind::Domain, &names.domains);
+    checker.is_known(path.field("domain"), &target.domain, &names.domains);
     checker.not_empty(path.field("rack"), target.rack.is_empty(), Kind::Character);
     check_services(checker, &path.field("services"), &target.services, names);
     checker.range(path.field("slots"), target.slots, &SLOTS);
@@ -159,7 +161,7 @@
 ) {
     checker.not_empty(path.clone(), services.is_empty(), Kind::Service);
     checker.unique(indexed(path, services));
-    checker.known(path, services, Kind::Service, &names.services);
+    checker.all_known(path, services, &names.services);
 }
 
 impl Template for Inventory {
--- a/crates/conf/src/inventory/warning.rs
+++ b/crates/conf/src/inventory/warning.rs
@@ -1,5 +1,7 @@
 //! What an operator should know of a valid inventory.
 
+use std::collections::HashSet;
+
 use derive_more::Display;
 use dfs_ids::GroupId;
 use dfs_ids::ServiceName;
@@ -84,13 +86,13 @@
 
     /// Services that some target can run, but none of the group's.
     fn group_warnings(&self, group: &Group) -> Vec<Warning> {
-        let can_run = |t: &Target, s: &Service| t.runs(s) && t.resources.covers(&s.requires);
-        let draws_on = |t: &Target| group.targets.is_empty() || group.targets.contains(&t.target);
+        let listed: HashSet<&TargetId> = group.targets.iter().collect();
+        let draws_on = |t: &Target| listed.is_empty() || listed.contains(&t.target);
         self.services
             .iter()
             .filter(|s| group.services.contains(&s.service))
-            .filter(|s| self.targets.iter().any(|t| can_run(t, s)))
-            .filter(|s| !self.targets.iter().any(|t| draws_on(t) && can_run(t, s)))
+            .filter(|s| self.targets.iter().any(|t| t.can_run(s)))
+            .filter(|s| !self.targets.iter().any(|t| draws_on(t) && t.can_run(s)))
             .map(|s| Warning::GroupWithoutTarget {
                 group: group.group.clone(),
                 service: s.service.clone(),
@@ -103,6 +105,10 @@
     fn runs(&self, service: &Service) -> bool {
         self.services.contains(&service.service)
     }
+
+    fn can_run(&self, service: &Service) -> bool {
+        self.runs(service) && self.resources.covers(&service.requires)
+    }
 }
 
 fn target_warning(target: &Target) -> Option<Warning> {
--- a/crates/conf/tests/inventory.rs
+++ b/crates/conf/tests/inventory.rs
@@ -173,6 +173,15 @@
     }
 }
 
+#[googletest::test]
+fn a_fault_does_not_list_every_known_name() {
+    let domains: Vec<String> = (0..20).map(|n| format!("d{n}")).collect();
+    let faults = faults(&with("/domains", json!(domains)));
+    let expected = "aba is not a known failure domain; known: d0, d1, d2, d3, d4, d5, d6, d7 and \
+                    12 more";
+    expect_that!(faults, each(ends_with(expected)));
+}
+
 #[googletest::test]
 fn a_share_that_is_not_finite_is_refused() {
     let mut inventory = check_inventory(&valid()).unwrap();
