Load: the end of the load always comes before the end of a call

Cause: a call was given the time of the whole load. For a submission that left in the first millisecond both ends fell on one timer tick, and the submission was counted as reply_lost in place of unfinished.

Change: a call may outlast the load by 10 s, so it never ends first.

--- a/crates/cli/src/load/mod.rs
+++ b/crates/cli/src/load/mod.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dfs_ids::Millis;
 use snafu::OptionExt;
 
 use crate::cli::LoadArgs;
@@ -31,6 +32,9 @@
 
 pub use mix::MixError;
 
+/// Time by which a call may outlast the load, so that the end of the load always comes first.
+const CALL_MARGIN: Millis = Millis::new(10_000);
+
 /// Runs `load`.
 pub async fn run(args: LoadArgs) -> Result<Exit, Error> {
     let mix = mix(&args)?;
@@ -82,7 +86,7 @@
 
 /// One client for each group, over the same connections.
 fn clients(mix: &Mix) -> Vec<Client> {
-    let longest = mix.duration_ms + mix.drain_ms;
+    let longest = mix.duration_ms + mix.drain_ms + CALL_MARGIN;
     let first = Client::new(mix.groups[0].token.clone(), longest);
     let tokens = mix.groups.iter().map(|group| group.token.clone());
     tokens.map(|token| first.with_token(token)).collect()
