--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,183 @@
+//! Running a role from its settings.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use dfs_agent::Agent;
+use dfs_conf::AgentSettings;
+use dfs_conf::EntrySettings;
+use dfs_conf::SettingsError;
+use dfs_entry::Entry;
+use dfs_log::ErrorText;
+use dfs_log::ProcessEvent;
+use dfs_log::ProcessName;
+use serde::Serialize;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use crate::cli::Cli;
+use crate::cli::Options;
+use crate::cli::Role;
+use crate::signal::StopSignals;
+
+/// Exit code of a process that failed or could not start.
+pub const EXIT_FAILED: u8 = 1;
+/// Exit code of a planned stop that cut requests off.
+const EXIT_CUT: u8 = 3;
+
+/// Why the daemon ended.
+#[derive(Debug, Snafu)]
+pub enum RunError {
+    /// The settings file could not be read.
+    #[snafu(display("cannot read settings file {}: {source}", path.display()))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// The settings are not valid.
+    #[snafu(display("settings file {}: {source}", path.display()))]
+    Settings {
+        /// The file.
+        path: PathBuf,
+        /// Every fault.
+        source: SettingsError,
+    },
+    /// The example settings could not be printed.
+    #[snafu(display("cannot print the settings: {source}"))]
+    Print {
+        /// What the library says.
+        source: serde_json::Error,
+    },
+    /// The runtime could not be started.
+    #[snafu(display("cannot start the runtime: {source}"))]
+    Runtime {
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// Signals could not be handled.
+    #[snafu(display("cannot handle signals: {source}"))]
+    Signals {
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// Logs or metrics could not be set up.
+    #[snafu(transparent)]
+    Log {
+        /// What failed.
+        source: dfs_log::LogError,
+    },
+    /// The entry could not be started.
+    #[snafu(transparent)]
+    Entry {
+        /// What failed.
+        source: dfs_entry::StartError,
+    },
+    /// The agent could not be started.
+    #[snafu(transparent)]
+    Agent {
+        /// What failed.
+        source: dfs_agent::StartError,
+    },
+}
+
+/// Runs the role until it is stopped.
+pub fn run(cli: Cli) -> Result<ExitCode, RunError> {
+    match cli.role {
+        Role::Entry(options) => match load::<EntrySettings>(&options)? {
+            Some(settings) => runtime()?.block_on(run_entry(settings)),
+            None => Ok(ExitCode::SUCCESS),
+        },
+        Role::Agent(options) => match load::<AgentSettings>(&options)? {
+            Some(settings) => runtime()?.block_on(run_agent(settings)),
+            None => Ok(ExitCode::SUCCESS),
+        },
+    }
+}
+
+/// Settings of a role.
+trait Settings: Serialize + Sized {
+    fn parse(json: &str) -> Result<Self, SettingsError>;
+    fn defaults() -> Self;
+}
+
+impl Settings for EntrySettings {
+    fn parse(json: &str) -> Result<Self, SettingsError> {
+        Self::from_json(json)
+    }
+
+    fn defaults() -> Self {
+        Self::example()
+    }
+}
+
+impl Settings for AgentSettings {
+    fn parse(json: &str) -> Result<Self, SettingsError> {
+        Self::from_json(json)
+    }
+
+    fn defaults() -> Self {
+        Self::example()
+    }
+}
+
+/// The settings to run with, or none if there is nothing to run.
+fn load<S: Settings>(options: &Options) -> Result<Option<S>, RunError> {
+    let Some(path) = &options.settings else {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&S::defaults()).context(PrintSnafu)?
+        );
+        return Ok(None);
+    };
+    let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
+    let settings = S::parse(&text).context(SettingsSnafu { path });
+    if let Err(error) = &settings {
+        let error = ErrorText::new(error);
+        dfs_log::emit(ProcessEvent::SettingsRejected { error });
+    }
+    Ok((!options.check_settings).then_some(settings?))
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, RunError> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)
+}
+
+async fn run_entry(settings: EntrySettings) -> Result<ExitCode, RunError> {
+    let mut signals = StopSignals::listen().context(SignalsSnafu)?;
+    let metrics = dfs_log::init(&settings.log, &ProcessName::Entry(settings.entry.clone()))?;
+    let entry = Entry::start(settings, metrics).await?;
+    signals.next().await;
+    let kind = tokio::select! {
+        kind = entry.stop() => kind,
+        () = signals.next() => return Ok(second_signal()),
+    };
+    Ok(match kind {
+        dfs_entry::StopKind::Drained => ExitCode::SUCCESS,
+        dfs_entry::StopKind::BoundPassed => ExitCode::from(EXIT_CUT),
+    })
+}
+
+async fn run_agent(settings: AgentSettings) -> Result<ExitCode, RunError> {
+    let mut signals = StopSignals::listen().context(SignalsSnafu)?;
+    let metrics = dfs_log::init(&settings.log, &ProcessName::Agent(settings.agent.clone()))?;
+    let agent = Agent::start(settings, metrics).await?;
+    signals.next().await;
+    let kind = tokio::select! {
+        kind = agent.stop() => kind,
+        () = signals.next() => return Ok(second_signal()),
+    };
+    Ok(match kind {
+        dfs_agent::StopKind::Drained => ExitCode::SUCCESS,
+        dfs_agent::StopKind::BoundPassed => ExitCode::from(EXIT_CUT),
+    })
+}
+
+fn second_signal() -> ExitCode {
+    dfs_log::emit(ProcessEvent::SecondSignal { open: 0 });
+    ExitCode::from(EXIT_CUT)
+}
--- /dev/null
+++ b/crates/entry/src/version/holder.rs
@@ -0,0 +1,139 @@
+//! The version in force in this process.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use dfs_conf::Adoption;
+use dfs_conf::Config;
+use dfs_conf::ConfigDiff;
+use dfs_conf::ConfigHolder;
+use dfs_conf::ConfigUpdate;
+use dfs_conf::Identity;
+use dfs_conf::TokenIndex;
+use dfs_ids::Clock;
+use dfs_ids::ConfigVersion;
+use dfs_ids::FailureDomain;
+use dfs_ids::Millis;
+use dfs_ids::Moment;
+use dfs_log::ConfigEvent;
+use dfs_log::ConfigSource;
+use dfs_log::Gauge;
+use dfs_log::Metrics;
+use dfs_policy::entry::EntryEvent;
+
+use crate::process::CoreHandle;
+
+/// Earlier versions that are kept to work out differences.
+const KEPT_VERSIONS: usize = 16;
+
+/// Holds the version in force; it only ever moves to a higher one.
+#[derive(Debug, Clone)]
+pub(crate) struct Holder {
+    state: Arc<Mutex<State>>,
+    clock: Clock,
+    core: CoreHandle,
+    metrics: Metrics,
+    domain: FailureDomain,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    holder: ConfigHolder,
+    tokens: TokenIndex,
+    /// Versions that were in force before, the newest last.
+    earlier: VecDeque<Arc<Config>>,
+    confirmed_at: Option<Moment>,
+}
+
+impl Holder {
+    pub fn new(clock: Clock, core: CoreHandle, metrics: Metrics, domain: FailureDomain) -> Self {
+        Self {
+            state: Arc::default(),
+            clock,
+            core,
+            metrics,
+            domain,
+        }
+    }
+
+    /// Puts a version in force if it is higher than the one held.
+    pub fn adopt(&self, update: ConfigUpdate, source: ConfigSource) {
+        let Some(config) = self.state().adopt(update) else {
+            return;
+        };
+        let version = config.version;
+        self.core.event(EntryEvent::Configured(config));
+        self.metrics.set(Gauge::ConfigVersion, version.get());
+        let domain = self.domain.clone();
+        dfs_log::emit(ConfigEvent::Adopted {
+            version,
+            domain,
+            source,
+        });
+    }
+
+    pub fn held(&self) -> Option<Arc<Config>> {
+        self.state().holder.current().cloned()
+    }
+
+    /// The version in force, or zero.
+    pub fn version(&self) -> ConfigVersion {
+        self.state().holder.version().unwrap_or_default()
+    }
+
+    /// What a process that holds version `have` needs, if anything.
+    pub fn update_for(&self, have: ConfigVersion) -> Option<ConfigUpdate> {
+        let state = self.state();
+        let current = state.holder.current()?;
+        if have >= current.version {
+            return None;
+        }
+        let base = state.earlier.iter().find(|config| config.version == have);
+        Some(match base {
+            Some(base) => ConfigUpdate::Diff(ConfigDiff::between(base, current)),
+            None => ConfigUpdate::Whole(Config::clone(current)),
+        })
+    }
+
+    /// Notes that the table service has just confirmed the head.
+    pub fn confirm(&self) {
+        self.state().confirmed_at = Some(self.clock.now());
+    }
+
+    /// Time since the table service last confirmed the head.
+    pub fn age_ms(&self) -> Option<Millis> {
+        let confirmed_at = self.state().confirmed_at;
+        confirmed_at.map(|at| self.clock.now().since(at))
+    }
+
+    /// The owner of a token.
+    pub fn owner(&self, token: &str) -> Option<Identity> {
+        self.state().tokens.owner(token).cloned()
+    }
+
+    /// Every update leaves the state whole, so that a panic elsewhere does no harm to it.
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn adopt(&mut self, update: ConfigUpdate) -> Option<Arc<Config>> {
+        let before = self.holder.current().cloned();
+        // A difference to another version is dropped; the sender learns the version held.
+        let adoption = self.holder.offer_update(update).ok()?;
+        if matches!(adoption, Adoption::NotNewer { .. }) {
+            return None;
+        }
+        let config = self.holder.current()?.clone();
+        self.tokens = TokenIndex::new(&config.inventory);
+        self.earlier.extend(before);
+        if self.earlier.len() > KEPT_VERSIONS {
+            self.earlier.pop_front();
+        }
+        Some(config)
+    }
+}
