Check documents with dfs-conf and print its warnings

Cause: the tool checked only the shape of inventory and rules, so that a group with an unknown service was found by the entry alone.

Change: `check`, `apply` and `diff` use check_inventory and check_rules and print every fault; what is allowed but hardly meant is printed as a warning. The test of `diff` had given two groups one token digest, which these checks refuse; it now has one for each. The test of `check` also holds two faults in one row.

--- a/crates/cli/src/config/check.rs
+++ b/crates/cli/src/config/check.rs
@@ -3,10 +3,9 @@
 use std::path::Path;
 
 use serde_json::Value;
-use snafu::ensure;
 
+use super::ConfigFailure;
 use super::document::Document;
-use super::error::InvalidFileSnafu;
 use crate::cli::CheckArgs;
 use crate::error::Error;
 use crate::exit::Exit;
@@ -17,21 +16,22 @@
 pub fn run(document: Document, args: &CheckArgs) -> Result<Exit, Error> {
     read(document, &args.file)?;
     let path = args.file.display();
-    output::print(&format!("{path} is a valid {document}"))?;
+    output::print(&format!("{path}: valid {document}"))?;
     Ok(Exit::Success)
 }
 
-/// Reads a document that has no fault.
+/// Reads a document that has no fault; warnings go to standard error.
 pub fn read(document: Document, path: &Path) -> Result<Value, Error> {
     let value: Value = input::read_json(path)?;
-    let faults = document.faults(&value);
-    ensure!(
-        faults.is_empty(),
-        InvalidFileSnafu {
-            path,
+    let warnings = document
+        .check(&value)
+        .map_err(|faults| ConfigFailure::InvalidFile {
+            path: path.to_owned(),
             document,
-            faults
-        }
-    );
+            faults,
+        })?;
+    for warning in warnings {
+        eprintln!("warning: {warning}");
+    }
     Ok(value)
 }
--- a/crates/cli/src/config/document.rs
+++ b/crates/cli/src/config/document.rs
@@ -1,8 +1,12 @@
 //! The two documents of the configuration.
 
 use derive_more::Display;
+use dfs_conf::Faults;
 use dfs_conf::Inventory;
 use dfs_conf::Rules;
+use dfs_conf::Warning;
+use dfs_conf::check_inventory;
+use dfs_conf::check_rules;
 use dfs_wire::api::ConfigAnswer;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -20,12 +24,11 @@
 }
 
 impl Document {
-    /// Every fault of a document: path, value and what is allowed.
-    #[must_use]
-    pub fn faults(self, value: &Value) -> Vec<String> {
+    /// Checks a document; what is allowed but hardly meant comes back as warnings.
+    pub fn check(self, value: &Value) -> Result<Vec<Warning>, Faults> {
         match self {
-            Self::Inventory => shape_faults::<Inventory>(value),
-            Self::Rules => shape_faults::<Rules>(value),
+            Self::Inventory => check_inventory(value).map(|inventory| inventory.warnings()),
+            Self::Rules => check_rules(value).map(|_| Vec::new()),
         }
     }
 
@@ -55,12 +58,3 @@
         .and_then(|typed| serde_json::to_value(typed).ok())
         .unwrap_or(value)
 }
-
-fn shape_faults<T: DeserializeOwned>(value: &Value) -> Vec<String> {
-    let parsed: Result<T, _> = serde_path_to_error::deserialize(value);
-    let fault = parsed.err();
-    fault
-        .map(|fault| format!("{}: {}", fault.path(), fault.inner()))
-        .into_iter()
-        .collect()
-}
--- a/crates/cli/src/config/error.rs
+++ b/crates/cli/src/config/error.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use dfs_conf::Faults;
 use dfs_ids::ChangeId;
 use dfs_ids::ConfigVersion;
 use dfs_ids::Millis;
@@ -15,17 +16,17 @@
 #[snafu(visibility(pub))]
 pub enum ConfigFailure {
     /// The file is not valid.
-    #[snafu(display("{} is not a valid {document}:\n  {}", path.display(), faults.join("\n  ")))]
+    #[snafu(display("{}: faults in the {document}:\n{faults}", path.display()))]
     InvalidFile {
         /// The file.
         path: PathBuf,
         /// What it should hold.
         document: Document,
         /// Every fault found.
-        faults: Vec<String>,
+        faults: Faults,
     },
     /// The entry found the change not valid.
-    #[snafu(display("the entry refused the change:\n  {}", faults.join("\n  ")))]
+    #[snafu(display("the entry refused the change:\n{}", faults.join("\n")))]
     InvalidChange {
         /// Every fault found.
         faults: Vec<String>,
--- a/crates/cli/tests/tool/config.rs
+++ b/crates/cli/tests/tool/config.rs
@@ -159,6 +159,12 @@
     let run = Tool::new("inventory check").json(&faulty).run().expect(21);
     expect_that!(run.stderr, contains_substring("groups[0].share"));
     expect_that!(run.stderr, contains_substring("large"));
+    let mut contradictory = inventory(-1.0);
+    contradictory["groups"][0]["services"] = json!(["price-chekc"]);
+    let run = Tool::new("inventory check").json(&contradictory).run();
+    let run = run.expect(21);
+    expect_that!(run.stderr, contains_substring("groups[0].share"));
+    expect_that!(run.stderr, contains_substring("price-chekc"));
     let entry = FakeEntry::new([]);
     let tool = Tool::new("inventory apply").entry(&entry);
     tool.json(&faulty).run().expect(21);
@@ -188,6 +194,7 @@
     let groups = file["groups"].as_array_mut().unwrap();
     let mut binders = groups[0].clone();
     binders["group"] = json!("binders");
+    binders["tokens_sha256"] = json!(["ef".repeat(32)]);
     groups.insert(0, binders);
     let entry = FakeEntry::always(in_force(41));
     let tool = Tool::new("inventory diff").entry(&entry);
