--- /dev/null
+++ b/crates/policy/benches/grid/cluster.rs
@@ -0,0 +1,365 @@
+//! Entries and agents joined by links with a fixed delay; run times are the only other time.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+
+use dfs_conf::Config;
+use dfs_conf::LeaseSettings;
+use dfs_ids::AgentId;
+use dfs_ids::EntryId;
+use dfs_ids::FailureDomain;
+use dfs_ids::GroupId;
+use dfs_ids::Incarnation;
+use dfs_ids::Millis;
+use dfs_ids::Moment;
+use dfs_ids::ServiceName;
+use dfs_ids::Slots;
+use dfs_ids::SubmissionId;
+use dfs_ids::TargetId;
+use dfs_policy::ConnectionId;
+use dfs_policy::agent::Agent;
+use dfs_policy::agent::AgentAction;
+use dfs_policy::agent::AgentEvent;
+use dfs_policy::agent::RunEnd;
+use dfs_policy::entry::Entry;
+use dfs_policy::entry::EntryAction;
+use dfs_policy::entry::EntryEvent;
+use dfs_policy::entry::Identity;
+use dfs_policy::entry::Submission;
+use dfs_wire::api::Answer;
+use dfs_wire::session::Attach;
+use dfs_wire::session::TaskOutcome;
+use dfs_wire::target::Announcement;
+use dfs_wire::target::Offer;
+use dfs_wire::target::Resources;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_json::value::RawValue;
+
+use super::mix::Job;
+use super::mix::Mix;
+use super::mix::count;
+use super::tally::Sample;
+use super::tally::Tally;
+
+/// Size of the cluster and of its load.
+#[derive(Debug, Clone, Copy)]
+pub struct Shape {
+    pub entries: u64,
+    pub agents: u64,
+    pub slots: u32,
+    /// Work offered for each unit of capacity.
+    pub load: f64,
+    pub duration_us: u64,
+    pub seed: u64,
+}
+
+enum Happening {
+    Submit,
+    ToEntry(u64, EntryEvent),
+    ToAgent(u64, AgentEvent),
+    /// Ticks of every process and heartbeats of every target.
+    Ticks,
+}
+
+/// Submissions that are open.
+struct Open {
+    since: u64,
+    job: Job,
+    fitted: bool,
+}
+
+/// The cluster and what it has done.
+pub struct Cluster {
+    shape: Shape,
+    mix: Mix,
+    random: SmallRng,
+    entries: Vec<Entry>,
+    agents: Vec<Agent>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    happenings: BTreeMap<u64, Happening>,
+    serial: u64,
+    open: BTreeMap<SubmissionId, Open>,
+    /// Tasks that were submitted and have not ended.
+    tasks_in_system: u64,
+    tally: Tally,
+}
+
+const TICK_US: u64 = 20_000;
+/// Time for sessions to open before the first submission.
+const WARM_UP_US: u64 = 200_000;
+/// Longest wait for answers after the last submission.
+const DRAIN_US: u64 = 120_000_000;
+
+impl Cluster {
+    pub fn new(shape: Shape, mix: Mix, config: &Arc<Config>) -> Self {
+        let mut cluster = Self {
+            shape,
+            mix,
+            random: SmallRng::seed_from_u64(shape.seed),
+            entries: (0..shape.entries).map(|e| entry(e, shape.seed)).collect(),
+            agents: (0..shape.agents)
+                .map(|_| Agent::new(Millis::new(60_000)))
+                .collect(),
+            queue: BinaryHeap::new(),
+            happenings: BTreeMap::new(),
+            serial: 0,
+            open: BTreeMap::new(),
+            tasks_in_system: 0,
+            tally: Tally::default(),
+        };
+        cluster.connect(config);
+        cluster
+    }
+
+    fn connect(&mut self, config: &Arc<Config>) {
+        for e in 0..self.shape.entries {
+            self.at(
+                0,
+                Happening::ToEntry(e, EntryEvent::Configured(Arc::clone(config))),
+            );
+        }
+        for a in 0..self.shape.agents {
+            let announced = AgentEvent::Announced(self.announcement(a));
+            self.at(0, Happening::ToAgent(a, announced));
+            self.at(
+                0,
+                Happening::ToAgent(a, AgentEvent::Configured(Arc::clone(config))),
+            );
+            for e in 0..self.shape.entries {
+                let attach = Attach {
+                    secret: String::new(),
+                    agent: agent_id(a),
+                    incarnation: Incarnation::new(a + 1),
+                    domain: domain(),
+                };
+                let connection = self.connection(e, a);
+                self.at(
+                    1,
+                    Happening::ToEntry(e, EntryEvent::Attach { connection, attach }),
+                );
+            }
+        }
+        self.at(TICK_US, Happening::Ticks);
+        self.at(WARM_UP_US, Happening::Submit);
+    }
+
+    /// Runs the load to its end.
+    pub fn run(mut self) -> Tally {
+        let end = WARM_UP_US + self.shape.duration_us;
+        while let Some(Reverse((at, serial))) = self.queue.pop() {
+            let Some(happening) = self.happenings.remove(&serial) else {
+                continue;
+            };
+            let idle = at > end && self.open.is_empty();
+            if idle || at > end + DRAIN_US {
+                break;
+            }
+            match happening {
+                Happening::Submit if at > end => {}
+                Happening::Submit => self.submit(at),
+                Happening::Ticks => self.tick(at),
+                Happening::ToEntry(e, event) => self.enter(at, e, event),
+                Happening::ToAgent(a, event) => self.reach(at, a, event),
+            }
+        }
+        let now = Moment::from_micros(end);
+        let messages = self.entries.iter().map(|e| e.status(now).session_messages);
+        self.tally.messages = messages.sum();
+        self.tally.capacity_us =
+            self.shape.duration_us * self.shape.agents * u64::from(self.shape.slots);
+        self.tally
+    }
+
+    fn at(&mut self, time: u64, happening: Happening) {
+        self.serial += 1;
+        self.queue.push(Reverse((time, self.serial)));
+        self.happenings.insert(self.serial, happening);
+    }
+
+    fn submit(&mut self, now: u64) {
+        let job = self.mix.draw(&mut self.random);
+        let e = self.random.random_range(0..self.shape.entries);
+        let slots = u64::from(self.shape.slots) * self.shape.agents;
+        let tasks = job.run_us.len() as u64;
+        let name = SubmissionId::numbered(Incarnation::new(e + 1), self.serial);
+        let submission = Submission {
+            submission: name.clone(),
+            group: group(),
+            service: service(),
+            tasks: job.run_us.iter().map(|run_us| body(*run_us)).collect(),
+            deadline_ms: Some(Millis::new(job.deadline_ms)),
+            declared_ms: None,
+            repeatable: false,
+        };
+        let fitted = self.tasks_in_system + tasks <= slots;
+        self.tasks_in_system += tasks;
+        let open = Open {
+            since: now,
+            job,
+            fitted,
+        };
+        self.open.insert(name, open);
+        self.enter(now, e, EntryEvent::Submit(submission));
+        let rate = self.mix.rate_per_s(count(slots) * self.shape.load);
+        let gap_s = -(1.0 - self.random.random::<f64>()).ln() / rate;
+        let gap = std::time::Duration::from_secs_f64(gap_s).as_micros();
+        let gap = u64::try_from(gap).unwrap_or(u64::MAX);
+        self.at(now + gap, Happening::Submit);
+    }
+
+    fn tick(&mut self, now: u64) {
+        for e in 0..self.shape.entries {
+            self.enter(now, e, EntryEvent::Tick);
+        }
+        for a in 0..self.shape.agents {
+            let announced = AgentEvent::Announced(self.announcement(a));
+            self.reach(now, a, announced);
+            self.reach(now, a, AgentEvent::Tick);
+        }
+        self.at(now + TICK_US, Happening::Ticks);
+    }
+
+    fn enter(&mut self, now: u64, e: u64, event: EntryEvent) {
+        let moment = Moment::from_micros(now);
+        let entry = &mut self.entries[index(e)];
+        let mut actions = entry.handle(moment, event);
+        actions.extend(entry.flush(moment));
+        let later = now + self.mix.delay_us;
+        for action in actions {
+            match action {
+                EntryAction::Send {
+                    connection,
+                    message,
+                } => {
+                    let event = AgentEvent::Message {
+                        connection,
+                        message,
+                    };
+                    self.at(later, Happening::ToAgent(self.agent_of(connection), event));
+                }
+                EntryAction::Reply {
+                    connection,
+                    seq,
+                    reply: Ok(ack),
+                } => {
+                    let event = AgentEvent::Acked {
+                        connection,
+                        seq,
+                        ack,
+                    };
+                    self.at(later, Happening::ToAgent(self.agent_of(connection), event));
+                }
+                EntryAction::Answer { submission, answer } => {
+                    self.answered(now, &submission, &answer);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn reach(&mut self, now: u64, a: u64, event: AgentEvent) {
+        let moment = Moment::from_micros(now);
+        let agent = &mut self.agents[index(a)];
+        let mut actions = agent.handle(moment, event);
+        actions.extend(agent.flush(moment));
+        let later = now + self.mix.delay_us;
+        for action in actions {
+            match action {
+                AgentAction::Report { connection, report } => {
+                    let e = connection.0 / self.shape.agents;
+                    let event = EntryEvent::Report { connection, report };
+                    self.at(later, Happening::ToEntry(e, event));
+                }
+                AgentAction::Start { task, body, .. } => {
+                    let run_us = body.get().parse().unwrap_or_default();
+                    let end = RunEnd::Started(TaskOutcome::Done(body));
+                    let event = AgentEvent::Ended { task, run_us, end };
+                    self.tally.tasks += 1;
+                    self.at(now + run_us, Happening::ToAgent(a, event));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn answered(&mut self, now: u64, submission: &SubmissionId, answer: &Answer) {
+        let Some(open) = self.open.remove(submission) else {
+            return;
+        };
+        self.tasks_in_system -= open.job.run_us.len() as u64;
+        if let Some(failure) = &answer.failure {
+            self.tally.failed += 1;
+            self.tally.not_run += u64::from(failure.not_run);
+            return;
+        }
+        let longest = open.job.run_us.iter().max().copied().unwrap_or_default();
+        self.tally.useful_us += open.job.run_us.iter().sum::<u64>();
+        self.tally.samples.push(Sample {
+            response_us: now - open.since,
+            ideal_us: longest + 2 * self.mix.delay_us,
+            tasks: open.job.run_us.len(),
+            fitted: open.fitted,
+        });
+    }
+
+    const fn connection(&self, e: u64, a: u64) -> ConnectionId {
+        ConnectionId(e * self.shape.agents + a)
+    }
+
+    const fn agent_of(&self, connection: ConnectionId) -> u64 {
+        connection.0 % self.shape.agents
+    }
+
+    fn announcement(&self, a: u64) -> Announcement {
+        Announcement {
+            address: "127.0.0.1:1".parse().expect("a literal address"),
+            lease_ms: Millis::new(3_000),
+            offer: Offer {
+                target: format!("t{a}").parse::<TargetId>().expect("a valid name"),
+                services: vec![service()],
+                slots: Slots::new(self.shape.slots),
+                connections: 64,
+                resources: Resources::default(),
+            },
+        }
+    }
+}
+
+fn entry(e: u64, seed: u64) -> Entry {
+    let identity = Identity {
+        entry: format!("e{e}").parse::<EntryId>().expect("a valid name"),
+        domain: domain(),
+        incarnation: Incarnation::new(e + 1),
+        lease: LeaseSettings::default(),
+    };
+    Entry::new(identity, seed ^ (e << 32))
+}
+
+fn agent_id(a: u64) -> AgentId {
+    format!("a{a}").parse().expect("a valid name")
+}
+
+fn domain() -> FailureDomain {
+    "lagos".parse().expect("a valid name")
+}
+
+fn group() -> GroupId {
+    "printers".parse().expect("a valid name")
+}
+
+fn service() -> ServiceName {
+    "desk".parse().expect("a valid name")
+}
+
+fn body(run_us: u64) -> Arc<RawValue> {
+    let text = RawValue::from_string(run_us.to_string()).expect("a number is JSON");
+    Arc::from(text)
+}
+
+fn index(number: u64) -> usize {
+    usize::try_from(number).expect("a small index")
+}
--- /dev/null
+++ b/crates/policy/benches/grid/main.rs
@@ -0,0 +1,149 @@
+//! Response time and messages of the placement rules over a grid of loads, on the decision code
+//! alone: fixed delays, fixed run times, no processor time.
+//!
+//! `cargo bench -p dfs-policy --bench grid -- [FILTER]… [load=60,80] [seeds=3] [seconds=60]`
+
+mod cluster;
+mod mix;
+mod tally;
+
+use std::sync::Arc;
+use std::thread;
+
+use dfs_conf::Config;
+use dfs_conf::Rules;
+use serde_json::json;
+
+use self::cluster::Cluster;
+use self::cluster::Shape;
+use self::mix::MEMBER_DESK;
+use self::mix::Mix;
+use self::mix::RETURNS;
+use self::tally::TITLES;
+use self::tally::Tally;
+
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
+/// One set of rules to compare.
+struct Variant {
+    name: String,
+    entries: u64,
+    rules: Rules,
+}
+
+/// What the command line asks for.
+struct Options {
+    filters: Vec<String>,
+    loads: Vec<f64>,
+    seeds: u64,
+    seconds: u64,
+}
+
+fn variant(name: &str, entries: u64, placement: &serde_json::Value) -> Variant {
+    let rules = serde_json::from_value(json!({ "placement": placement }));
+    Variant {
+        name: name.to_owned(),
+        entries,
+        rules: rules.expect("the rules are valid"),
+    }
+}
+
+fn variants() -> Vec<Variant> {
+    let unbounded = 1_000.0;
+    let mut variants = Vec::new();
+    for policy in ["random", "two_choices", "least_work"] {
+        for order in ["first_come", "least_left"] {
+            let placement =
+                json!({ "policy": policy, "order": order, "open_tasks_per_slot": unbounded });
+            variants.push(variant(&format!("{policy}/{order}"), 4, &placement));
+        }
+    }
+    for hints in ["on_results", "on_edge", "on_change"] {
+        for open in [1.0, 1.5, 2.0, 4.0] {
+            let placement = json!({ "hints": hints, "open_tasks_per_slot": open });
+            variants.push(variant(&format!("window-{open}/{hints}"), 4, &placement));
+        }
+    }
+    let placement = json!({ "hints": "on_results", "open_tasks_per_slot": 1.0 });
+    variants.push(variant("single", 1, &placement));
+    variants
+}
+
+fn options() -> Options {
+    let mut options = Options {
+        filters: Vec::new(),
+        loads: vec![0.3, 0.6, 0.8, 0.95, 1.2],
+        seeds: 3,
+        seconds: 60,
+    };
+    for argument in std::env::args().skip(1).filter(|a| a != "--bench") {
+        match argument.split_once('=') {
+            Some(("load", list)) => {
+                let percents = list.split(',').filter_map(|p| p.parse::<f64>().ok());
+                options.loads = percents.map(|percent| percent / 100.0).collect();
+            }
+            Some(("seeds", n)) => options.seeds = n.parse().unwrap_or(options.seeds),
+            Some(("seconds", n)) => options.seconds = n.parse().unwrap_or(options.seconds),
+            _ => options.filters.push(argument),
+        }
+    }
+    options
+}
+
+fn config(rules: &Rules) -> Arc<Config> {
+    let digest = "0".repeat(64);
+    let inventory = json!({
+        "domains": ["lagos"],
+        "operators": [],
+        "services": [{ "service": "desk" }],
+        "groups": [{
+            "group": "printers", "share": 1.0, "tokens_sha256": [digest], "services": ["desk"],
+        }],
+    });
+    Arc::new(Config {
+        version: dfs_ids::ConfigVersion::new(1),
+        inventory: serde_json::from_value(inventory).expect("the inventory is valid"),
+        rules: rules.clone(),
+    })
+}
+
+/// Runs all seeds at once, each on its own thread.
+fn measure(options: &Options, mix: Mix, variant: &Variant, load: f64) -> Tally {
+    let config = config(&variant.rules);
+    let mut sum = Tally::default();
+    thread::scope(|scope| {
+        let start = |seed| {
+            let shape = Shape {
+                entries: variant.entries,
+                agents: 11,
+                slots: 8,
+                load,
+                duration_us: options.seconds * MICROS_PER_SECOND,
+                seed,
+            };
+            let config = &config;
+            scope.spawn(move || Cluster::new(shape, mix, config).run())
+        };
+        let runs: Vec<_> = (0..options.seeds).map(start).collect();
+        for run in runs {
+            sum.add(run.join().expect("a run ends"));
+        }
+    });
+    sum
+}
+
+fn main() {
+    let options = options();
+    let wanted = |name: &str| {
+        options.filters.is_empty() || options.filters.iter().any(|filter| name.contains(filter))
+    };
+    for mix in [MEMBER_DESK, RETURNS] {
+        for load in &options.loads {
+            println!("\n{} at {:.0}%\n{:26}{TITLES}", mix.name, load * 100.0, "");
+            for variant in variants().iter().filter(|v| wanted(&v.name)) {
+                let tally = measure(&options, mix, variant, *load);
+                println!("{:26}{}", variant.name, tally.row());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/benches/grid/tally.rs
@@ -0,0 +1,107 @@
+//! Response times and messages of one run.
+
+use super::mix::count;
+
+/// One submission that was answered whole.
+#[derive(Debug, Clone, Copy)]
+pub struct Sample {
+    /// Time from submission to answer, in microseconds.
+    pub response_us: u64,
+    /// Slowest run time and one round trip, in microseconds.
+    pub ideal_us: u64,
+    /// Its tasks.
+    pub tasks: usize,
+    /// Whether the free slots could take all its tasks when it arrived.
+    pub fitted: bool,
+}
+
+/// What one run found.
+#[derive(Debug, Clone, Default)]
+pub struct Tally {
+    /// Answered submissions.
+    pub samples: Vec<Sample>,
+    /// Submissions refused or failed.
+    pub failed: u64,
+    /// Those that certainly did not run.
+    pub not_run: u64,
+    /// Messages between entries and agents.
+    pub messages: u64,
+    /// Tasks that ran.
+    pub tasks: u64,
+    /// Run time of the tasks of answered submissions, in microseconds.
+    pub useful_us: u64,
+    /// Slots times duration, in microseconds.
+    pub capacity_us: u64,
+}
+
+/// Least number of tasks of a wide job.
+const WIDE_TASKS: usize = 160;
+
+/// Titles of [`Tally::row`].
+pub const TITLES: &str = "   mean    p50    p99 | fit mean  wait p50  p99 ms | wide p99 | \
+                          msg/task | useful | failed (not run)";
+
+impl Tally {
+    /// Adds another run.
+    pub fn add(&mut self, other: Self) {
+        self.samples.extend(other.samples);
+        self.failed += other.failed;
+        self.not_run += other.not_run;
+        self.messages += other.messages;
+        self.tasks += other.tasks;
+        self.useful_us += other.useful_us;
+        self.capacity_us += other.capacity_us;
+    }
+
+    /// The figures in one line.
+    pub fn row(&self) -> String {
+        let all = self.ratios(|_| true);
+        let fitted = self.ratios(|sample| sample.fitted);
+        let wide = self.ratios(|sample| sample.tasks >= WIDE_TASKS);
+        let mut waits: Vec<f64> = self
+            .samples
+            .iter()
+            .filter(|sample| sample.fitted)
+            .map(|s| count(s.response_us.saturating_sub(s.ideal_us)) / 1_000.0)
+            .collect();
+        waits.sort_by(f64::total_cmp);
+        format!(
+            "{:>7.3}{:>7.3}{:>7.2} |  {:>7.4}{:>10.2}{:>8.2} |{:>9.2} |{:>9.3} |{:>7.3} | {} ({})",
+            mean(&all),
+            quantile(&all, 0.5),
+            quantile(&all, 0.99),
+            mean(&fitted),
+            quantile(&waits, 0.5),
+            quantile(&waits, 0.99),
+            quantile(&wide, 0.99),
+            count(self.messages) / count(self.tasks.max(1)),
+            count(self.useful_us) / count(self.capacity_us.max(1)),
+            self.failed,
+            self.not_run,
+        )
+    }
+
+    fn ratios(&self, keep: impl Fn(&Sample) -> bool) -> Vec<f64> {
+        let kept = self.samples.iter().filter(|sample| keep(sample));
+        let mut ratios: Vec<f64> = kept
+            .map(|s| count(s.response_us) / count(s.ideal_us))
+            .collect();
+        ratios.sort_by(f64::total_cmp);
+        ratios
+    }
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / count(values.len().max(1) as u64)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "an index below the length"
+)]
+fn quantile(sorted: &[f64], part: f64) -> f64 {
+    let last = sorted.len().saturating_sub(1);
+    let index = (count(last as u64) * part).ceil() as usize;
+    sorted.get(index).copied().unwrap_or_default()
+}
