A task that finds no free slot is handed back once or twice

Cause: hints are as old as the agent's last result, so an entry queues a task at a busy agent beside an idle one.

--- a/crates/conf/src/rules/mod.rs
+++ b/crates/conf/src/rules/mod.rs
@@ -110,6 +110,9 @@
     pub ageing_ms_per_task: Millis,
     /// Open tasks that an agent grants to all entries together, for each slot.
     pub open_tasks_per_slot: f64,
+    /// Times that a task may be handed back by an agent that turns out to have no free slot; then
+    /// it is queued there.
+    pub max_hand_backs: u32,
     /// When agents tell their load.
     pub hints: HintMode,
     /// Shortest time between two load hints that ride on nothing.
@@ -123,6 +126,7 @@
             order: Order::default(),
             ageing_ms_per_task: Millis::new(50),
             open_tasks_per_slot: 4.0,
+            max_hand_backs: 2,
             hints: HintMode::default(),
             hint_cadence_ms: Millis::new(50),
         }
--- a/crates/policy/benches/grid/main.rs
+++ b/crates/policy/benches/grid/main.rs
@@ -53,15 +53,20 @@
     let mut variants = Vec::new();
     for policy in ["random", "two_choices", "least_work"] {
         for order in ["first_come", "least_left"] {
-            let placement =
-                json!({ "policy": policy, "order": order, "open_tasks_per_slot": unbounded });
+            let placement = json!({ "policy": policy, "order": order, "open_tasks_per_slot": unbounded,
+                    "max_hand_backs": 0 });
             variants.push(variant(&format!("{policy}/{order}"), 4, &placement));
         }
     }
     for hints in ["on_results", "on_edge", "on_change"] {
-        for open in [1.0, 1.5, 2.0, 4.0] {
-            let placement = json!({ "hints": hints, "open_tasks_per_slot": open });
-            variants.push(variant(&format!("window-{open}/{hints}"), 4, &placement));
+        for open in [1.0, 1.5, 2.0, 4.0, unbounded] {
+            for back in [0, 1, 2] {
+                let placement = json!({
+                    "hints": hints, "open_tasks_per_slot": open, "max_hand_backs": back,
+                });
+                let name = format!("{hints}/window-{open}/back-{back}");
+                variants.push(variant(&name, 4, &placement));
+            }
         }
     }
     let placement = json!({ "hints": "on_results", "open_tasks_per_slot": 1.0 });
--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -6,6 +6,7 @@
 use dfs_ids::GroupId;
 use dfs_ids::Incarnation;
 use dfs_ids::Moment;
+use dfs_wire::session::IfFull;
 use dfs_wire::session::NotRun;
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::Placement;
@@ -33,7 +34,7 @@
                 task: placed.task,
                 attempt: placed.attempt,
             };
-            if let Some(reason) = refusal {
+            if let Some(reason) = refusal.or_else(|| self.busy(placement.if_full)) {
                 self.tell_not_run(entry, task, reason);
                 continue;
             }
@@ -55,6 +56,11 @@
         self.shares.activate(&placement.group);
     }
 
+    fn busy(&self, if_full: IfFull) -> Option<NotRunReason> {
+        let occupied = self.running + self.queued >= self.slots();
+        (occupied && if_full == IfFull::HandBack).then_some(NotRunReason::Busy)
+    }
+
     fn refusal(&self, placement: &Placement) -> Option<NotRunReason> {
         let Some(target) = &self.target else {
             return Some(NotRunReason::Leaving);
--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -10,6 +10,7 @@
 use dfs_ids::SubmissionId;
 use dfs_ids::TaskIndex;
 use dfs_wire::session::EntryItem;
+use dfs_wire::session::IfFull;
 use dfs_wire::session::PlacedTask;
 use dfs_wire::session::Placement;
 use dfs_wire::session::TaskRef;
@@ -23,8 +24,16 @@
 use crate::placement::Choice;
 use crate::placement::pick;
 
-/// Tasks placed in one pass, by agent and submission.
-type Batches = BTreeMap<(AgentId, SubmissionId), Vec<PlacedTask>>;
+/// Tasks placed in one pass.
+type Batches = BTreeMap<BatchKey, Vec<PlacedTask>>;
+
+/// What the tasks of one placement have in common.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct BatchKey {
+    agent: AgentId,
+    submission: SubmissionId,
+    if_full: IfFull,
+}
 
 impl Entry {
     pub(super) fn dispatch(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
@@ -71,10 +80,35 @@
         let Some(agent) = self.choose_agent(now, config, lane, &submission, index) else {
             return false;
         };
-        self.place(lane, submission, index, agent, batches);
+        let most = config.rules.placement.max_hand_backs;
+        let if_full = self.if_full(most, &submission, index, &agent);
+        let key = BatchKey {
+            agent,
+            submission,
+            if_full,
+        };
+        self.place(lane, key, index, batches);
         true
     }
 
+    /// A task goes back only if a slot seemed free, since otherwise no other agent is better.
+    fn if_full(
+        &self,
+        max_hand_backs: u32,
+        submission: &SubmissionId,
+        index: TaskIndex,
+        agent: &AgentId,
+    ) -> IfFull {
+        let task = self.jobs.get(submission).and_then(|job| job.task(index));
+        let may_return = task.is_some_and(|task| task.hand_backs < max_hand_backs);
+        let seems_free = self.agents.get(agent).is_some_and(AgentView::has_free_slot);
+        if may_return && seems_free {
+            IfFull::HandBack
+        } else {
+            IfFull::Queue
+        }
+    }
+
     fn choose_agent(
         &mut self,
         now: Moment,
@@ -116,16 +150,10 @@
         view.is_open && now < view.heard_at + self.identity.lease.fresh_ms
     }
 
-    fn place(
-        &mut self,
-        lane: &Lane,
-        submission: SubmissionId,
-        index: TaskIndex,
-        agent: AgentId,
-        batches: &mut Batches,
-    ) {
+    fn place(&mut self, lane: &Lane, key: BatchKey, index: TaskIndex, batches: &mut Batches) {
+        let (agent, submission) = (&key.agent, &key.submission);
         let charged_us = self.totals.mean_run_us();
-        let Some(job) = self.jobs.get_mut(&submission) else {
+        let Some(job) = self.jobs.get_mut(submission) else {
             return;
         };
         job.pending.pop_front();
@@ -142,7 +170,7 @@
             attempt: task.attempt,
             body: task.body.clone(),
         };
-        if let Some(view) = self.agents.get_mut(&agent) {
+        if let Some(view) = self.agents.get_mut(agent) {
             view.outstanding.insert(TaskRef {
                 submission: submission.clone(),
                 task: index,
@@ -152,27 +180,28 @@
         self.shares.charge(&lane.group, charged_us);
         self.queue.uncount(&lane.group, 1);
         if is_last {
-            self.queue.take(lane, &submission);
+            self.queue.take(lane, submission);
         }
-        batches.entry((agent, submission)).or_default().push(placed);
+        batches.entry(key).or_default().push(placed);
     }
 
     fn send_batches(&mut self, now: Moment, batches: Batches, out: &mut Vec<EntryAction>) {
         let mut by_agent: BTreeMap<AgentId, Vec<EntryItem>> = BTreeMap::new();
-        for ((agent, submission), tasks) in batches {
-            let Some(job) = self.jobs.get(&submission) else {
+        for (key, tasks) in batches {
+            let Some(job) = self.jobs.get(&key.submission) else {
                 continue;
             };
             let placement = Placement {
-                submission,
+                submission: key.submission,
                 group: job.group.clone(),
                 service: job.service.clone(),
                 time_left_ms: job.deadline.since(now),
                 left: job.left,
+                if_full: key.if_full,
                 tasks,
             };
             by_agent
-                .entry(agent)
+                .entry(key.agent)
                 .or_default()
                 .push(EntryItem::Place(placement));
         }
--- a/crates/policy/src/entry/job.rs
+++ b/crates/policy/src/entry/job.rs
@@ -39,6 +39,8 @@
     pub attempt: Attempt,
     /// Attempts that ended in a refusal or, for a repeatable one, in an unknown outcome.
     pub failures: u32,
+    /// Times that an agent without a free slot handed it back.
+    pub hand_backs: u32,
     /// The agent that refused it last.
     pub avoid: Option<AgentId>,
     /// Whether an earlier attempt may have run; only a repeatable task has another one then.
@@ -65,6 +67,7 @@
             body,
             attempt: Attempt::default(),
             failures: 0,
+            hand_backs: 0,
             avoid: None,
             may_have_run: false,
             state: TaskState::Queued,
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -232,6 +232,7 @@
         }
         match reason {
             NotRunReason::Leaving | NotRunReason::Withdrawn => self.requeue(agent, task),
+            NotRunReason::Busy => self.on_handed_back(agent, task),
             NotRunReason::Expired => {
                 let message = format!("task {} did not start before its deadline", task.task);
                 self.fail(
@@ -255,6 +256,14 @@
         }
     }
 
+    fn on_handed_back(&mut self, agent: &AgentId, task: &TaskRef) {
+        let job = self.jobs.get_mut(&task.submission);
+        if let Some(handed_back) = job.and_then(|job| job.task_mut(task.task)) {
+            handed_back.hand_backs += 1;
+        }
+        self.requeue(agent, task);
+    }
+
     /// A task that the agent never read, as its list after the fence shows.
     pub(super) fn on_absent(&mut self, agent: &AgentId, task: &TaskRef) {
         if self.forget_outstanding(agent, task) && self.is_placed(agent, task) {
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -65,6 +65,11 @@
         self.open_tasks() < self.hint.window
     }
 
+    /// Whether a slot is free, as far as is known.
+    pub fn has_free_slot(&self) -> bool {
+        self.load() < 1.0
+    }
+
     /// Known open tasks for each slot: those of the hint, corrected by what this entry has placed
     /// and settled since.
     pub fn load(&self) -> f64 {
--- a/crates/wire/src/session/mod.rs
+++ b/crates/wire/src/session/mod.rs
@@ -13,6 +13,7 @@
 pub use attach::EntryItem;
 pub use attach::Open;
 pub use attach::ToAgent;
+pub use placement::IfFull;
 pub use placement::PlacedTask;
 pub use placement::Placement;
 pub use placement::TaskRef;
--- a/crates/wire/src/session/placement.rs
+++ b/crates/wire/src/session/placement.rs
@@ -16,6 +16,7 @@
 use serde::Serializer;
 use serde::de::Error;
 use serde::de::SeqAccess;
+use serde::de::Unexpected;
 use serde::de::Visitor;
 use serde::ser::SerializeSeq;
 use serde::ser::SerializeTuple;
@@ -35,7 +36,8 @@
 
 /// Tasks of one submission for one agent.
 ///
-/// On the wire: `[submission, group, service, time_left_ms, left, index, attempt, body, …]`.
+/// On the wire:
+/// `[submission, group, service, time_left_ms, left, if_full, index, attempt, body, …]`.
 #[derive(Debug, Clone)]
 pub struct Placement {
     /// The submission.
@@ -48,10 +50,21 @@
     pub time_left_ms: Millis,
     /// Tasks of the submission that are not settled yet.
     pub left: u32,
+    /// What becomes of tasks that find no free slot.
+    pub if_full: IfFull,
     /// The tasks; never empty.
     pub tasks: Vec<PlacedTask>,
 }
 
+/// What an agent does with a task that finds no free slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum IfFull {
+    /// Queues it.
+    Queue,
+    /// Hands it back at once, so that the entry can place it elsewhere.
+    HandBack,
+}
+
 /// One task of a placement.
 #[derive(Debug, Clone)]
 pub struct PlacedTask {
@@ -64,8 +77,32 @@
 }
 
 const TASK_REF_FIELDS: usize = 3;
-const PLACEMENT_HEAD_FIELDS: usize = 5;
+const PLACEMENT_HEAD_FIELDS: usize = 6;
 const PLACED_TASK_FIELDS: usize = 3;
+const IF_FULL_QUEUE: u8 = 0;
+const IF_FULL_HAND_BACK: u8 = 1;
+
+impl Serialize for IfFull {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u8(match self {
+            Self::Queue => IF_FULL_QUEUE,
+            Self::HandBack => IF_FULL_HAND_BACK,
+        })
+    }
+}
+
+impl<'de> Deserialize<'de> for IfFull {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        match u8::deserialize(deserializer)? {
+            IF_FULL_QUEUE => Ok(Self::Queue),
+            IF_FULL_HAND_BACK => Ok(Self::HandBack),
+            other => {
+                let found = Unexpected::Unsigned(other.into());
+                Err(D::Error::invalid_value(found, &"0 or 1"))
+            }
+        }
+    }
+}
 
 impl Serialize for TaskRef {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
@@ -110,6 +147,7 @@
         seq.serialize_element(self.service.as_str())?;
         seq.serialize_element(&self.time_left_ms)?;
         seq.serialize_element(&self.left)?;
+        seq.serialize_element(&self.if_full)?;
         for task in &self.tasks {
             seq.serialize_element(&task.task)?;
             seq.serialize_element(&task.attempt)?;
@@ -125,7 +163,9 @@
     type Value = Placement;
 
     fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        f.write_str("[submission, group, service, time_left_ms, left, index, attempt, body, …]")
+        f.write_str(
+            "[submission, group, service, time_left_ms, left, if_full, index, attempt, body, …]",
+        )
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Placement, A::Error> {
@@ -135,6 +175,7 @@
             service: required(&mut seq, "service")?,
             time_left_ms: required(&mut seq, "time_left_ms")?,
             left: required(&mut seq, "left")?,
+            if_full: required(&mut seq, "if_full")?,
             tasks: Vec::new(),
         };
         while let Some(task) = seq.next_element()? {
--- a/crates/wire/src/session/report.rs
+++ b/crates/wire/src/session/report.rs
@@ -101,6 +101,9 @@
     /// The target refused the connection.
     #[display("connection refused")]
     ConnectionRefused,
+    /// It found no free slot and was not to be queued.
+    #[display("no free slot")]
+    Busy,
     /// The agent's queue is full.
     #[display("queue full")]
     QueueFull,
