--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -93,6 +93,7 @@
         TargetOptions {
             listen: self.listen,
             control: self.control_address,
+            advertised: None,
             agent: Some(self.agent),
             lease_ms: Millis::new(self.lease_ms),
             offer,
--- a/crates/standin/src/target/mod.rs
+++ b/crates/standin/src/target/mod.rs
@@ -46,7 +46,9 @@
             state.faults(),
         )
         .await?;
-        let address = listeners.service.address();
+        let address = options
+            .advertised
+            .unwrap_or_else(|| listeners.service.address());
         listeners.control.also(announcer.run(address));
         Ok(Self { listeners, state })
     }
--- a/crates/standin/src/target/options.rs
+++ b/crates/standin/src/target/options.rs
@@ -14,6 +14,8 @@
     pub listen: SocketAddr,
     /// Address for commands.
     pub control: SocketAddr,
+    /// Address that it announces; absent: `listen`.
+    pub advertised: Option<SocketAddr>,
     /// Its agent; none: it announces itself to nobody.
     pub agent: Option<SocketAddr>,
     /// Lease of its announcements; heartbeats come three times as often.
@@ -29,6 +31,7 @@
         Self {
             listen: control::any_port(),
             control: control::any_port(),
+            advertised: None,
             agent,
             lease_ms: Millis::new(3_000),
             offer,
