--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -39,6 +39,8 @@
     shares: ShareLedger,
     rules: PlacementRules,
     version: Option<ConfigVersion>,
+    /// Life of this agent; spreads the agents' choices of a config source.
+    incarnation: Incarnation,
     keep_results_ms: Millis,
     running: u32,
     queued: u32,
@@ -57,7 +59,7 @@
 impl Agent {
     /// An agent that knows no entry, no target and no configuration.
     #[must_use]
-    pub fn new(keep_results_ms: Millis) -> Self {
+    pub fn new(incarnation: Incarnation, keep_results_ms: Millis) -> Self {
         Self {
             entries: BTreeMap::new(),
             records: BTreeMap::new(),
@@ -65,6 +67,7 @@
             shares: ShareLedger::default(),
             rules: PlacementRules::default(),
             version: None,
+            incarnation,
             keep_results_ms,
             running: 0,
             queued: 0,
@@ -96,7 +99,7 @@
             AgentEvent::Configured(config) => self.on_configured(&config),
             AgentEvent::ConfigBody { connection, body } => self.on_config_body(connection, body),
             AgentEvent::Stop => self.on_stop(),
-            AgentEvent::Tick => self.on_tick(now),
+            AgentEvent::Tick => self.on_tick(now, &mut out),
         }
         out
     }
@@ -113,6 +116,12 @@
         out
     }
 
+    /// Whether a target is within its lease.
+    #[must_use]
+    pub const fn has_target(&self) -> bool {
+        self.target.is_some()
+    }
+
     /// Tasks running on the target.
     #[must_use]
     pub const fn running(&self) -> u32 {
@@ -176,7 +185,7 @@
         self.return_queued();
     }
 
-    fn on_tick(&mut self, now: Moment) {
+    fn on_tick(&mut self, now: Moment, out: &mut Vec<AgentAction>) {
         let lapsed = self
             .target
             .as_ref()
@@ -184,7 +193,7 @@
         if lapsed {
             self.on_target_gone();
         }
-        self.expire_entries(now);
+        self.expire_entries(now, out);
     }
 
     fn tell_target(&mut self) {
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -5,7 +5,6 @@
 use dfs_ids::Moment;
 use dfs_wire::session::Ack;
 use dfs_wire::session::AgentItem;
-use dfs_wire::session::EntryItem;
 use dfs_wire::session::Held;
 use dfs_wire::session::LoadHint;
 use dfs_wire::session::Report;
@@ -60,6 +59,9 @@
                 AgentItem::Load(hint) => self.on_load(&agent, report.seq, hint),
                 AgentItem::Results(results) => {
                     for result in results {
+                        if let Some(job) = self.jobs.get_mut(&result.task.submission) {
+                            job.count_report(&agent, report.seq);
+                        }
                         self.on_result(now, &agent, result, out);
                     }
                 }
@@ -149,9 +151,7 @@
             .as_ref()
             .map(|config| config.version)
             .unwrap_or_default();
-        if version > own {
-            self.send_to(connection, vec![EntryItem::WantConfig], out);
-        } else if source && version < own {
+        if source && version < own {
             out.push(EntryAction::OfferConfig {
                 connection,
                 have: version,
