Tasks that hang on a target that is gone take no slots of its successor

Cause: an agent counted every running task against the slots of its latest target. Tasks on a target that was cut off hold their connection until target_run_timeout_ms (600 s by default), so a successor at another address got no work until then. Ruled out: settling such tasks at the lapse of the target's lease; a target that only lost its announcements still answers them whole. Change: a running task keeps the address it was started at, and only those at the latest address take slots.

--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -8,6 +8,7 @@
 mod view;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use dfs_conf::Config;
@@ -24,6 +25,7 @@
 pub use event::AgentEvent;
 pub use event::RunEnd;
 use record::Record;
+use record::Stage;
 use view::EntryView;
 
 use crate::share::ShareLedger;
@@ -43,6 +45,10 @@
     incarnation: Incarnation,
     keep_results_ms: Millis,
     running: u32,
+    /// Address of the latest target; kept after it has gone.
+    task_address: Option<SocketAddr>,
+    /// Tasks running on targets at other addresses, which take no slots of the latest one.
+    running_elsewhere: u32,
     queued: u32,
     stopping: bool,
     stopped: bool,
@@ -70,6 +76,8 @@
             incarnation,
             keep_results_ms,
             running: 0,
+            task_address: None,
+            running_elsewhere: 0,
             queued: 0,
             stopping: false,
             stopped: false,
@@ -160,6 +168,7 @@
             .target
             .as_ref()
             .is_none_or(|old| old.announcement != announcement);
+        self.follow(announcement.address);
         self.target = Some(LiveTarget {
             announcement,
             heard_at: now,
@@ -169,6 +178,21 @@
         }
     }
 
+    /// Counts anew which running tasks take slots of the target at this address.
+    fn follow(&mut self, address: SocketAddr) {
+        if self.task_address.replace(address) == Some(address) {
+            return;
+        }
+        let is_elsewhere = |record: &&Record| matches!(record.stage, Stage::Running { address: at, .. } if at != address);
+        let elsewhere = self.records.values().filter(is_elsewhere).count();
+        self.running_elsewhere = u32::try_from(elsewhere).unwrap_or(u32::MAX);
+    }
+
+    /// Slots of the latest target that are taken.
+    const fn occupied(&self) -> u32 {
+        self.running - self.running_elsewhere
+    }
+
     fn on_target_gone(&mut self) {
         if self.target.take().is_some() {
             self.tell_target();
--- a/crates/policy/src/agent/record.rs
+++ b/crates/policy/src/agent/record.rs
@@ -1,5 +1,6 @@
 //! Tasks that an agent has accepted.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use dfs_ids::GroupId;
@@ -30,7 +31,16 @@
 /// Stage of an accepted task; it only ever moves down this list.
 #[derive(Debug)]
 pub(super) enum Stage {
-    Queued { body: Arc<RawValue> },
-    Running { started_at: Moment },
-    Finished { result: TaskResult, sent: bool },
+    Queued {
+        body: Arc<RawValue>,
+    },
+    Running {
+        started_at: Moment,
+        /// The target's address at the start; a successor has another one.
+        address: SocketAddr,
+    },
+    Finished {
+        result: TaskResult,
+        sent: bool,
+    },
 }
--- a/crates/policy/src/agent/report.rs
+++ b/crates/policy/src/agent/report.rs
@@ -199,14 +199,14 @@
             .count();
         LoadHint {
             window: window(self.slots(), self.rules.open_tasks_per_slot, sessions),
-            running: self.running,
+            running: self.occupied(),
             queued: self.queued,
         }
     }
 
     /// Whether the target went from free to full or back since the last call.
     fn crossed_edge(&mut self) -> bool {
-        let full = self.running >= self.slots();
+        let full = self.occupied() >= self.slots();
         std::mem::replace(&mut self.was_full, full) != full
     }
 }
--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -124,7 +124,7 @@
 
     pub(super) fn start_ready(&mut self, now: Moment, out: &mut Vec<AgentAction>) {
         self.expire_queued(now);
-        while self.running < self.slots() && self.queued > 0 {
+        while self.occupied() < self.slots() && self.queued > 0 {
             let Some(task) = self.next_task(now) else {
                 return;
             };
@@ -174,7 +174,11 @@
         let Some(record) = self.records.get_mut(task) else {
             return;
         };
-        let running = Stage::Running { started_at: now };
+        let address = target.announcement.address;
+        let running = Stage::Running {
+            started_at: now,
+            address,
+        };
         let Stage::Queued { body } = std::mem::replace(&mut record.stage, running) else {
             return;
         };
@@ -184,7 +188,7 @@
             task: task.clone(),
             group: record.group.clone(),
             service: record.service.clone(),
-            address: target.announcement.address,
+            address,
             body,
         });
     }
@@ -193,10 +197,17 @@
         let Some(record) = self.records.get_mut(task) else {
             return;
         };
-        let Stage::Running { started_at } = record.stage else {
+        let Stage::Running {
+            started_at,
+            address,
+        } = record.stage
+        else {
             return;
         };
         self.running -= 1;
+        if self.task_address != Some(address) {
+            self.running_elsewhere -= 1;
+        }
         let group = record.group.clone();
         #[expect(
             clippy::cast_precision_loss,
