--- a/crates/policy/benches/grid/cluster.rs
+++ b/crates/policy/benches/grid/cluster.rs
@@ -102,7 +102,7 @@
             random: SmallRng::seed_from_u64(shape.seed),
             entries: (0..shape.entries).map(|e| entry(e, shape.seed)).collect(),
             agents: (0..shape.agents)
-                .map(|_| Agent::new(Millis::new(60_000)))
+                .map(|a| Agent::new(Incarnation::new(a), Millis::new(60_000)))
                 .collect(),
             queue: BinaryHeap::new(),
             happenings: BTreeMap::new(),
