--- a/crates/store/tests/claim.rs
+++ b/crates/store/tests/claim.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use common::Bench;
 use common::SHORT_TIMEOUT_MS;
@@ -25,6 +26,8 @@
 use tokio::task::JoinHandle;
 
 const CLAIMS: usize = 40;
+/// Four commits of at most 256 claims.
+const BURST: usize = 1_000;
 /// A budget that allows one write in the time of a test.
 const AN_HOUR: Duration = Duration::from_hours(1);
 
@@ -203,6 +206,22 @@
     assert_that!(bench.table.commits(), eq(1));
 }
 
+/// Prints the time it took with `--nocapture`.
+#[tokio::test]
+async fn a_burst_of_claims_takes_few_commits() {
+    let bench = Bench::spawn().await;
+    let keys: Vec<String> = (0..BURST).map(|n| format!("k{n}")).collect();
+    let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
+    let start = Instant::now();
+    let outcomes = joined(claims_of_one_batch(&bench, &keys)).await;
+    println!(
+        "{BURST} claims: {:.1} ms",
+        start.elapsed().as_secs_f64() * 1e3
+    );
+    assert_that!(outcomes, each(eq(&Claim::Claimed)));
+    assert_that!(bench.table.commits(), eq(4));
+}
+
 #[tokio::test]
 async fn a_taken_key_in_a_batch_harms_no_other() {
     let bench = Bench::spawn().await;
