List checks build a path only for a fault

Every element of every list got its path as a string, 135,000 of them at the two-year size. Paths are built for faults only now.

--- a/crates/conf/src/check/mod.rs
+++ b/crates/conf/src/check/mod.rs
@@ -104,13 +104,33 @@
         }
     }
 
+    /// Every element of a list must occur once.
+    pub(crate) fn unique_list<T>(&mut self, path: &FieldPath, list: &[T])
+    where
+        T: Eq + Hash + Display,
+    {
+        let mut firsts = HashMap::with_capacity(list.len());
+        for (i, value) in list.iter().enumerate() {
+            let first = *firsts.entry(value).or_insert(i);
+            if first != i {
+                let problem = Problem::Duplicate {
+                    value: value.to_string(),
+                    first: path.index(first),
+                };
+                self.add(path.index(i), problem);
+            }
+        }
+    }
+
     /// Every name of a list must be known.
     pub(crate) fn all_known<T>(&mut self, path: &FieldPath, names: &[T], known: &Known<T>)
     where
         T: Eq + Hash + Display,
     {
-        for (path, name) in indexed(path, names) {
-            self.is_known(path, name, known);
+        for (i, name) in names.iter().enumerate() {
+            if !known.contains(name) {
+                self.add(path.index(i), known.unknown(name));
+            }
         }
     }
 
--- a/crates/conf/src/inventory/check.rs
+++ b/crates/conf/src/inventory/check.rs
@@ -78,7 +78,7 @@
         checker.not_empty(operators.clone(), self.operators.is_empty(), Kind::Operator);
         checker.not_empty(services.clone(), self.services.is_empty(), Kind::Service);
         checker.not_empty(groups.clone(), self.groups.is_empty(), Kind::Group);
-        checker.unique(indexed(&domains, &self.domains));
+        checker.unique_list(&domains, &self.domains);
         let named = |path: FieldPath, name: &str| path.field(name);
         checker.unique(
             indexed(&operators, &self.operators).map(|(p, o)| (named(p, "operator"), &o.operator)),
@@ -139,7 +139,7 @@
     }
     check_services(checker, &path.field("services"), &group.services, names);
     let targets = path.field("targets");
-    checker.unique(indexed(&targets, &group.targets));
+    checker.unique_list(&targets, &group.targets);
     if !names.targets.is_empty() {
         checker.all_known(&targets, &group.targets, &names.targets);
     }
@@ -160,7 +160,7 @@
     names: &Names,
 ) {
     checker.not_empty(path.clone(), services.is_empty(), Kind::Service);
-    checker.unique(indexed(path, services));
+    checker.unique_list(path, services);
     checker.all_known(path, services, &names.services);
 }
 
--- a/crates/conf/src/settings/agent_check.rs
+++ b/crates/conf/src/settings/agent_check.rs
@@ -77,7 +77,7 @@
         let path = FieldPath::new("entry_addresses");
         let list = &self.entry_addresses;
         checker.not_empty(path.clone(), list.is_empty(), Kind::EntryAddress);
-        checker.unique(indexed(&path, list));
+        checker.unique_list(&path, list);
         for (path, address) in indexed(&path, list) {
             checker.dialable(path.clone(), *address);
             if common::share_a_port(self.listen_address, *address) {
