--- a/crates/cli/src/config/error.rs
+++ b/crates/cli/src/config/error.rs
@@ -1,5 +1,6 @@
 //! Why a command on the configuration failed.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use dfs_conf::Faults;
@@ -45,6 +46,16 @@
         /// Change that won.
         winner_change: ChangeId,
     },
+    /// The entry holds no configuration.
+    #[snafu(display(
+        "entry {entry} holds no configuration: {message}; pass --base 0 to apply the first one"
+    ))]
+    NoConfig {
+        /// The entry.
+        entry: SocketAddr,
+        /// What it said.
+        message: String,
+    },
     /// The token is not an operator's.
     #[snafu(display("the token is not an operator's: use one that the inventory lists"))]
     NotOperator,
@@ -82,6 +93,7 @@
         match self {
             Self::InvalidFile { .. } | Self::InvalidChange { .. } => Exit::ConfigInvalid,
             Self::Conflict { .. } => Exit::ConfigConflict,
+            Self::NoConfig { .. } => Exit::TryLater,
             Self::NotOperator => Exit::Denied,
             Self::Unsettled { .. } => Exit::ConfigUnsettled,
             Self::NotInForce { .. } => Exit::WaitTimeout,
--- a/crates/cli/src/config/head.rs
+++ b/crates/cli/src/config/head.rs
@@ -5,9 +5,11 @@
 use dfs_ids::Millis;
 use dfs_wire::api::ConfigAnswer;
 use dfs_wire::api::ConfigError;
+use dfs_wire::api::FailureReason;
 
 use super::ConfigFailure;
 use crate::client::Call;
+use crate::client::CallError;
 use crate::client::Client;
 use crate::client::Reply;
 use crate::error::Error;
@@ -26,7 +28,17 @@
     if is_forbidden(&reply) {
         return Err(ConfigFailure::NotOperator.into());
     }
-    Ok(reply.accept()?)
+    reply.accept().map_err(no_config)
+}
+
+fn no_config(error: CallError) -> Error {
+    match error {
+        CallError::Refused { entry, failure } if failure.reason == FailureReason::NotReady => {
+            let message = failure.message;
+            ConfigFailure::NoConfig { entry, message }.into()
+        }
+        error => error.into(),
+    }
 }
 
 fn is_forbidden(reply: &Reply) -> bool {
--- a/crates/cli/tests/tool/config.rs
+++ b/crates/cli/tests/tool/config.rs
@@ -131,6 +131,18 @@
     apply(&entry, "--base 41 --tries 2").expect(22);
 }
 
+#[googletest::test]
+fn an_entry_without_configuration_asks_for_base_0() {
+    let refused = json!({"outcome": "failed", "failure": {
+        "reason": "not_ready", "message": "holds none yet", "not_run": true,
+    }});
+    let entry = FakeEntry::new([Reply::Json(503, refused), accepted(1)]);
+    let run = apply(&entry, "").expect(13);
+    expect_that!(run.stderr, contains_substring("--base 0"));
+    apply(&entry, "--base 0").expect(0);
+    expect_that!(entry.seen()[1].body["base"], eq(0));
+}
+
 #[googletest::test]
 fn faults_that_the_entry_finds_are_all_printed() {
     let error = json!({"reason": "invalid", "faults": ["groups[0]: a", "groups[1]: b"]});
