--- a/crates/cli/src/load/report/table.rs
+++ b/crates/cli/src/load/report/table.rs
@@ -45,7 +45,7 @@
 }
 
 fn throughput(report: &Report) -> Table {
-    let mut table = Table::new(&["work", "submissions", "tasks", "tasks/s", "busy slots"]);
+    let mut table = Table::of_numbers(&["work", "submissions", "tasks", "tasks/s", "busy slots"]);
     let mut row = |name: &str, work: &Throughput| {
         table.row([
             name.to_owned(),
@@ -61,7 +61,7 @@
 }
 
 fn outcomes(report: &Report) -> Table {
-    let mut table = Table::new(&["outcome", "not run", "submissions", "tasks"]);
+    let mut table = Table::of_numbers(&["outcome", "not run", "submissions", "tasks"]);
     for row in &report.outcomes {
         table.row([
             row.outcome.to_string(),
@@ -74,7 +74,7 @@
 }
 
 fn scopes(report: &Report) -> Table {
-    let mut table = Table::new(&[
+    let mut table = Table::of_numbers(&[
         "response / ideal",
         "submissions",
         "complete",
--- a/crates/cli/src/output/table.rs
+++ b/crates/cli/src/output/table.rs
@@ -5,20 +5,27 @@
 use comfy_table::CellAlignment;
 use comfy_table::presets::ASCII_MARKDOWN;
 
-/// A table with a heading; its first column is aligned left, the others right.
+/// A table with a heading.
 #[derive(Debug)]
 pub struct Table(comfy_table::Table);
 
 impl Table {
-    /// An empty table with these column headings.
+    /// An empty table of texts, aligned left.
     #[must_use]
-    pub fn new(headings: &[&str]) -> Self {
+    pub fn of_texts(headings: &[&str]) -> Self {
         let mut table = comfy_table::Table::new();
         table.load_preset(ASCII_MARKDOWN).set_header(headings);
-        for column in table.column_iter_mut().skip(1) {
+        Self(table)
+    }
+
+    /// An empty table of names and numbers; only its first column is aligned left.
+    #[must_use]
+    pub fn of_numbers(headings: &[&str]) -> Self {
+        let mut table = Self::of_texts(headings);
+        for column in table.0.column_iter_mut().skip(1) {
             column.set_cell_alignment(CellAlignment::Right);
         }
-        Self(table)
+        table
     }
 
     /// Adds a row.
--- a/crates/cli/src/status/table.rs
+++ b/crates/cli/src/status/table.rs
@@ -30,7 +30,7 @@
 }
 
 fn entries(entries: &[EntrySummary]) -> Table {
-    let mut table = Table::new(&[
+    let mut table = Table::of_numbers(&[
         "entry",
         "failure domain",
         "version",
@@ -56,7 +56,7 @@
 }
 
 fn domains(view: &View) -> Table {
-    let mut table = Table::new(&[
+    let mut table = Table::of_numbers(&[
         "failure domain",
         "lowest version",
         "highest version",
@@ -74,7 +74,7 @@
 }
 
 fn groups(view: &View) -> Table {
-    let mut table = Table::new(&["group", "share", "queued", "placed", "busy ms"]);
+    let mut table = Table::of_numbers(&["group", "share", "queued", "placed", "busy ms"]);
     for group in &view.merged.groups {
         table.row([
             group.group.to_string(),
@@ -88,7 +88,7 @@
 }
 
 fn targets(targets: &[TargetSummary]) -> Table {
-    let mut table = Table::new(&[
+    let mut table = Table::of_numbers(&[
         "target",
         "agent",
         "failure domain",
--- a/crates/cli/src/submit/print.rs
+++ b/crates/cli/src/submit/print.rs
@@ -1,5 +1,6 @@
 //! Prints an answer.
 
+use dfs_ids::TaskIndex;
 use dfs_wire::api::Answer;
 use dfs_wire::api::Failure;
 
@@ -27,7 +28,7 @@
 }
 
 fn results(answer: &Answer) -> Table {
-    let mut table = Table::new(&["task", "result"]);
+    let mut table = Table::of_texts(&["task", "result"]);
     for (task, result) in answer.results.iter().enumerate() {
         table.row([task.to_string(), result.get().to_owned()]);
     }
@@ -35,7 +36,7 @@
 }
 
 fn failed(answer: &Answer, failure: &Failure) -> Table {
-    let mut table = Table::new(&["outcome", "failed"]);
+    let mut table = Table::of_texts(&["outcome", "failed"]);
     let mut row = |name: &str, value: String| table.row([name.to_owned(), value]);
     if let Some(submission) = &answer.submission {
         row("submission", submission.to_string());
@@ -44,7 +45,7 @@
     row("message", failure.message.clone());
     row("not run", failure.not_run.to_string());
     if !failure.may_have_run.is_empty() {
-        row("may have run", tasks(failure));
+        row("may have run", ranges(&failure.may_have_run));
     }
     if let Some(wait) = failure.retry_after_ms {
         row("retry after", wait.to_string());
@@ -55,11 +56,18 @@
     table
 }
 
-fn tasks(failure: &Failure) -> String {
-    let tasks: Vec<String> = failure
-        .may_have_run
-        .iter()
-        .map(ToString::to_string)
+/// Positions of tasks, neighbours joined to ranges.
+fn ranges(tasks: &[TaskIndex]) -> String {
+    let ranges: Vec<String> = tasks
+        .chunk_by(|task, after| task.next() == *after)
+        .filter_map(|range| Some((range.first()?, range.last()?)))
+        .map(|(first, last)| {
+            if first == last {
+                first.to_string()
+            } else {
+                format!("{first}-{last}")
+            }
+        })
         .collect();
-    tasks.join(" ")
+    ranges.join(" ")
 }
--- a/crates/cli/tests/tool/submit.rs
+++ b/crates/cli/tests/tool/submit.rs
@@ -92,12 +92,12 @@
 #[googletest::test]
 fn tasks_that_may_have_run_are_listed() {
     let mut answer = failure("outcome_unknown", false, None);
-    answer["failure"]["may_have_run"] = json!([0, 1]);
+    answer["failure"]["may_have_run"] = json!([0, 1, 2, 5]);
     answer["failure"]["faults"] = json!([{"task": 1, "message": "status 500"}]);
     let entry = FakeEntry::new([Reply::Json(502, answer)]);
     let run = Tool::new("job submit").entry(&entry).file(JOB).run();
     let run = run.expect(18);
-    expect_that!(run.stdout, contains_substring("0 1"));
+    expect_that!(run.stdout, contains_substring("0-2 5 "));
     expect_that!(run.stdout, contains_substring("status 500"));
 }
 
