--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -6,6 +6,7 @@
 use dfs_ids::GroupId;
 use dfs_ids::Incarnation;
 use dfs_ids::Moment;
+use dfs_wire::session::IfFull;
 use dfs_wire::session::NotRun;
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::Placement;
@@ -33,7 +34,7 @@
                 task: placed.task,
                 attempt: placed.attempt,
             };
-            if let Some(reason) = refusal {
+            if let Some(reason) = refusal.or_else(|| self.busy(placement.if_full)) {
                 self.tell_not_run(entry, task, reason);
                 continue;
             }
@@ -55,6 +56,11 @@
         self.shares.activate(&placement.group);
     }
 
+    fn busy(&self, if_full: IfFull) -> Option<NotRunReason> {
+        let occupied = self.running + self.queued >= self.slots();
+        (occupied && if_full == IfFull::HandBack).then_some(NotRunReason::Busy)
+    }
+
     fn refusal(&self, placement: &Placement) -> Option<NotRunReason> {
         let Some(target) = &self.target else {
             return Some(NotRunReason::Leaving);
@@ -124,7 +130,7 @@
 
     pub(super) fn start_ready(&mut self, now: Moment, out: &mut Vec<AgentAction>) {
         self.expire_queued(now);
-        while self.running < self.slots() && self.queued > 0 {
+        while self.occupied() < self.slots() && self.queued > 0 {
             let Some(task) = self.next_task(now) else {
                 return;
             };
@@ -174,7 +180,11 @@
         let Some(record) = self.records.get_mut(task) else {
             return;
         };
-        let running = Stage::Running { started_at: now };
+        let address = target.announcement.address;
+        let running = Stage::Running {
+            started_at: now,
+            address,
+        };
         let Stage::Queued { body } = std::mem::replace(&mut record.stage, running) else {
             return;
         };
@@ -184,7 +194,7 @@
             task: task.clone(),
             group: record.group.clone(),
             service: record.service.clone(),
-            address: target.announcement.address,
+            address,
             body,
         });
     }
@@ -193,10 +203,17 @@
         let Some(record) = self.records.get_mut(task) else {
             return;
         };
-        let Stage::Running { started_at } = record.stage else {
+        let Stage::Running {
+            started_at,
+            address,
+        } = record.stage
+        else {
             return;
         };
         self.running -= 1;
+        if self.task_address != Some(address) {
+            self.running_elsewhere -= 1;
+        }
         let group = record.group.clone();
         #[expect(
             clippy::cast_precision_loss,
