A planned stop of an agent waits for entries between two sessions

Cause: queued tasks were handed back to entries with a session only; one without learns it from the next session's list, but the agent stopped before that session, so the entry settled them as unknown. Ruled out: a lost reply or a lapsed lease; the entry's lease still held. Change: the stop waits until such an entry is back or its lease is over. Conclusion: absence proves "not run" only while the agent is there to say it.

--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -208,13 +208,20 @@
         })
     }
 
-    /// Whether nothing is left to run, and nothing to deliver to an entry within its lease.
+    /// Whether nothing is left to run, and nothing to tell an entry within its lease.
+    ///
+    /// An entry without a session may not know yet that its queued tasks are handed back; only the
+    /// next session tells it, so the stop waits for that session or the end of the lease.
     fn is_drained(&self, now: Moment) -> bool {
+        let awaits_session = |view: &EntryView| view.connection.is_none() && !view.has_lapsed(now);
         let deliverable = |record: &Record| {
             let view = self.entries.get(&record.entry);
-            view.is_some_and(|view| view.connection.is_some() || !view.has_lapsed(now))
+            view.is_some_and(|view| view.connection.is_some())
         };
-        let undelivered = self.running > 0 || self.records.values().any(deliverable);
-        self.stopping && !undelivered && !self.owes_report()
+        self.stopping
+            && self.running == 0
+            && !self.records.values().any(deliverable)
+            && !self.entries.values().any(awaits_session)
+            && !self.owes_report()
     }
 }
