A stopping agent reads what was sent before its entry knew

Cause: the reply to the report that announces the stop may overtake a placement written before it; the agent stopped without reading it, and the entry settled its tasks as unknown. Ruled out: a placement made after the entry knew; it offers nothing then. Change: the reply to a state of the target carries the number of messages sent so far (Ack::sent_messages, absent otherwise); the stop waits for them. Conclusion: messages and replies share a connection, but not an order.

--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -121,6 +121,9 @@
             return;
         };
         view.leased_at = view.leased_at.max(report.sent_at);
+        view.sent_messages = view
+            .sent_messages
+            .max(ack.sent_messages.unwrap_or_default());
         if seq == 0 {
             view.phase = Phase::Established;
         }
--- a/crates/policy/src/agent/report.rs
+++ b/crates/policy/src/agent/report.rs
@@ -30,10 +30,15 @@
         }
     }
 
-    /// Whether an entry with a session has not been told or has not acknowledged something.
+    /// Whether an entry with a session has not been told or has not acknowledged something, or has
+    /// sent something that is not read.
     pub(super) fn owes_report(&self) -> bool {
-        let owes =
-            |v: &EntryView| v.tell_target || !v.not_run.is_empty() || !v.in_flight.is_empty();
+        let owes = |v: &EntryView| {
+            v.tell_target
+                || !v.not_run.is_empty()
+                || !v.in_flight.is_empty()
+                || v.next_message < v.sent_messages
+        };
         self.entries
             .values()
             .filter(|view| view.connection.is_some())
--- a/crates/policy/src/agent/view.rs
+++ b/crates/policy/src/agent/view.rs
@@ -26,6 +26,8 @@
     pub phase: Phase,
     /// Position of the next message; any other closes the session.
     pub next_message: u64,
+    /// Messages that are known to be on their way or read.
+    pub sent_messages: u64,
     pub next_report: u64,
     pub in_flight: BTreeMap<u64, InFlight>,
     pub lease_ms: Millis,
@@ -75,6 +77,7 @@
             session,
             phase: Phase::Fencing,
             next_message: 0,
+            sent_messages: 0,
             next_report: 0,
             in_flight: BTreeMap::new(),
             lease_ms: open.lease_ms,
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -10,6 +10,7 @@
 use dfs_wire::session::LoadHint;
 use dfs_wire::session::Report;
 use dfs_wire::session::ReportError;
+use dfs_wire::session::TargetState;
 
 use super::Entry;
 use super::EntryAction;
@@ -56,7 +57,9 @@
         for item in report.items {
             match item {
                 AgentItem::Held(held) => ack = self.on_held(&agent, &held, out),
-                AgentItem::Target(state) => self.on_target(&agent, state),
+                AgentItem::Target(state) => {
+                    ack.sent_messages = self.on_target(&agent, state);
+                }
                 AgentItem::Load(hint) => self.on_load(&agent, report.seq, hint),
                 AgentItem::Results(results) => {
                     for result in results {
@@ -109,13 +112,17 @@
                 self.on_absent(agent, &task);
             }
         }
-        Ack { drop }
+        Ack {
+            drop,
+            ..Ack::default()
+        }
     }
 
-    fn on_target(&mut self, agent: &AgentId, state: dfs_wire::session::TargetState) {
-        if let Some(view) = self.agents.get_mut(agent) {
-            view.target = state;
-        }
+    /// Returns the number of messages sent before the state was known.
+    fn on_target(&mut self, agent: &AgentId, state: TargetState) -> Option<u64> {
+        let view = self.agents.get_mut(agent)?;
+        view.target = state;
+        Some(view.next_message)
     }
 
     fn on_load(&mut self, agent: &AgentId, seq: u64, hint: LoadHint) {
--- a/crates/policy/tests/matrix/matrix_pairs.rs
+++ b/crates/policy/tests/matrix/matrix_pairs.rs
@@ -70,3 +70,11 @@
     expect_that!(pairs(&PAIR, &lost, &stop, 1), is_empty());
     expect_that!(pairs(&PAIR, &stop, &lost, 1), is_empty());
 }
+
+#[googletest::test]
+fn a_planned_stop_cuts_nothing_when_messages_are_reordered() {
+    let reordered = [Kind::Late, Kind::Swapped, Kind::Doubled];
+    let stop = [Kind::StopAgent];
+    expect_that!(pairs(&PAIR, &reordered, &stop, 1), is_empty());
+    expect_that!(pairs(&PAIR, &stop, &reordered, 1), is_empty());
+}
--- a/crates/wire/src/session/report.rs
+++ b/crates/wire/src/session/report.rs
@@ -115,6 +115,10 @@
     /// Held tasks that the entry no longer wants; the agent drops those that are queued.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub drop: Vec<TaskRef>,
+    /// Messages that the entry had sent in the session, told when the report brought a state of
+    /// the target. A reply may overtake them; an agent that stops reads them all first.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sent_messages: Option<u64>,
 }
 
 /// Why a report was not accepted.
