An older state of a target or version replaces no newer one

Cause: reports of a session may cross, and only load hints were guarded; a late "absent" hid a target that was back for as long as the session held, and a late "live" drew placements to a target that had left. Ruled out: a lost report; the session closes then and tells all anew. Change: states and versions carry the number of their report, as hints do. Conclusion: whatever a report replaces needs the report's number.

--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -58,7 +58,7 @@
             match item {
                 AgentItem::Held(held) => ack = self.on_held(&agent, &held, out),
                 AgentItem::Target(state) => {
-                    ack.sent_messages = self.on_target(&agent, state);
+                    ack.sent_messages = self.on_target(&agent, report.seq, state);
                 }
                 AgentItem::Load(hint) => self.on_load(&agent, report.seq, hint),
                 AgentItem::Results(results) => {
@@ -72,7 +72,7 @@
                     }
                 }
                 AgentItem::Version(version, source) => {
-                    self.on_version(connection, &agent, version, source, out);
+                    self.on_version(connection, &agent, report.seq, (version, source), out);
                 }
                 AgentItem::Config(body) => out.push(EntryAction::ConfigReceived(body)),
             }
@@ -119,9 +119,12 @@
     }
 
     /// Returns the number of messages sent before the state was known.
-    fn on_target(&mut self, agent: &AgentId, state: TargetState) -> Option<u64> {
+    fn on_target(&mut self, agent: &AgentId, seq: u64, state: TargetState) -> Option<u64> {
         let view = self.agents.get_mut(agent)?;
-        view.target = state;
+        if view.target_seq <= seq {
+            view.target = state;
+            view.target_seq = seq;
+        }
         Some(view.next_message)
     }
 
@@ -142,13 +145,18 @@
         &mut self,
         connection: ConnectionId,
         agent: &AgentId,
-        version: ConfigVersion,
-        source: bool,
+        seq: u64,
+        (version, source): (ConfigVersion, bool),
         out: &mut Vec<EntryAction>,
     ) {
-        let Some(view) = self.agents.get_mut(agent) else {
+        let Some(view) = self
+            .agents
+            .get_mut(agent)
+            .filter(|view| view.version_seq <= seq)
+        else {
             return;
         };
+        view.version_seq = seq;
         view.version = Some(version);
         view.takes_config = source;
         let own = self
--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -88,11 +88,13 @@
             heard_at: now,
             idle_renew_ms,
             target: TargetState::Absent,
+            target_seq: 0,
             hint: LoadHint::default(),
             hint_seq: 0,
             open_at_hint: 0,
             outstanding: old.map(|old| old.outstanding).unwrap_or_default(),
             version: None,
+            version_seq: 0,
             takes_config: false,
             probed_at: None,
         };
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -31,6 +31,8 @@
     /// Longest silence that the agent was granted while it holds nothing.
     pub idle_renew_ms: Millis,
     pub target: TargetState,
+    /// Report that brought the state of the target; an older one does not replace it.
+    pub target_seq: u64,
     pub hint: LoadHint,
     /// Report that brought the hint.
     pub hint_seq: u64,
@@ -39,6 +41,8 @@
     /// Tasks handed to the agent and not settled, also those of answered submissions.
     pub outstanding: BTreeSet<TaskRef>,
     pub version: Option<ConfigVersion>,
+    /// Report that brought the version.
+    pub version_seq: u64,
     pub takes_config: bool,
     pub probed_at: Option<Moment>,
 }
--- a/crates/policy/tests/matrix/judge.rs
+++ b/crates/policy/tests/matrix/judge.rs
@@ -122,6 +122,10 @@
         let placed: u64 = status.targets.iter().map(|t| t.placed).sum();
         let idle = (status.open_submissions, queued, placed) == (0, 0, 0);
         ensure(idle, || format!("not idle: {status:?}"))?;
+        let offers = status.targets.iter().filter(|t| t.target.is_some()).count();
+        ensure(offers == world.targets.len(), || {
+            format!("targets not known: {status:?}")
+        })?;
     }
     Ok(())
 }
--- a/crates/policy/tests/matrix/matrix_pairs.rs
+++ b/crates/policy/tests/matrix/matrix_pairs.rs
@@ -78,3 +78,10 @@
     expect_that!(pairs(&PAIR, &reordered, &stop, 1), is_empty());
     expect_that!(pairs(&PAIR, &stop, &reordered, 1), is_empty());
 }
+
+#[googletest::test]
+fn an_older_state_of_a_target_replaces_no_newer_one() {
+    let reordered = [Kind::Late, Kind::Swapped, Kind::CutToEntryShort];
+    let leaving = [Kind::Goodbye];
+    expect_that!(pairs(&PAIR, &leaving, &reordered, 1), is_empty());
+}
