A failure does not list a task whose last attempt certainly did not run

Cause: a task that expired in an agent's queue or was refused for the last time was still placed when the failure was written, so the answer said that it may have run, and a caller could not submit it again. Ruled out: an earlier attempt with an unknown outcome; that mark is kept. Change: the task is queued again before its submission fails. Conclusion: a certain "not run" is said.

--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -233,6 +233,7 @@
         match reason {
             NotRunReason::Leaving | NotRunReason::Withdrawn => self.requeue(agent, task),
             NotRunReason::Expired => {
+                self.requeue(agent, task);
                 let message = format!("task {} did not start before its deadline", task.task);
                 self.fail(
                     &task.submission,
@@ -247,6 +248,7 @@
             | NotRunReason::NotOffered => {
                 self.note_failure(now, agent, task, out);
                 if !self.retry(agent, task, out) {
+                    self.requeue(agent, task);
                     let message = format!("task {} was refused ({reason}): try later", task.task);
                     let reason = FailureReason::RetriesExhausted;
                     self.fail(&task.submission, reason, message, Vec::new(), out);
--- a/crates/policy/tests/matrix/main.rs
+++ b/crates/policy/tests/matrix/main.rs
@@ -3,6 +3,7 @@
 mod fault;
 mod judge;
 mod link;
+mod matrix_directed;
 mod matrix_pairs;
 mod matrix_single;
 mod node;
--- /dev/null
+++ b/crates/policy/tests/matrix/matrix_directed.rs
@@ -0,0 +1,97 @@
+//! Single schedules, each for one promise that the other judges see only in part.
+
+use dfs_ids::SessionNumber;
+use dfs_wire::api::Failure;
+use dfs_wire::api::FailureReason;
+use dfs_wire::session::AgentItem;
+use dfs_wire::session::EntryItem;
+use dfs_wire::session::NotRun;
+use dfs_wire::session::NotRunReason;
+use dfs_wire::session::Report;
+use dfs_wire::session::TaskRef;
+use googletest::prelude::*;
+
+use crate::link::Item;
+use crate::node::Caller;
+use crate::world::World;
+
+const SECOND_US: u64 = 1_000_000;
+
+/// One entry and one agent with a session.
+fn pair() -> World {
+    let mut world = World::new(1, 1);
+    world.run_for(SECOND_US);
+    world
+}
+
+fn failure(world: &World, caller: usize) -> &Failure {
+    let (_, answer) = world.callers[caller].answers.first().expect("an answer");
+    answer.failure.as_ref().expect("a failure")
+}
+
+/// Runs until an entry has sent something that its agent has not read.
+fn run_until_sent(world: &mut World) {
+    while !world.items.values().any(|i| matches!(i, Item::Message(..))) {
+        world.step();
+    }
+}
+
+/// Takes the placements off the link and returns their tasks.
+fn intercept(world: &mut World) -> Vec<TaskRef> {
+    let messages = world
+        .items
+        .extract_if(.., |_, item| matches!(item, Item::Message(..)));
+    let messages: Vec<_> = messages.map(|(_, item)| item).collect();
+    let mut tasks = Vec::new();
+    for message in messages {
+        let Item::Message(_, message) = message else {
+            continue;
+        };
+        for item in message.items {
+            let EntryItem::Place(placement) = item else {
+                continue;
+            };
+            tasks.extend(placement.tasks.iter().map(|task| TaskRef {
+                submission: placement.submission.clone(),
+                task: task.task,
+                attempt: task.attempt,
+            }));
+        }
+    }
+    tasks
+}
+
+#[googletest::test]
+fn a_task_that_expired_in_the_queue_did_not_run() {
+    let mut world = pair();
+    world.submit(0, Caller::new(0, "late", 1, false));
+    run_until_sent(&mut world);
+    let (connection, _) = world.connections.first_key_value().unwrap();
+    let (connection, session) = (*connection, SessionNumber::new(1));
+    let reason = NotRunReason::Expired;
+    let not_run = intercept(&mut world).into_iter();
+    let not_run = not_run.map(|task| NotRun { task, reason }).collect();
+    let report = Report {
+        session,
+        seq: 1_000,
+        items: vec![AgentItem::NotRun(not_run)],
+    };
+    world.push(Item::Report(connection, report));
+    world.run_for(SECOND_US);
+    let failure = failure(&world, 0);
+    expect_that!(failure.reason, eq(FailureReason::DeadlineExceeded));
+    expect_that!(failure.not_run, eq(true));
+    expect_that!(failure.may_have_run, is_empty());
+}
+
+#[googletest::test]
+fn a_request_that_every_attempt_was_refused_for_did_not_run() {
+    let mut world = pair();
+    world.targets[0].is_up = false;
+    world.submit(0, Caller::new(0, "refused", 1, false));
+    world.run_for(SECOND_US);
+    let failure = failure(&world, 0);
+    expect_that!(failure.reason, eq(FailureReason::RetriesExhausted));
+    expect_that!(failure.not_run, eq(true));
+    expect_that!(failure.may_have_run, is_empty());
+}
