Tasks of answered submissions are dropped when a session is resumed

Cause: a withdrawal that was lost with its session was never repeated; the task stood on the list of held tasks, still outstanding, and started after its submission had been cancelled. Ruled out: a start between withdrawal and loss; the task was queued. Change: the reply to the list drops what no open submission has placed, and the entry counts it no longer. Before: the directed test saw one start after the answer; after: none.

--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -90,6 +90,12 @@
             return Ack::default();
         }
         view.is_open = true;
+        // A withdrawal may be lost with its session, so tasks of answered submissions are dropped.
+        let jobs = &self.jobs;
+        view.outstanding.retain(|task| {
+            let job = jobs.get(&task.submission);
+            job.is_some_and(|job| job.is_placed(task, agent))
+        });
         let missing: Vec<_> = view
             .outstanding
             .iter()
--- a/crates/policy/tests/matrix/matrix_directed.rs
+++ b/crates/policy/tests/matrix/matrix_directed.rs
@@ -11,6 +11,8 @@
 use dfs_wire::session::TaskRef;
 use googletest::prelude::*;
 
+use crate::fault::Fault;
+use crate::fault::Kind;
 use crate::link::Item;
 use crate::node::Caller;
 use crate::world::World;
@@ -29,6 +31,15 @@
     answer.failure.as_ref().expect("a failure")
 }
 
+fn inject(world: &mut World, kind: Kind, caller: usize) {
+    world.inject(Fault {
+        kind,
+        entry: 0,
+        agent: 0,
+        caller,
+    });
+}
+
 /// Runs until an entry has sent something that its agent has not read.
 fn run_until_sent(world: &mut World) {
     while !world.items.values().any(|i| matches!(i, Item::Message(..))) {
@@ -95,3 +106,30 @@
     expect_that!(failure.not_run, eq(true));
     expect_that!(failure.may_have_run, is_empty());
 }
+
+#[googletest::test]
+fn a_cancelled_task_does_not_start_in_the_next_session() {
+    let mut world = pair();
+    world.submit(0, Caller::new(0, "runs", 1, false));
+    world.submit(0, Caller::new(0, "waits", 1, false));
+    while world.starts.is_empty()
+        || !world
+            .items
+            .values()
+            .all(|i| matches!(i, Item::Ended { .. }))
+    {
+        world.step();
+    }
+    inject(&mut world, Kind::Cancel, 1);
+    world.step();
+    inject(&mut world, Kind::Reset, 1);
+    world.run_for(5 * SECOND_US);
+    let cancelled = world.callers[1].submission.as_ref();
+    let started = world
+        .starts
+        .iter()
+        .filter(|s| Some(&s.submission) == cancelled);
+    expect_that!(started.count(), eq(0));
+    expect_that!(failure(&world, 1).reason, eq(FailureReason::Cancelled));
+    expect_that!(crate::judge::judge_idle(&world), eq(&Ok(())));
+}
