An agent that had nothing to forget does not say so for ever

Cause: an agent that never read the first opening took the second one for that of an entry whose tasks it had dropped, and kept the mark; each later task that was lost on its way was settled as unknown. Ruled out: a task that had been read; the target's log has no start. Change: the mark ends with the acknowledgement of the list that bore it, since the entry has settled all that was missing then. Before: the directed test failed with an unknown outcome; after: complete. Conclusion: the mark is about one list, not about an entry.

--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -126,6 +126,7 @@
             .max(ack.sent_messages.unwrap_or_default());
         if seq == 0 {
             view.phase = Phase::Established;
+            view.forgotten = false;
         }
         for task in &report.results {
             self.records.remove(task);
--- a/crates/policy/src/agent/view.rs
+++ b/crates/policy/src/agent/view.rs
@@ -37,7 +37,8 @@
     /// that waited in a buffer while the agent was paused does not renew it.
     pub leased_at: Moment,
     pub last_sent_at: Moment,
-    /// Whether records of started tasks of this entry were dropped.
+    /// Whether records of started tasks of this entry may have been dropped since a list of held
+    /// tasks was acknowledged.
     pub forgotten: bool,
     pub not_run: Vec<NotRun>,
     pub config_body: Option<Box<RawValue>>,
--- a/crates/policy/tests/matrix/matrix_directed.rs
+++ b/crates/policy/tests/matrix/matrix_directed.rs
@@ -3,6 +3,7 @@
 use dfs_ids::SessionNumber;
 use dfs_wire::api::Failure;
 use dfs_wire::api::FailureReason;
+use dfs_wire::api::Outcome;
 use dfs_wire::session::AgentItem;
 use dfs_wire::session::EntryItem;
 use dfs_wire::session::NotRun;
@@ -133,3 +134,17 @@
     expect_that!(failure(&world, 1).reason, eq(FailureReason::Cancelled));
     expect_that!(crate::judge::judge_idle(&world), eq(&Ok(())));
 }
+
+#[googletest::test]
+fn a_session_lost_before_it_opened_spoils_no_later_one() {
+    let mut world = World::new(1, 1);
+    run_until_sent(&mut world);
+    inject(&mut world, Kind::ResetToAgent, 0);
+    world.run_for(SECOND_US);
+    world.submit(0, Caller::new(0, "placed twice", 1, false));
+    run_until_sent(&mut world);
+    inject(&mut world, Kind::ResetToAgent, 0);
+    world.run_for(5 * SECOND_US);
+    let (_, answer) = &world.callers[0].answers[0];
+    expect_that!(answer.outcome, eq(Outcome::Complete));
+}
