--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -122,8 +122,12 @@
             return;
         };
         view.leased_at = view.leased_at.max(report.sent_at);
+        view.sent_messages = view
+            .sent_messages
+            .max(ack.sent_messages.unwrap_or_default());
         if seq == 0 {
             view.phase = Phase::Established;
+            view.forgotten = false;
         }
         for task in &report.results {
             self.records.remove(task);
--- a/crates/policy/src/agent/view.rs
+++ b/crates/policy/src/agent/view.rs
@@ -28,6 +28,8 @@
     pub phase: Phase,
     /// Position of the next message; any other closes the session.
     pub next_message: u64,
+    /// Messages that are known to be on their way or read.
+    pub sent_messages: u64,
     pub next_report: u64,
     pub in_flight: BTreeMap<u64, InFlight>,
     pub lease_ms: Millis,
@@ -37,7 +39,8 @@
     /// that waited in a buffer while the agent was paused does not renew it.
     pub leased_at: Moment,
     pub last_sent_at: Moment,
-    /// Whether records of started tasks of this entry were dropped.
+    /// Whether records of started tasks of this entry may have been dropped since a list of held
+    /// tasks was acknowledged.
     pub forgotten: bool,
     pub not_run: Vec<NotRun>,
     pub config_body: Option<Box<RawValue>>,
@@ -78,6 +81,7 @@
             session,
             phase: Phase::Fencing,
             next_message: 0,
+            sent_messages: 0,
             next_report: 0,
             in_flight: BTreeMap::new(),
             lease_ms: open.lease_ms,
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -9,6 +9,7 @@
 use dfs_wire::session::LoadHint;
 use dfs_wire::session::Report;
 use dfs_wire::session::ReportError;
+use dfs_wire::session::TargetState;
 
 use super::Entry;
 use super::EntryAction;
@@ -55,7 +56,9 @@
         for item in report.items {
             match item {
                 AgentItem::Held(held) => ack = self.on_held(&agent, &held, out),
-                AgentItem::Target(state) => self.on_target(&agent, state),
+                AgentItem::Target(state) => {
+                    ack.sent_messages = self.on_target(&agent, report.seq, state);
+                }
                 AgentItem::Load(hint) => self.on_load(&agent, report.seq, hint),
                 AgentItem::Results(results) => {
                     for result in results {
@@ -71,7 +74,7 @@
                     }
                 }
                 AgentItem::Version(version, source) => {
-                    self.on_version(connection, &agent, version, source, out);
+                    self.on_version(connection, &agent, report.seq, (version, source), out);
                 }
                 AgentItem::Config(body) => out.push(EntryAction::ConfigReceived(body)),
             }
@@ -89,6 +92,12 @@
             return Ack::default();
         }
         view.is_open = true;
+        // A withdrawal may be lost with its session, so tasks of answered submissions are dropped.
+        let jobs = &self.jobs;
+        view.outstanding.retain(|task| {
+            let job = jobs.get(&task.submission);
+            job.is_some_and(|job| job.is_placed(task, agent))
+        });
         let missing: Vec<_> = view
             .outstanding
             .iter()
@@ -111,13 +120,20 @@
                 self.on_absent(agent, &task);
             }
         }
-        Ack { drop }
+        Ack {
+            drop,
+            ..Ack::default()
+        }
     }
 
-    fn on_target(&mut self, agent: &AgentId, state: dfs_wire::session::TargetState) {
-        if let Some(view) = self.agents.get_mut(agent) {
+    /// Returns the number of messages sent before the state was known.
+    fn on_target(&mut self, agent: &AgentId, seq: u64, state: TargetState) -> Option<u64> {
+        let view = self.agents.get_mut(agent)?;
+        if view.target_seq <= seq {
             view.target = state;
+            view.target_seq = seq;
         }
+        Some(view.next_message)
     }
 
     fn on_load(&mut self, agent: &AgentId, seq: u64, hint: LoadHint) {
@@ -137,13 +153,18 @@
         &mut self,
         connection: ConnectionId,
         agent: &AgentId,
-        version: ConfigVersion,
-        source: bool,
+        seq: u64,
+        (version, source): (ConfigVersion, bool),
         out: &mut Vec<EntryAction>,
     ) {
-        let Some(view) = self.agents.get_mut(agent) else {
+        let Some(view) = self
+            .agents
+            .get_mut(agent)
+            .filter(|view| view.version_seq <= seq)
+        else {
             return;
         };
+        view.version_seq = seq;
         view.version = Some(version);
         view.takes_config = source;
         let own = self
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -236,6 +236,7 @@
             NotRunReason::Leaving | NotRunReason::Withdrawn => self.requeue(agent, task),
             NotRunReason::Busy => self.on_handed_back(agent, task),
             NotRunReason::Expired => {
+                self.requeue(agent, task);
                 let message = format!("task {} did not start before its deadline", task.task);
                 self.fail(
                     &task.submission,
@@ -250,6 +251,7 @@
             | NotRunReason::NotOffered => {
                 self.note_failure(now, agent, task, out);
                 if !self.retry(agent, task, out) {
+                    self.requeue(agent, task);
                     let message = format!("task {} was refused ({reason}): try later", task.task);
                     let reason = FailureReason::RetriesExhausted;
                     self.fail(&task.submission, reason, message, Vec::new(), out);
