--- a/crates/daemon/tests/faults/links.rs
+++ b/crates/daemon/tests/faults/links.rs
@@ -14,12 +14,18 @@
 const CUT_MS: u64 = 2_000;
 const CUTS: [Cut; 4] = [Cut::ToServer, Cut::ToClient, Cut::Both, Cut::Broken];
 
+fn set(links: &[&Relay], cut: Cut) {
+    for link in links {
+        link.cut(cut);
+    }
+}
+
 /// Cuts all these links at once and mends them, in every way.
 async fn cut_and_mend(links: &[&Relay], cluster: &Cluster, load: &Load) {
     for cut in CUTS {
-        links.iter().for_each(|link| link.cut(cut));
+        set(links, cut);
         pause_ms(CUT_MS).await;
-        links.iter().for_each(|link| link.cut(Cut::Mended));
+        set(links, Cut::Mended);
         cluster.recovered().await;
         load.flows().await;
     }
--- a/crates/daemon/tests/faults/support/cluster.rs
+++ b/crates/daemon/tests/faults/support/cluster.rs
@@ -228,6 +228,14 @@
         self.agents[number].connect().await;
     }
 
+    /// An agent like agent 0, but with another name and secret.
+    pub fn stranger(&self, secret: &str) -> Daemon {
+        let mut settings = self.agents[0].settings.clone();
+        settings["agent"] = json!("stranger");
+        settings["session_secret"] = json!(secret);
+        Daemon::spawn(Role::Agent, "stranger", &settings, self.files.path())
+    }
+
     /// Ends a target at once, if there is one.
     pub fn kill_target(&mut self, number: usize) {
         self.agents[number].target = None;
@@ -342,7 +350,7 @@
 }
 
 /// One group, one service, two failure domains.
-pub fn inventory() -> Value {
+fn inventory() -> Value {
     json!({
         "domains": DOMAINS,
         "operators": [{ "operator": "ada", "token_sha256": TokenDigest::of(OPERATOR_TOKEN) }],
--- a/crates/daemon/tests/faults/support/daemon.rs
+++ b/crates/daemon/tests/faults/support/daemon.rs
@@ -128,10 +128,6 @@
         .await;
         status.unwrap()
     }
-
-    pub fn is_running(&mut self) -> bool {
-        self.child.try_wait().unwrap().is_none()
-    }
 }
 
 impl Drop for Daemon {
--- a/crates/daemon/tests/faults/support/judge.rs
+++ b/crates/daemon/tests/faults/support/judge.rs
@@ -42,7 +42,7 @@
             }
             Ok(answer) => check_failed(record, answer, &starts, &mut found),
             Err(CallError::NotConnected) => {
-                check_not_run("no connection", record, &starts, &mut found)
+                check_not_run("no connection", record, &starts, &mut found);
             }
             Err(CallError::Broken(_)) if may_lose(record.entry) => {}
             Err(error) => found.push(format!("no final answer ({error:?}): {record:?}")),
@@ -62,8 +62,8 @@
 fn check_complete(record: &Record, answer: &Answer, starts: &Starts, found: &mut Vec<String>) {
     let echo = |id| json!({ "ok": true, "echo": { "id": id, "try": record.attempt } });
     let own: Vec<Value> = record.ids.iter().map(echo).collect();
-    let parse = |result: &Box<serde_json::value::RawValue>| serde_json::from_str(result.get());
-    let got: Result<Vec<Value>, _> = answer.results.iter().map(parse).collect();
+    let results = answer.results.iter().map(|result| result.get());
+    let got: Result<Vec<Value>, _> = results.map(serde_json::from_str).collect();
     if !got.is_ok_and(|got| got == own) {
         found.push(format!(
             "not the whole answer to this submission: {record:?}"
