Connections beyond the limit get a typed refusal

Cause: an entry closed a connection beyond max_connections without a word, so the caller could not tell a full entry from a broken one. Change: up to 64 such connections at a time get 429 overloaded, not run, with a retry-after, each within 1 s; further ones are closed. A failing accept is tried again after a pause instead of in a busy loop. The server of callers moves to the modules that live as long as a connection. Before: hostile::connections_beyond_the_limit sees the connection broken. After: it passes. Half a request head is still closed without an answer, and 431 for too many headers has no JSON body, as the HTTP library does it.

--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -18,3 +18,4 @@
 pub(crate) use error::ListenSnafu;
 pub(crate) use error::MethodsSnafu;
 pub(crate) use gate::Gate;
+pub(crate) use gate::Phase;
--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use axum::Router;
 use dfs_conf::EntryLimits;
 use dfs_conf::EntrySettings;
 use dfs_conf::TokenDigest;
@@ -33,26 +32,22 @@
 use dfs_store::TableService;
 use dfs_store::WriteBudget;
 use dfs_wire::session::EntryItem;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
-use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
 use rand::Rng;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 use super::Core;
 use super::CoreHandle;
 use super::Gate;
+use super::Phase;
 use super::StartError;
 use super::core::Outgoing;
 use super::error::ListenSnafu;
-use super::gate::Phase;
 use super::presence;
 use crate::connection::SessionServer;
+use crate::connection::serve_callers;
 use crate::request;
 use crate::version::Holder;
 use crate::version::poll;
@@ -153,7 +148,7 @@
             )),
         ];
         let router = request::router(state);
-        let callers = tokio::spawn(serve(
+        let callers = tokio::spawn(serve_callers(
             listener,
             router,
             settings.limits.clone(),
@@ -269,35 +264,3 @@
         }
     }
 }
-
-/// Serves callers until the gate is closed, then lets every request in progress end.
-async fn serve(listener: TcpListener, router: Router, limits: EntryLimits, gate: Gate) {
-    let graceful = GracefulShutdown::new();
-    let connections = Arc::new(Semaphore::new(limits.max_connections as usize));
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = gate.reached(Phase::Closed) => break,
-        };
-        let Ok((stream, _)) = accepted else { continue };
-        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
-            continue;
-        };
-        // Without it answers are only later.
-        let _ = stream.set_nodelay(true);
-        let mut server = hyper::server::conn::http1::Builder::new();
-        server
-            .timer(TokioTimer::new())
-            .header_read_timeout(Duration::from(limits.body_timeout_ms))
-            .max_headers(limits.max_headers as usize);
-        let service = TowerToHyperService::new(router.clone());
-        let connection = server.serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            // A caller that breaks its connection harms no other one.
-            let _ = connection.await;
-            drop(permit);
-        });
-    }
-    graceful.shutdown().await;
-}
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -6,5 +6,6 @@
 mod routes;
 mod submit;
 
+pub(crate) use refuse::Refusal;
 pub(crate) use routes::State;
 pub(crate) use routes::router;
