--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -17,6 +17,7 @@
 use dfs_policy::agent::RunEnd;
 use dfs_wire::session::Report;
 use dfs_wire::target::Announcement;
+use fail::fail_point;
 use tokio::sync::mpsc;
 
 use super::roster::RosterEvent;
@@ -151,7 +152,12 @@
             AgentEvent::ConnectionLost { connection } => {
                 self.connections.remove(connection);
             }
-            AgentEvent::Message { .. } => self.metrics.count(Counter::MessagesReceived, 1),
+            AgentEvent::Message { message, .. } => {
+                fail_point!("agent-placement-read", message.places_tasks(), |_| ());
+                self.metrics.count(Counter::MessagesReceived, 1);
+            }
+            AgentEvent::Ended { .. } => fail_point!("agent-ended"),
+            AgentEvent::Acked { .. } => fail_point!("agent-acknowledged"),
             _ => {}
         }
         let actions = self.decisions.handle(self.clock.now(), event);
@@ -203,6 +209,7 @@
     fn perform(&mut self, action: AgentAction) {
         match action {
             AgentAction::Report { connection, report } => {
+                fail_point!("agent-report", report.has_results(), |_| ());
                 self.metrics.count(Counter::MessagesSent, 1);
                 if let Some(reports) = self.connections.get(&connection) {
                     // A connection that has just closed reports its own loss.
@@ -219,6 +226,7 @@
                 body,
                 ..
             } => {
+                fail_point!("agent-start");
                 let handle = self.handle.clone();
                 let run = self.runner.run(Start {
                     service,
@@ -229,6 +237,7 @@
                     let (run_us, end): (u64, RunEnd) = run.await;
                     handle.event(AgentEvent::Ended { task, run_us, end });
                 });
+                fail_point!("agent-started");
             }
             AgentAction::Opened { connection, open } => {
                 let peer = ProcessName::Entry(open.entry.clone());
--- a/crates/daemon/tests/faults/leave.rs
+++ b/crates/daemon/tests/faults/leave.rs
@@ -38,7 +38,11 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn goodbye_cuts_nothing_and_ends_new_work() {
-    let cluster = Cluster::start(SHAPE).await;
+    let cluster = Cluster::start(Shape {
+        target_lease_ms: 60_000,
+        ..SHAPE
+    })
+    .await;
     let load = Load::start(&cluster, 21).await;
     let late = late_starts(&cluster, async |cluster| {
         cluster.target(0).goodbye().await.unwrap();
--- a/crates/daemon/tests/faults/links.rs
+++ b/crates/daemon/tests/faults/links.rs
@@ -1,9 +1,12 @@
 //! Links that are cut past every lease and mended, in one direction, in both, and by a reset.
 
+use googletest::prelude::*;
+
 use crate::support::Cluster;
 use crate::support::Cut;
 use crate::support::GENEROUS;
 use crate::support::Load;
+use crate::support::Record;
 use crate::support::Relay;
 use crate::support::Shape;
 use crate::support::judge;
@@ -12,6 +15,14 @@
 
 /// Longer than every lease of a test cluster.
 const CUT_MS: u64 = 2_000;
+const LEASE_MS: u64 = 1_000;
+const RESET_MS: u64 = 30;
+const MARGIN_MS: u64 = 500;
+/// Few slots, so that tasks queue at the agents.
+const FULL: Shape = Shape {
+    slots: 1,
+    ..Shape::DEFAULT
+};
 const CUTS: [Cut; 4] = [Cut::ToServer, Cut::ToClient, Cut::Both, Cut::Broken];
 
 fn set(links: &[&Relay], cut: Cut) {
@@ -48,6 +59,42 @@
     .await;
 }
 
+/// A session that is back within its lease costs no task: what was not read is placed anew, and
+/// results are sent again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reset_within_the_lease_costs_nothing() {
+    let cluster = Cluster::start(FULL).await;
+    let load = Load::start(&cluster, 19).await;
+    let links: Vec<_> = cluster.entries.iter().map(|e| &e.sessions).collect();
+    for _ in 0..10 {
+        let sessions = links[0].accepted();
+        set(&links, Cut::Broken);
+        pause_ms(RESET_MS).await;
+        set(&links, Cut::Mended);
+        pause_ms(LEASE_MS).await;
+        assert_that!(links[0].accepted(), ge(sessions + cluster.agents.len()));
+    }
+    cluster.recovered().await;
+    let records = judge(load, &cluster, &[]).await;
+    assert!(records.iter().all(Record::is_complete));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn queued_tasks_wait_while_no_entry_has_a_lease() {
+    let cluster = Cluster::start(FULL).await;
+    let load = Load::start(&cluster, 20).await;
+    let links: Vec<_> = cluster.entries.iter().map(|e| &e.sessions).collect();
+    set(&links, Cut::Both);
+    pause_ms(LEASE_MS + MARGIN_MS).await;
+    let started = cluster.started();
+    pause_ms(CUT_MS).await;
+    assert_that!(cluster.started(), eq(started));
+    set(&links, Cut::Mended);
+    cluster.recovered().await;
+    load.flows().await;
+    judge(load, &cluster, &[]).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn all_entries_and_agents() {
     under_load(13, &[], async |cluster, load| {
--- a/crates/daemon/tests/faults/main.rs
+++ b/crates/daemon/tests/faults/main.rs
@@ -5,6 +5,8 @@
 mod hostile;
 mod leave;
 mod links;
+#[cfg(feature = "failpoints")]
+mod steps;
 mod stop;
 mod store;
 mod support;
--- a/crates/daemon/tests/faults/support/cluster.rs
+++ b/crates/daemon/tests/faults/support/cluster.rs
@@ -209,9 +209,14 @@
 
     /// Kills an entry, if it still runs, and starts a new one in its place.
     pub async fn replace_entry(&mut self, number: usize) {
+        self.replace_entry_with(number, "").await;
+    }
+
+    /// The same with fail points in the new one.
+    pub async fn replace_entry_with(&mut self, number: usize, points: &str) {
         self.entries[number].daemon.kill();
         let settings = self.entries[number].settings.clone();
-        self.entries[number].daemon = self.spawn(Role::Entry, number, &settings, "");
+        self.entries[number].daemon = self.spawn(Role::Entry, number, &settings, points);
         self.entries[number].connect().await;
     }
 
--- a/crates/entry/src/process/core.rs
+++ b/crates/entry/src/process/core.rs
@@ -21,6 +21,7 @@
 use dfs_wire::session::Ack;
 use dfs_wire::session::ReportError;
 use dfs_wire::session::ToAgent;
+use fail::fail_point;
 use serde_json::value::RawValue;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
@@ -168,6 +169,7 @@
         match command {
             Command::Event(event) => self.handle(event),
             Command::Submit { submission, answer } => {
+                fail_point!("entry-accepted");
                 self.answers.insert(submission.submission.clone(), answer);
                 self.handle(EntryEvent::Submit(submission));
             }
@@ -187,6 +189,7 @@
                 reply,
             } => {
                 self.metrics.count(Counter::MessagesReceived, 1);
+                fail_point!("entry-report-read");
                 self.replies.insert((connection, seq), reply);
                 self.handle(event);
             }
@@ -224,6 +227,7 @@
                 seq,
                 reply,
             } => {
+                fail_point!("entry-acknowledge");
                 if let Some(waiting) = self.replies.remove(&(connection, seq)) {
                     // A connection that broke meanwhile needs no reply.
                     let _ = waiting.send(reply);
@@ -245,6 +249,7 @@
     }
 
     fn answer(&mut self, submission: &SubmissionId, answer: Answer) {
+        fail_point!("entry-answer");
         if let Some(waiting) = self.answers.remove(submission) {
             // A caller that has gone needs no answer.
             let _ = waiting.send(answer);
@@ -254,6 +259,7 @@
     }
 
     fn send(&mut self, connection: ConnectionId, message: ToAgent) {
+        fail_point!("entry-place", message.places_tasks(), |_| ());
         self.metrics.count(Counter::MessagesSent, 1);
         let Some(sink) = self.sinks.get(&connection) else {
             return;
--- a/crates/wire/src/session/attach.rs
+++ b/crates/wire/src/session/attach.rs
@@ -40,6 +40,15 @@
     pub items: Vec<EntryItem>,
 }
 
+impl ToAgent {
+    /// Whether the message places tasks.
+    #[must_use]
+    pub fn places_tasks(&self) -> bool {
+        let is_place = |item: &EntryItem| matches!(item, EntryItem::Place(_));
+        self.items.iter().any(is_place)
+    }
+}
+
 /// One part of a notification.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/wire/src/session/report.rs
+++ b/crates/wire/src/session/report.rs
@@ -23,6 +23,15 @@
     pub items: Vec<AgentItem>,
 }
 
+impl Report {
+    /// Whether the report brings results.
+    #[must_use]
+    pub fn has_results(&self) -> bool {
+        let is_results = |item: &AgentItem| matches!(item, AgentItem::Results(_));
+        self.items.iter().any(is_results)
+    }
+}
+
 /// One part of a report.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
