--- a/crates/daemon/tests/faults/links.rs
+++ b/crates/daemon/tests/faults/links.rs
@@ -1,22 +1,27 @@
 //! Links that are cut past every lease and mended, in one direction, in both, and by a reset.
 
 use googletest::prelude::*;
+use serde_json::json;
 
+use crate::support::Call;
 use crate::support::Cluster;
 use crate::support::Cut;
 use crate::support::GENEROUS;
+use crate::support::GROUP_TOKEN;
 use crate::support::Load;
 use crate::support::Record;
 use crate::support::Relay;
+use crate::support::SERVICE;
 use crate::support::Shape;
 use crate::support::judge;
 use crate::support::pause_ms;
 use crate::support::under_load;
+use crate::support::until;
 
 /// Longer than every lease of a test cluster.
 const CUT_MS: u64 = 2_000;
 const LEASE_MS: u64 = 1_000;
-const RESET_MS: u64 = 30;
+const RESET_MS: u64 = 100;
 const MARGIN_MS: u64 = 500;
 /// Few slots, so that tasks queue at the agents.
 const FULL: Shape = Shape {
@@ -63,15 +68,21 @@
 /// results are sent again.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_reset_within_the_lease_costs_nothing() {
-    let cluster = Cluster::start(FULL).await;
+    let shape = Shape {
+        lease_ms: 10_000,
+        ..FULL
+    };
+    let cluster = Cluster::start(shape).await;
     let load = Load::start(&cluster, 19).await;
     let links: Vec<_> = cluster.entries.iter().map(|e| &e.sessions).collect();
-    for _ in 0..10 {
+    for lost in [Cut::ToClient, Cut::ToServer, Cut::Both].repeat(4) {
         let sessions = links[0].accepted();
+        set(&links, lost);
+        pause_ms(RESET_MS).await;
         set(&links, Cut::Broken);
         pause_ms(RESET_MS).await;
         set(&links, Cut::Mended);
-        pause_ms(LEASE_MS).await;
+        load.flows().await;
         assert_that!(links[0].accepted(), ge(sessions + cluster.agents.len()));
     }
     cluster.recovered().await;
@@ -79,20 +90,35 @@
     assert!(records.iter().all(Record::is_complete));
 }
 
+/// Each task of the job runs past the lease, so none may follow the first on its target.
 #[tokio::test(flavor = "multi_thread")]
 async fn queued_tasks_wait_while_no_entry_has_a_lease() {
     let cluster = Cluster::start(FULL).await;
-    let load = Load::start(&cluster, 20).await;
+    let to = cluster.entry_address(0);
+    let before = cluster.started();
+    let job = tokio::spawn(async move {
+        let task = json!({ "run_ms": LEASE_MS + MARGIN_MS, "echo": 1 });
+        let body = json!({ "service": SERVICE, "tasks": vec![task; 12] });
+        Call::post("/v1/jobs", GROUP_TOKEN, &body).send(to).await
+    });
+    until("the first tasks run", async || {
+        cluster.started() >= before + FULL.agents
+    })
+    .await;
     let links: Vec<_> = cluster.entries.iter().map(|e| &e.sessions).collect();
     set(&links, Cut::Both);
-    pause_ms(LEASE_MS + MARGIN_MS).await;
+    pause_ms(LEASE_MS).await;
     let started = cluster.started();
-    pause_ms(CUT_MS).await;
+    pause_ms(2 * CUT_MS).await;
     assert_that!(cluster.started(), eq(started));
     set(&links, Cut::Mended);
     cluster.recovered().await;
-    load.flows().await;
-    judge(load, &cluster, &[]).await;
+    let answer = job.await.unwrap().unwrap();
+    assert_that!(
+        answer.body["failure"]["reason"],
+        eq(&json!("outcome_unknown"))
+    );
+    assert_that!(answer.body["failure"]["not_run"], eq(&json!(false)));
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/daemon/tests/faults/support/cluster.rs
+++ b/crates/daemon/tests/faults/support/cluster.rs
@@ -38,6 +38,8 @@
     pub entries: usize,
     pub agents: usize,
     pub slots: u32,
+    /// Lease of sessions.
+    pub lease_ms: u64,
     pub target_lease_ms: u64,
     pub unready_ms: u64,
     pub drain_ms: u64,
@@ -50,6 +52,7 @@
         entries: 2,
         agents: 3,
         slots: 4,
+        lease_ms: 1_000,
         target_lease_ms: 1_000,
         unready_ms: 500,
         drain_ms: 20_000,
@@ -146,7 +149,7 @@
                 "max_writes_per_s": 100,
             },
             "lease": {
-                "lease_ms": 1_000,
+                "lease_ms": self.shape.lease_ms,
                 "busy_renew_ms": 200,
                 "idle_renew_ms": 200,
                 "fresh_ms": 500,
