--- a/crates/daemon/tests/faults/main.rs
+++ b/crates/daemon/tests/faults/main.rs
@@ -1,10 +1,12 @@
 //! Faults on real processes under load, judged by the callers' answers and the targets' start logs.
 
+mod cancel;
 mod config;
 mod crash;
 mod hostile;
 mod leave;
 mod links;
+mod membership;
 #[cfg(feature = "failpoints")]
 mod steps;
 mod stop;
--- a/crates/daemon/tests/faults/support/cluster.rs
+++ b/crates/daemon/tests/faults/support/cluster.rs
@@ -45,6 +45,8 @@
     pub drain_ms: u64,
     pub run_timeout_ms: u64,
     pub max_connections: u32,
+    /// Whether agents know only the balancer's address, which leads to the first entry.
+    pub balanced: bool,
 }
 
 impl Shape {
@@ -58,6 +60,7 @@
         drain_ms: 20_000,
         run_timeout_ms: 4_000,
         max_connections: 1_000,
+        balanced: false,
     };
 }
 
@@ -98,6 +101,8 @@
     pub shape: Shape,
     pub files: TempDir,
     lives: usize,
+    /// The balancer as each agent reaches it.
+    balancer: Vec<Relay>,
     _permit: SemaphorePermit<'static>,
 }
 
@@ -112,6 +117,7 @@
             shape,
             files: tempfile::tempdir().unwrap(),
             lives: 0,
+            balancer: Vec::new(),
             _permit: CLUSTERS.acquire().await.unwrap(),
         };
         for number in 0..shape.entries {
@@ -128,7 +134,8 @@
         cluster
     }
 
-    async fn add_entry(&mut self, number: usize) {
+    /// Starts an entry that the settings of no agent name, unless agents are added later.
+    pub async fn add_entry(&mut self, number: usize) {
         let at = self.platform.addresses();
         let callers = Relay::to(None).await;
         let sessions = Relay::to(None).await;
@@ -175,10 +182,17 @@
         self.entries.push(node);
     }
 
+    /// Starts an agent and its target.
     async fn add_agent(&mut self, number: usize) {
         let announcements = Relay::to(None).await;
         let tasks = Relay::to(None).await;
-        let entries: Vec<_> = self.entries.iter().map(|e| e.sessions.address).collect();
+        let mut entries: Vec<_> = self.entries.iter().map(|e| e.sessions.address).collect();
+        if self.shape.balanced {
+            let first = self.entries[0].sessions.address;
+            let balancer = Relay::to(Some(first)).await;
+            entries = vec![balancer.address];
+            self.balancer.push(balancer);
+        }
         let settings = json!({
             "agent": format!("agent-{number}"),
             "domain": domain(number),
--- a/crates/daemon/tests/faults/support/http.rs
+++ b/crates/daemon/tests/faults/support/http.rs
@@ -15,6 +15,8 @@
 
 use super::GENEROUS;
 
+const SUBMISSION_HEADER: &str = "dragonflyshed-submission";
+
 /// Why a request has no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallError {
@@ -39,6 +41,8 @@
     pub method: Method,
     pub path: &'a str,
     pub token: &'a str,
+    /// Name that the caller gives its submission.
+    pub name: &'a str,
     pub body: Vec<u8>,
     pub timeout: Duration,
 }
@@ -49,6 +53,7 @@
             method: Method::POST,
             path,
             token,
+            name: "",
             body: body.to_string().into_bytes(),
             timeout: GENEROUS,
         }
@@ -59,6 +64,7 @@
             method: Method::GET,
             path,
             token,
+            name: "",
             body: Vec::new(),
             timeout: GENEROUS,
         }
@@ -77,13 +83,15 @@
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
         let (mut sender, connection) = handshake.map_err(broken)?;
         let connection = tokio::spawn(connection);
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(self.method)
             .uri(self.path)
             .header("host", to.to_string())
-            .header(AUTHORIZATION, format!("Bearer {}", self.token))
-            .body(Full::new(Bytes::from(self.body)))
-            .unwrap();
+            .header(AUTHORIZATION, format!("Bearer {}", self.token));
+        if !self.name.is_empty() {
+            request = request.header(SUBMISSION_HEADER, self.name);
+        }
+        let request = request.body(Full::new(Bytes::from(self.body))).unwrap();
         let response = sender.send_request(request).await.map_err(broken)?;
         let status = response.status().as_u16();
         let body = response.into_body().collect().await.map_err(broken)?;
