--- a/crates/policy/tests/matrix/fault.rs
+++ b/crates/policy/tests/matrix/fault.rs
@@ -397,7 +397,7 @@
             }
             Heal::ReplaceAgent(index, old) if self.agents[index].life == old => {
                 let life = self.next_life();
-                self.agents[index] = Node::new(node::agent(), life);
+                self.agents[index] = Node::new(node::agent(life), life);
             }
             Heal::WakeEntry(index, life, lag_us) if self.entries[index].life == life => {
                 self.entries[index].is_frozen = false;
--- a/crates/policy/tests/matrix/node.rs
+++ b/crates/policy/tests/matrix/node.rs
@@ -155,8 +155,8 @@
     entry
 }
 
-pub fn agent() -> Agent {
-    let mut agent = Agent::new(Millis::new(KEEP_RESULTS_MS));
+pub fn agent(life: Incarnation) -> Agent {
+    let mut agent = Agent::new(life, Millis::new(KEEP_RESULTS_MS));
     agent.handle(Moment::default(), AgentEvent::Configured(config()));
     agent
 }
--- a/crates/policy/tests/matrix/world.rs
+++ b/crates/policy/tests/matrix/world.rs
@@ -78,7 +78,7 @@
         }
         for _ in 0..agents {
             let life = world.next_life();
-            world.agents.push(Node::new(node::agent(), life));
+            world.agents.push(Node::new(node::agent(life), life));
             world.targets.push(Target {
                 is_up: true,
                 is_frozen: false,
