--- a/crates/cli/src/demo/table.rs
+++ b/crates/cli/src/demo/table.rs
@@ -7,7 +7,7 @@
 
 /// Response time of each job against its ideal.
 pub fn of_jobs(measured: &[Measured]) -> Table {
-    let mut table = Table::new(&[
+    let mut table = Table::of_numbers(&[
         "group",
         "tasks",
         "response ms",
