--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -39,7 +39,9 @@
     /// Waits until a write is allowed and spends it; nothing is spent if the wait is given up.
     pub async fn acquire(&self) {
         let mut next = self.next.lock().await;
-        tokio::time::sleep_until(*next).await;
+        if *next > Instant::now() {
+            tokio::time::sleep_until(*next).await;
+        }
         let oldest = earlier(Instant::now(), self.burst);
         *next = oldest.max(*next) + self.interval;
     }
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod scripted;
+
 use std::sync::Arc;
 use std::time::Duration;
 
