A change id stands for one change only

Cause: apply answered a change by its id alone. An id used again with another content or base was answered as accepted with the version of the first, and the entry then put the content that it had just been given in force: a version that nobody accepted, never reverted. Change: the row of a change keeps the digest of its configuration, and another digest is ChangeReused, a new variant of ApplyError. The new test fails without the comparison (the second apply was answered Ok(1)) and passes with it.

Callers that match on ApplyError need an arm for it; it is a fault of the request, like WrongVersion.

--- a/crates/store/src/config/apply.rs
+++ b/crates/store/src/config/apply.rs
@@ -36,6 +36,8 @@
 impl ConfigStore {
     /// Puts a change in force; a repeated change is answered like the first.
     ///
+    /// The configuration of an accepted change is always the one that was given here.
+    ///
     /// # Errors
     ///
     /// [`ApplyError`] tells a change that certainly is not in force from one that may be.
@@ -46,15 +48,17 @@
                 found: change.config.version,
             });
         }
+        let content = serialize(&change.config)?;
+        let digest = ObjectKey::of(&content);
         let mut doubt = None;
         for _ in 0..MAX_COMMITS {
-            let condition = match self.standing(change, doubt.as_ref()).await? {
+            let condition = match self.standing(change, &digest, doubt.as_ref()).await? {
                 Standing::Accepted(version) => return Ok(version),
                 Standing::Open(condition) => condition,
             };
-            let body = self.store_body(&change.config).await;
+            let body = self.store_body(&change.config, &content, &digest).await;
             let body = body.map_err(|e| unconfirmed(change, doubt.as_ref(), e))?;
-            match self.commit_change(change, condition, body).await {
+            match self.commit_change(change, &digest, condition, body).await {
                 Ok(()) => return Ok(change.config.version),
                 Err(CommitError::Conflict { .. }) => {}
                 Err(CommitError::NotApplied { source }) => {
@@ -64,15 +68,16 @@
                 Err(CommitError::Unknown { source }) => doubt = Some(source),
             }
         }
-        self.last_standing(change, doubt).await
+        self.last_standing(change, &digest, doubt).await
     }
 
     async fn last_standing(
         &self,
         change: &Change,
+        digest: &ObjectKey,
         doubt: Option<StoreError>,
     ) -> Result<ConfigVersion, ApplyError> {
-        match self.standing(change, doubt.as_ref()).await? {
+        match self.standing(change, digest, doubt.as_ref()).await? {
             Standing::Accepted(version) => Ok(version),
             Standing::Open(_) => {
                 let source = doubt.unwrap_or_else(|| StoreError::Malformed {
@@ -91,6 +96,7 @@
     async fn standing(
         &self,
         change: &Change,
+        digest: &ObjectKey,
         doubt: Option<&StoreError>,
     ) -> Result<Standing, ApplyError> {
         let keys = vec![head_key(), change_key(&change.change)];
@@ -99,7 +105,7 @@
         let [head, accepted]: [Option<Row>; 2] = rows.try_into().unwrap_or_default();
         if let Some(row) = accepted {
             let row: ChangeRow = row.parse().map_err(|e| unconfirmed(change, doubt, e))?;
-            return Ok(Standing::Accepted(row.version));
+            return accepted_before(change, digest, &row);
         }
         let Some(row) = head else {
             return if change.base == ConfigVersion::default() {
@@ -120,23 +126,24 @@
         }
     }
 
-    async fn store_body(&self, config: &Config) -> Result<Body, StoreError> {
-        let content = serde_json::to_vec(config).map_err(|e| StoreError::Malformed {
-            what: "configuration".to_owned(),
-            message: e.to_string(),
-        })?;
+    async fn store_body(
+        &self,
+        config: &Config,
+        content: &[u8],
+        digest: &ObjectKey,
+    ) -> Result<Body, StoreError> {
         if content.len() <= self.max_inline_bytes {
             return Ok(Body::Inline(Box::new(config.clone())));
         }
-        let key = ObjectKey::of(&content);
         self.budget.acquire().await;
-        self.objects.put(key.clone(), content).await?;
-        Ok(Body::Object(key))
+        self.objects.put(digest.clone(), content.to_vec()).await?;
+        Ok(Body::Object(digest.clone()))
     }
 
     async fn commit_change(
         &self,
         change: &Change,
+        digest: &ObjectKey,
         condition: Condition,
         body: Body,
     ) -> Result<(), CommitError> {
@@ -149,19 +156,44 @@
             change: change.change.clone(),
             body,
         };
+        let accepted = ChangeRow {
+            version,
+            content: digest.clone(),
+        };
         let writes = vec![
             RowWrite::put(head_key(), condition, to_value(&head)?),
             RowWrite::insert(version_key(version), to_value(&row)?),
-            RowWrite::insert(
-                change_key(&change.change),
-                to_value(&ChangeRow { version })?,
-            ),
+            RowWrite::insert(change_key(&change.change), to_value(&accepted)?),
         ];
         self.budget.acquire().await;
         self.table.commit(writes).await.map(|_| ())
     }
 }
 
+/// What the row of an accepted change says of this one.
+fn accepted_before(
+    change: &Change,
+    digest: &ObjectKey,
+    row: &ChangeRow,
+) -> Result<Standing, ApplyError> {
+    if row.content == *digest {
+        return Ok(Standing::Accepted(row.version));
+    }
+    Err(ApplyError::ChangeReused {
+        change: change.change.clone(),
+        version: row.version,
+    })
+}
+
+fn serialize(config: &Config) -> Result<Vec<u8>, ApplyError> {
+    serde_json::to_vec(config).map_err(|e| ApplyError::NotApplied {
+        source: StoreError::Malformed {
+            what: "configuration".to_owned(),
+            message: e.to_string(),
+        },
+    })
+}
+
 /// A failure that ends an attempt: certain only if no earlier commit is in doubt.
 fn unconfirmed(change: &Change, doubt: Option<&StoreError>, source: StoreError) -> ApplyError {
     match doubt {
--- a/crates/store/src/config/error.rs
+++ b/crates/store/src/config/error.rs
@@ -70,6 +70,17 @@
         /// Version on which the change was based.
         base: ConfigVersion,
     },
+    /// The change id belongs to another change that was accepted; this one never will be.
+    #[snafu(display(
+        "change {change} was accepted as version {version} with another content or base: \
+         use a new change id"
+    ))]
+    ChangeReused {
+        /// The change id.
+        change: ChangeId,
+        /// Version that the earlier change became.
+        version: ConfigVersion,
+    },
     /// The change was certainly not accepted.
     #[snafu(display("not accepted: {source}; try again"))]
     NotApplied {
--- a/crates/store/src/config/row.rs
+++ b/crates/store/src/config/row.rs
@@ -42,6 +42,8 @@
 pub(super) struct ChangeRow {
     /// Version that the change became.
     pub(super) version: ConfigVersion,
+    /// Digest of the configuration, by which a repetition is told from another change.
+    pub(super) content: ObjectKey,
 }
 
 pub(super) fn head_key() -> RowKey {
--- a/crates/store/tests/config.rs
+++ b/crates/store/tests/config.rs
@@ -117,6 +117,23 @@
     assert_that!(store.read_head().await, ok(some(eq(&head(2, "b")))));
 }
 
+#[tokio::test]
+async fn a_change_id_stands_for_one_change_only() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(TIMEOUT_MS);
+    store.apply(&change(0, "a")).await.unwrap();
+    let reused = ApplyError::ChangeReused {
+        change: "a".parse().unwrap(),
+        version: version(1),
+    };
+    let mut other_content = change(0, "a");
+    other_content.config = config(1, "b");
+    assert_that!(store.apply(&other_content).await, err(eq(&reused)));
+    let other_base = change(1, "a");
+    assert_that!(store.apply(&other_base).await, err(eq(&reused)));
+    assert_that!(bench.table.commits(), eq(1));
+}
+
 #[tokio::test]
 async fn a_stale_base_is_a_conflict() {
     let bench = Bench::spawn().await;
--- a/crates/store/tests/every_fault.rs
+++ b/crates/store/tests/every_fault.rs
@@ -92,7 +92,11 @@
         }) => !is_own && head.is_some_and(|h| h.version == *winner && h.change == *winner_change),
         Err(ApplyError::NotApplied { .. }) => !is_own,
         Err(ApplyError::Unknown { .. }) => true,
-        Err(ApplyError::WrongVersion { .. } | ApplyError::NoBase { .. }) => false,
+        Err(
+            ApplyError::WrongVersion { .. }
+            | ApplyError::NoBase { .. }
+            | ApplyError::ChangeReused { .. },
+        ) => false,
     }
 }
 
@@ -102,7 +106,11 @@
         Err(ApplyError::Conflict { .. }) => "conflict",
         Err(ApplyError::NotApplied { .. }) => "not applied",
         Err(ApplyError::Unknown { .. }) => "unknown",
-        Err(ApplyError::WrongVersion { .. } | ApplyError::NoBase { .. }) => "wrong",
+        Err(
+            ApplyError::WrongVersion { .. }
+            | ApplyError::NoBase { .. }
+            | ApplyError::ChangeReused { .. },
+        ) => "wrong",
     }
 }
 
