Faults in modules of their own

The file had grown to 260 lines with paths, problems and collections of faults. Path, problem and the rest are modules now; no change of behaviour.

--- a/crates/conf/src/fault.rs
+++ b/crates/conf/src/fault/problem.rs
@@ -1,73 +1,8 @@
-//! Faults of settings and of the configuration.
+//! What can be wrong with a value.
 
 use derive_more::Display;
-use derive_more::From;
-use serde::Serialize;
-use snafu::Snafu;
 
-/// Place of a value in a document, as `groups[2].share`; empty for the whole document.
-#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From, Serialize)]
-#[serde(transparent)]
-pub struct FieldPath(String);
-
-impl FieldPath {
-    /// A path from its text.
-    #[must_use]
-    pub fn new(path: impl Into<String>) -> Self {
-        Self(path.into())
-    }
-
-    /// The path of a field of this value.
-    #[must_use]
-    pub fn field(&self, name: &str) -> Self {
-        if self.0.is_empty() {
-            Self(name.to_owned())
-        } else {
-            Self(format!("{self}.{name}"))
-        }
-    }
-
-    /// The path of an element of this value.
-    #[must_use]
-    pub fn index(&self, index: usize) -> Self {
-        Self(format!("{self}[{index}]"))
-    }
-
-    /// The same path, seen from a document in which `outer` is this one.
-    fn inside(&self, outer: &Self) -> Self {
-        match self.0.chars().next() {
-            None => outer.clone(),
-            Some('[') => Self(format!("{outer}{self}")),
-            Some(_) => outer.field(&self.0),
-        }
-    }
-
-    /// Whether this is `outer` or a part of it.
-    #[must_use]
-    pub fn is_within(&self, outer: &Self) -> bool {
-        self.0.strip_prefix(&outer.0).is_some_and(|rest| {
-            outer.0.is_empty() || rest.is_empty() || rest.starts_with(['.', '['])
-        })
-    }
-}
-
-/// One fault: where, and what is wrong with which value.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
-#[display("{}{problem}", prefix(path))]
-pub struct Fault {
-    /// Place of the value.
-    pub path: FieldPath,
-    /// What is wrong with it.
-    pub problem: Problem,
-}
-
-fn prefix(path: &FieldPath) -> String {
-    if path.0.is_empty() {
-        String::new()
-    } else {
-        format!("{path}: ")
-    }
-}
+use super::FieldPath;
 
 /// What is wrong with a value.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
@@ -165,7 +100,7 @@
 }
 
 impl Problem {
-    fn inside(self, outer: &FieldPath) -> Self {
+    pub(super) fn inside(self, outer: &FieldPath) -> Self {
         match self {
             Self::Contradiction { value, other, rule } => Self::Contradiction {
                 value,
@@ -226,36 +161,3 @@
     #[display("entry address")]
     EntryAddress,
 }
-
-/// All faults of a document, never none.
-#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
-#[snafu(display("{}", lines(faults)))]
-pub struct Faults {
-    /// The faults in the order in which they were found.
-    pub faults: Vec<Fault>,
-}
-
-impl Faults {
-    /// The same faults, of a document that is a field of another.
-    pub(crate) fn within(self, name: &str) -> impl Iterator<Item = Fault> {
-        let outer = FieldPath::new(name);
-        self.faults.into_iter().map(move |fault| Fault {
-            path: fault.path.inside(&outer),
-            problem: fault.problem.inside(&outer),
-        })
-    }
-}
-
-fn lines(faults: &[Fault]) -> String {
-    let lines: Vec<String> = faults.iter().map(Fault::to_string).collect();
-    lines.join("\n")
-}
-
-/// The value if there are no faults.
-pub(crate) fn unless_faulty<T>(value: T, faults: Vec<Fault>) -> Result<T, Faults> {
-    if faults.is_empty() {
-        Ok(value)
-    } else {
-        Err(Faults { faults })
-    }
-}
