The age of a submission travels with its tasks; ageing of 200 ms a task

Cause: the agent ranked a task by the time it arrived there, so the tail of a wide job that had waited at the entry started its ageing anew and starved; and 50 ms a task let wide jobs of the backlog pass small ones.

--- a/crates/conf/src/rules/mod.rs
+++ b/crates/conf/src/rules/mod.rs
@@ -124,7 +124,7 @@
         Self {
             policy: PlacementPolicy::default(),
             order: Order::default(),
-            ageing_ms_per_task: Millis::new(50),
+            ageing_ms_per_task: Millis::new(200),
             open_tasks_per_slot: 4.0,
             max_hand_backs: 2,
             hints: HintMode::default(),
--- a/crates/policy/benches/grid/main.rs
+++ b/crates/policy/benches/grid/main.rs
@@ -69,6 +69,13 @@
             }
         }
     }
+    for ageing in [20, 50, 100, 200, 500, 2_000] {
+        for open in [4.0, unbounded] {
+            let placement = json!({ "open_tasks_per_slot": open, "ageing_ms_per_task": ageing });
+            let name = format!("ageing-{ageing}/window-{open}");
+            variants.push(variant(&name, 4, &placement));
+        }
+    }
     let placement = json!({ "hints": "on_results", "open_tasks_per_slot": 1.0 });
     variants.push(variant("single", 1, &placement));
     variants
--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -27,7 +27,7 @@
 impl Agent {
     pub(super) fn accept(&mut self, now: Moment, entry: Incarnation, placement: Placement) {
         let refusal = self.refusal(&placement);
-        let rank = rank(&self.rules, now, placement.left);
+        let rank = rank(&self.rules, now - placement.age_ms, placement.left);
         for placed in placement.tasks {
             let task = TaskRef {
                 submission: placement.submission.clone(),
--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -196,6 +196,7 @@
                 group: job.group.clone(),
                 service: job.service.clone(),
                 time_left_ms: job.deadline.since(now),
+                age_ms: now.since(job.submitted_at),
                 left: job.left,
                 if_full: key.if_full,
                 tasks,
--- a/crates/wire/src/session/placement.rs
+++ b/crates/wire/src/session/placement.rs
@@ -37,7 +37,7 @@
 /// Tasks of one submission for one agent.
 ///
 /// On the wire:
-/// `[submission, group, service, time_left_ms, left, if_full, index, attempt, body, …]`.
+/// `[submission, group, service, time_left_ms, age_ms, left, if_full, index, attempt, body, …]`.
 #[derive(Debug, Clone)]
 pub struct Placement {
     /// The submission.
@@ -48,6 +48,8 @@
     pub service: ServiceName,
     /// Time until the tasks must have started; each hop subtracts what it used.
     pub time_left_ms: Millis,
+    /// Time since the submission arrived, for the order of the queue.
+    pub age_ms: Millis,
     /// Tasks of the submission that are not settled yet.
     pub left: u32,
     /// What becomes of tasks that find no free slot.
@@ -77,7 +79,7 @@
 }
 
 const TASK_REF_FIELDS: usize = 3;
-const PLACEMENT_HEAD_FIELDS: usize = 6;
+const PLACEMENT_HEAD_FIELDS: usize = 7;
 const PLACED_TASK_FIELDS: usize = 3;
 const IF_FULL_QUEUE: u8 = 0;
 const IF_FULL_HAND_BACK: u8 = 1;
@@ -146,6 +148,7 @@
         seq.serialize_element(self.group.as_str())?;
         seq.serialize_element(self.service.as_str())?;
         seq.serialize_element(&self.time_left_ms)?;
+        seq.serialize_element(&self.age_ms)?;
         seq.serialize_element(&self.left)?;
         seq.serialize_element(&self.if_full)?;
         for task in &self.tasks {
@@ -164,7 +167,7 @@
 
     fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str(
-            "[submission, group, service, time_left_ms, left, if_full, index, attempt, body, …]",
+            "[submission, group, service, time_left_ms, age_ms, left, if_full, index, attempt, body, …]",
         )
     }
 
@@ -174,6 +177,7 @@
             group: required(&mut seq, "group")?,
             service: required(&mut seq, "service")?,
             time_left_ms: required(&mut seq, "time_left_ms")?,
+            age_ms: required(&mut seq, "age_ms")?,
             left: required(&mut seq, "left")?,
             if_full: required(&mut seq, "if_full")?,
             tasks: Vec::new(),
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -29,6 +29,7 @@
         group: "aba".parse().unwrap(),
         service: "member-desk".parse().unwrap(),
         time_left_ms: Millis::new(900),
+        age_ms: Millis::new(40),
         left: 2,
         if_full: IfFull::HandBack,
         tasks: vec![task(0), task(7)],
@@ -38,7 +39,7 @@
 #[googletest::test]
 fn a_placement_is_one_flat_array() {
     let json = serde_json::to_string(&placement()).unwrap();
-    let expected = r#"["s-1","aba","member-desk",900,2,1,0,1,{"a":1},7,1,{"a":1}]"#;
+    let expected = r#"["s-1","aba","member-desk",900,40,2,1,0,1,{"a":1},7,1,{"a":1}]"#;
     expect_that!(json, eq(expected));
     let back: Placement = serde_json::from_str(&json).unwrap();
     expect_that!(serde_json::to_string(&back).unwrap(), eq(expected));
@@ -46,13 +47,13 @@
 
 #[googletest::test]
 fn a_placement_without_tasks_is_refused() {
-    let fault = serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,2,0]"#);
+    let fault = serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,40,2,0]"#);
     expect_that!(fault.unwrap_err().to_string(), contains_substring("index"));
 }
 
 #[googletest::test]
 fn a_placement_cut_short_is_refused() {
-    let fault = serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,2,0,0,1]"#);
+    let fault = serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,40,2,0,0,1]"#);
     expect_that!(fault.unwrap_err().to_string(), contains_substring("body"));
 }
 
