--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -100,6 +100,8 @@
     /// Send a described mix of submissions and report response times
     #[command(after_help = LOAD_EXAMPLES)]
     Load(LoadArgs),
+    /// Run a whole pool in this process, with jobs for two groups
+    Demo,
     /// Print a completion script for a shell
     #[command(after_help = COMPLETIONS_EXAMPLES)]
     Completions {
@@ -314,7 +316,7 @@
     /// Version to wait for; a higher one counts too
     #[arg(long, value_name = "VERSION")]
     pub version: ConfigVersion,
-    /// Longest wait
+    /// Longest wait; the last status may take 2 s more
     #[arg(long, value_name = "MS", default_value = "30000", value_parser = parse_millis)]
     pub timeout_ms: Millis,
 }
--- a/crates/cli/src/config/document.rs
+++ b/crates/cli/src/config/document.rs
@@ -1,9 +1,14 @@
 //! The two documents of the configuration.
 
 use derive_more::Display;
+use dfs_conf::Faults;
 use dfs_conf::Inventory;
 use dfs_conf::Rules;
+use dfs_conf::Warning;
+use dfs_conf::check_inventory;
+use dfs_conf::check_rules;
 use dfs_wire::api::ConfigAnswer;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
@@ -19,12 +24,20 @@
 }
 
 impl Document {
-    /// Every fault of a document: path, value and what is allowed.
+    /// Checks a document; what is allowed but hardly meant comes back as warnings.
+    pub fn check(self, value: &Value) -> Result<Vec<Warning>, Faults> {
+        match self {
+            Self::Inventory => check_inventory(value).map(|inventory| inventory.warnings()),
+            Self::Rules => check_rules(value).map(|_| Vec::new()),
+        }
+    }
+
+    /// The document with every default written out, so that two spellings of it compare equal.
     #[must_use]
-    pub fn faults(self, value: &Value) -> Vec<String> {
+    pub fn normalized(self, value: Value) -> Value {
         match self {
-            Self::Inventory => shape_faults::<Inventory>(value),
-            Self::Rules => shape_faults::<Rules>(value),
+            Self::Inventory => rewritten::<Inventory>(value),
+            Self::Rules => rewritten::<Rules>(value),
         }
     }
 
@@ -38,11 +51,10 @@
     }
 }
 
-fn shape_faults<T: DeserializeOwned>(value: &Value) -> Vec<String> {
-    let parsed: Result<T, _> = serde_path_to_error::deserialize(value);
-    let fault = parsed.err();
-    fault
-        .map(|fault| format!("{}: {}", fault.path(), fault.inner()))
-        .into_iter()
-        .collect()
+/// The document as its type writes it, or unchanged if it does not fit the type.
+fn rewritten<T: DeserializeOwned + Serialize>(value: Value) -> Value {
+    let typed: Option<T> = serde_json::from_value(value.clone()).ok();
+    typed
+        .and_then(|typed| serde_json::to_value(typed).ok())
+        .unwrap_or(value)
 }
--- a/crates/cli/src/config/error.rs
+++ b/crates/cli/src/config/error.rs
@@ -1,7 +1,9 @@
 //! Why a command on the configuration failed.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use dfs_conf::Faults;
 use dfs_ids::ChangeId;
 use dfs_ids::ConfigVersion;
 use dfs_ids::Millis;
@@ -15,17 +17,17 @@
 #[snafu(visibility(pub))]
 pub enum ConfigFailure {
     /// The file is not valid.
-    #[snafu(display("{} is not a valid {document}:\n  {}", path.display(), faults.join("\n  ")))]
+    #[snafu(display("{}: faults in the {document}:\n{faults}", path.display()))]
     InvalidFile {
         /// The file.
         path: PathBuf,
         /// What it should hold.
         document: Document,
         /// Every fault found.
-        faults: Vec<String>,
+        faults: Faults,
     },
     /// The entry found the change not valid.
-    #[snafu(display("the entry refused the change:\n  {}", faults.join("\n  ")))]
+    #[snafu(display("the entry refused the change:\n{}", faults.join("\n")))]
     InvalidChange {
         /// Every fault found.
         faults: Vec<String>,
@@ -44,6 +46,16 @@
         /// Change that won.
         winner_change: ChangeId,
     },
+    /// The entry holds no configuration.
+    #[snafu(display(
+        "entry {entry} holds no configuration: {message}; pass --base 0 to apply the first one"
+    ))]
+    NoConfig {
+        /// The entry.
+        entry: SocketAddr,
+        /// What it said.
+        message: String,
+    },
     /// The token is not an operator's.
     #[snafu(display("the token is not an operator's: use one that the inventory lists"))]
     NotOperator,
@@ -81,6 +93,7 @@
         match self {
             Self::InvalidFile { .. } | Self::InvalidChange { .. } => Exit::ConfigInvalid,
             Self::Conflict { .. } => Exit::ConfigConflict,
+            Self::NoConfig { .. } => Exit::TryLater,
             Self::NotOperator => Exit::Denied,
             Self::Unsettled { .. } => Exit::ConfigUnsettled,
             Self::NotInForce { .. } => Exit::WaitTimeout,
--- a/crates/cli/tests/tool/config.rs
+++ b/crates/cli/tests/tool/config.rs
@@ -131,6 +131,18 @@
     apply(&entry, "--base 41 --tries 2").expect(22);
 }
 
+#[googletest::test]
+fn an_entry_without_configuration_asks_for_base_0() {
+    let refused = json!({"outcome": "failed", "failure": {
+        "reason": "not_ready", "message": "holds none yet", "not_run": true,
+    }});
+    let entry = FakeEntry::new([Reply::Json(503, refused), accepted(1)]);
+    let run = apply(&entry, "").expect(13);
+    expect_that!(run.stderr, contains_substring("--base 0"));
+    apply(&entry, "--base 0").expect(0);
+    expect_that!(entry.seen()[1].body["base"], eq(0));
+}
+
 #[googletest::test]
 fn faults_that_the_entry_finds_are_all_printed() {
     let error = json!({"reason": "invalid", "faults": ["groups[0]: a", "groups[1]: b"]});
@@ -159,6 +171,12 @@
     let run = Tool::new("inventory check").json(&faulty).run().expect(21);
     expect_that!(run.stderr, contains_substring("groups[0].share"));
     expect_that!(run.stderr, contains_substring("large"));
+    let mut contradictory = inventory(-1.0);
+    contradictory["groups"][0]["services"] = json!(["price-chekc"]);
+    let run = Tool::new("inventory check").json(&contradictory).run();
+    let run = run.expect(21);
+    expect_that!(run.stderr, contains_substring("groups[0].share"));
+    expect_that!(run.stderr, contains_substring("price-chekc"));
     let entry = FakeEntry::new([]);
     let tool = Tool::new("inventory apply").entry(&entry);
     tool.json(&faulty).run().expect(21);
@@ -188,6 +206,7 @@
     let groups = file["groups"].as_array_mut().unwrap();
     let mut binders = groups[0].clone();
     binders["group"] = json!("binders");
+    binders["tokens_sha256"] = json!(["ef".repeat(32)]);
     groups.insert(0, binders);
     let entry = FakeEntry::always(in_force(41));
     let tool = Tool::new("inventory diff").entry(&entry);
@@ -202,6 +221,19 @@
     tool.json(&inventory(1.0)).run().expect(0);
 }
 
+#[googletest::test]
+fn diff_passes_over_defaults_that_are_left_out() {
+    let mut file = inventory(1.0);
+    let group = file["groups"][0].as_object_mut().unwrap();
+    group.remove("targets");
+    group["share"] = json!(1);
+    file.as_object_mut().unwrap().remove("targets");
+    let entry = FakeEntry::always(in_force(41));
+    let tool = Tool::new("inventory diff").entry(&entry);
+    let run = tool.json(&file).run().expect(0);
+    expect_that!(run.stdout, contains_substring("no differences"));
+}
+
 #[googletest::test]
 fn wait_ends_when_every_entry_and_domain_has_the_version() {
     let lagging = status("e1", 41, 42);
--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -16,6 +16,7 @@
 use super::view::EntryView;
 use super::view::Phase;
 use crate::ConnectionId;
+use crate::membership::weight;
 
 impl Agent {
     pub(super) fn on_message(
@@ -121,8 +122,12 @@
             return;
         };
         view.leased_at = view.leased_at.max(report.sent_at);
+        view.sent_messages = view
+            .sent_messages
+            .max(ack.sent_messages.unwrap_or_default());
         if seq == 0 {
             view.phase = Phase::Established;
+            view.forgotten = false;
         }
         for task in &report.results {
             self.records.remove(task);
@@ -147,7 +152,7 @@
     }
 
     /// Drops what waits for entries that are gone.
-    pub(super) fn expire_entries(&mut self, now: Moment) {
+    pub(super) fn expire_entries(&mut self, now: Moment, out: &mut Vec<AgentAction>) {
         let keep_ms = self.keep_results_ms;
         let gone = |view: &EntryView| view.connection.is_none() && view.has_lapsed(now);
         let lapsed: Vec<_> = self
@@ -157,7 +162,11 @@
             .map(|(key, _)| *key)
             .collect();
         for incarnation in lapsed {
-            self.drop_queued(incarnation);
+            let dropped = self.drop_queued(incarnation);
+            if dropped > 0 {
+                let entry = self.entries[&incarnation].entry.clone();
+                out.push(AgentAction::EntryLapsed { entry, dropped });
+            }
             let Some(view) = self.entries.get(&incarnation) else {
                 continue;
             };
@@ -167,13 +176,15 @@
         }
     }
 
-    fn drop_queued(&mut self, incarnation: Incarnation) {
+    fn drop_queued(&mut self, incarnation: Incarnation) -> u32 {
         let before = self.records.len();
         self.records.retain(|_, record| {
             record.entry != incarnation || !matches!(record.stage, Stage::Queued { .. })
         });
         let dropped = before - self.records.len();
-        self.queued -= u32::try_from(dropped).unwrap_or(u32::MAX);
+        let dropped = u32::try_from(dropped).unwrap_or(u32::MAX);
+        self.queued -= dropped;
+        dropped
     }
 
     /// Removes an entry incarnation and its results; if it comes back, its `resumed` flag tells
@@ -214,22 +225,21 @@
         }
     }
 
-    /// One session at a time brings configurations, so that each change arrives once.
+    /// One session at a time brings configurations, so that each change arrives once; agents
+    /// spread over the entries by rendezvous hashing.
     fn choose_config_source(&mut self) {
-        let connected = |view: &&mut EntryView| view.connection.is_some();
-        if self
+        let own = self.incarnation;
+        let connected = self
             .entries
-            .values()
-            .any(|view| view.is_config_source && view.connection.is_some())
-        {
-            return;
-        }
-        for view in self.entries.values_mut() {
-            view.is_config_source = false;
-        }
-        if let Some(view) = self.entries.values_mut().find(connected) {
-            view.is_config_source = true;
-            view.tell_version = true;
+            .iter()
+            .filter(|(_, view)| view.connection.is_some());
+        let chosen = connected
+            .max_by_key(|(entry, _)| weight(&own, entry))
+            .map(|(entry, _)| *entry);
+        for (entry, view) in &mut self.entries {
+            let is_source = Some(*entry) == chosen;
+            view.tell_version |= is_source != view.is_config_source;
+            view.is_config_source = is_source;
         }
     }
 
--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -8,6 +8,7 @@
 mod view;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use dfs_conf::Config;
@@ -24,6 +25,7 @@
 pub use event::AgentEvent;
 pub use event::RunEnd;
 use record::Record;
+use record::Stage;
 use view::EntryView;
 
 use crate::share::ShareLedger;
@@ -39,8 +41,14 @@
     shares: ShareLedger,
     rules: PlacementRules,
     version: Option<ConfigVersion>,
+    /// Life of this agent; spreads the agents' choices of a config source.
+    incarnation: Incarnation,
     keep_results_ms: Millis,
     running: u32,
+    /// Address of the latest target; kept after it has gone.
+    task_address: Option<SocketAddr>,
+    /// Tasks running on targets at other addresses, which take no slots of the latest one.
+    running_elsewhere: u32,
     queued: u32,
     stopping: bool,
     stopped: bool,
@@ -57,7 +65,7 @@
 impl Agent {
     /// An agent that knows no entry, no target and no configuration.
     #[must_use]
-    pub fn new(keep_results_ms: Millis) -> Self {
+    pub fn new(incarnation: Incarnation, keep_results_ms: Millis) -> Self {
         Self {
             entries: BTreeMap::new(),
             records: BTreeMap::new(),
@@ -65,8 +73,11 @@
             shares: ShareLedger::default(),
             rules: PlacementRules::default(),
             version: None,
+            incarnation,
             keep_results_ms,
             running: 0,
+            task_address: None,
+            running_elsewhere: 0,
             queued: 0,
             stopping: false,
             stopped: false,
@@ -96,7 +107,7 @@
             AgentEvent::Configured(config) => self.on_configured(&config),
             AgentEvent::ConfigBody { connection, body } => self.on_config_body(connection, body),
             AgentEvent::Stop => self.on_stop(),
-            AgentEvent::Tick => self.on_tick(now),
+            AgentEvent::Tick => self.on_tick(now, &mut out),
         }
         out
     }
@@ -113,6 +124,12 @@
         out
     }
 
+    /// Whether a target is within its lease.
+    #[must_use]
+    pub const fn has_target(&self) -> bool {
+        self.target.is_some()
+    }
+
     /// Tasks running on the target.
     #[must_use]
     pub const fn running(&self) -> u32 {
@@ -151,6 +168,7 @@
             .target
             .as_ref()
             .is_none_or(|old| old.announcement != announcement);
+        self.follow(announcement.address);
         self.target = Some(LiveTarget {
             announcement,
             heard_at: now,
@@ -160,6 +178,21 @@
         }
     }
 
+    /// Counts anew which running tasks take slots of the target at this address.
+    fn follow(&mut self, address: SocketAddr) {
+        if self.task_address.replace(address) == Some(address) {
+            return;
+        }
+        let is_elsewhere = |record: &&Record| matches!(record.stage, Stage::Running { address: at, .. } if at != address);
+        let elsewhere = self.records.values().filter(is_elsewhere).count();
+        self.running_elsewhere = u32::try_from(elsewhere).unwrap_or(u32::MAX);
+    }
+
+    /// Slots of the latest target that are taken.
+    const fn occupied(&self) -> u32 {
+        self.running - self.running_elsewhere
+    }
+
     fn on_target_gone(&mut self) {
         if self.target.take().is_some() {
             self.tell_target();
@@ -176,7 +209,7 @@
         self.return_queued();
     }
 
-    fn on_tick(&mut self, now: Moment) {
+    fn on_tick(&mut self, now: Moment, out: &mut Vec<AgentAction>) {
         let lapsed = self
             .target
             .as_ref()
@@ -184,7 +217,7 @@
         if lapsed {
             self.on_target_gone();
         }
-        self.expire_entries(now);
+        self.expire_entries(now, out);
     }
 
     fn tell_target(&mut self) {
@@ -208,13 +241,20 @@
         })
     }
 
-    /// Whether nothing is left to run, and nothing to deliver to an entry within its lease.
+    /// Whether nothing is left to run, and nothing to tell an entry within its lease.
+    ///
+    /// An entry without a session may not know yet that its queued tasks are handed back; only the
+    /// next session tells it, so the stop waits for that session or the end of the lease.
     fn is_drained(&self, now: Moment) -> bool {
+        let awaits_session = |view: &EntryView| view.connection.is_none() && !view.has_lapsed(now);
         let deliverable = |record: &Record| {
             let view = self.entries.get(&record.entry);
-            view.is_some_and(|view| view.connection.is_some() || !view.has_lapsed(now))
+            view.is_some_and(|view| view.connection.is_some())
         };
-        let undelivered = self.running > 0 || self.records.values().any(deliverable);
-        self.stopping && !undelivered && !self.owes_report()
+        self.stopping
+            && self.running == 0
+            && !self.records.values().any(deliverable)
+            && !self.entries.values().any(awaits_session)
+            && !self.owes_report()
     }
 }
--- a/crates/policy/src/agent/report.rs
+++ b/crates/policy/src/agent/report.rs
@@ -30,10 +30,15 @@
         }
     }
 
-    /// Whether an entry with a session has not been told or has not acknowledged something.
+    /// Whether an entry with a session has not been told or has not acknowledged something, or has
+    /// sent something that is not read.
     pub(super) fn owes_report(&self) -> bool {
-        let owes =
-            |v: &EntryView| v.tell_target || !v.not_run.is_empty() || !v.in_flight.is_empty();
+        let owes = |v: &EntryView| {
+            v.tell_target
+                || !v.not_run.is_empty()
+                || !v.in_flight.is_empty()
+                || v.next_message < v.sent_messages
+        };
         self.entries
             .values()
             .filter(|view| view.connection.is_some())
@@ -129,7 +134,9 @@
                 hint != view.told_hint && now >= view.told_hint_at + self.rules.hint_cadence_ms
             }
         };
-        let news = view.tell_target || view.tell_version || view.config_body.is_some();
+        // To the other entries the version rides on the next report.
+        let tells_source = view.tell_version && view.is_config_source;
+        let news = view.tell_target || tells_source || view.config_body.is_some();
         let answers = !results.is_empty() || !view.not_run.is_empty() || view.probed;
         if !(renewal_due || window_changed || hint_due || news || answers) {
             return None;
@@ -197,14 +204,14 @@
             .count();
         LoadHint {
             window: window(self.slots(), self.rules.open_tasks_per_slot, sessions),
-            running: self.running,
+            running: self.occupied(),
             queued: self.queued,
         }
     }
 
     /// Whether the target went from free to full or back since the last call.
     fn crossed_edge(&mut self) -> bool {
-        let full = self.running >= self.slots();
+        let full = self.occupied() >= self.slots();
         std::mem::replace(&mut self.was_full, full) != full
     }
 }
--- a/crates/policy/src/agent/view.rs
+++ b/crates/policy/src/agent/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use dfs_ids::EntryId;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::SessionNumber;
@@ -20,12 +21,15 @@
 )]
 #[derive(Debug)]
 pub(super) struct EntryView {
+    pub entry: EntryId,
     /// Absent between two sessions.
     pub connection: Option<ConnectionId>,
     pub session: SessionNumber,
     pub phase: Phase,
     /// Position of the next message; any other closes the session.
     pub next_message: u64,
+    /// Messages that are known to be on their way or read.
+    pub sent_messages: u64,
     pub next_report: u64,
     pub in_flight: BTreeMap<u64, InFlight>,
     pub lease_ms: Millis,
@@ -35,7 +39,8 @@
     /// that waited in a buffer while the agent was paused does not renew it.
     pub leased_at: Moment,
     pub last_sent_at: Moment,
-    /// Whether records of started tasks of this entry were dropped.
+    /// Whether records of started tasks of this entry may have been dropped since a list of held
+    /// tasks was acknowledged.
     pub forgotten: bool,
     pub not_run: Vec<NotRun>,
     pub config_body: Option<Box<RawValue>>,
@@ -71,10 +76,12 @@
         now: Moment,
     ) -> Self {
         Self {
+            entry: open.entry.clone(),
             connection: Some(connection),
             session,
             phase: Phase::Fencing,
             next_message: 0,
+            sent_messages: 0,
             next_report: 0,
             in_flight: BTreeMap::new(),
             lease_ms: open.lease_ms,
--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -188,9 +188,10 @@
     fn send_batches(&mut self, now: Moment, batches: Batches, out: &mut Vec<EntryAction>) {
         let mut by_agent: BTreeMap<AgentId, Vec<EntryItem>> = BTreeMap::new();
         for (key, tasks) in batches {
-            let Some(job) = self.jobs.get(&key.submission) else {
+            let Some(job) = self.jobs.get_mut(&key.submission) else {
                 continue;
             };
+            job.messages += 1;
             let placement = Placement {
                 submission: key.submission,
                 group: job.group.clone(),
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -5,11 +5,11 @@
 use dfs_ids::Moment;
 use dfs_wire::session::Ack;
 use dfs_wire::session::AgentItem;
-use dfs_wire::session::EntryItem;
 use dfs_wire::session::Held;
 use dfs_wire::session::LoadHint;
 use dfs_wire::session::Report;
 use dfs_wire::session::ReportError;
+use dfs_wire::session::TargetState;
 
 use super::Entry;
 use super::EntryAction;
@@ -56,10 +56,15 @@
         for item in report.items {
             match item {
                 AgentItem::Held(held) => ack = self.on_held(&agent, &held, out),
-                AgentItem::Target(state) => self.on_target(&agent, state),
+                AgentItem::Target(state) => {
+                    ack.sent_messages = self.on_target(&agent, report.seq, state);
+                }
                 AgentItem::Load(hint) => self.on_load(&agent, report.seq, hint),
                 AgentItem::Results(results) => {
                     for result in results {
+                        if let Some(job) = self.jobs.get_mut(&result.task.submission) {
+                            job.count_report(&agent, report.seq);
+                        }
                         self.on_result(now, &agent, result, out);
                     }
                 }
@@ -69,7 +74,7 @@
                     }
                 }
                 AgentItem::Version(version, source) => {
-                    self.on_version(connection, &agent, version, source, out);
+                    self.on_version(connection, &agent, report.seq, (version, source), out);
                 }
                 AgentItem::Config(body) => out.push(EntryAction::ConfigReceived(body)),
             }
@@ -87,6 +92,12 @@
             return Ack::default();
         }
         view.is_open = true;
+        // A withdrawal may be lost with its session, so tasks of answered submissions are dropped.
+        let jobs = &self.jobs;
+        view.outstanding.retain(|task| {
+            let job = jobs.get(&task.submission);
+            job.is_some_and(|job| job.is_placed(task, agent))
+        });
         let missing: Vec<_> = view
             .outstanding
             .iter()
@@ -109,13 +120,20 @@
                 self.on_absent(agent, &task);
             }
         }
-        Ack { drop }
+        Ack {
+            drop,
+            ..Ack::default()
+        }
     }
 
-    fn on_target(&mut self, agent: &AgentId, state: dfs_wire::session::TargetState) {
-        if let Some(view) = self.agents.get_mut(agent) {
+    /// Returns the number of messages sent before the state was known.
+    fn on_target(&mut self, agent: &AgentId, seq: u64, state: TargetState) -> Option<u64> {
+        let view = self.agents.get_mut(agent)?;
+        if view.target_seq <= seq {
             view.target = state;
+            view.target_seq = seq;
         }
+        Some(view.next_message)
     }
 
     fn on_load(&mut self, agent: &AgentId, seq: u64, hint: LoadHint) {
@@ -135,13 +153,18 @@
         &mut self,
         connection: ConnectionId,
         agent: &AgentId,
-        version: ConfigVersion,
-        source: bool,
+        seq: u64,
+        (version, source): (ConfigVersion, bool),
         out: &mut Vec<EntryAction>,
     ) {
-        let Some(view) = self.agents.get_mut(agent) else {
+        let Some(view) = self
+            .agents
+            .get_mut(agent)
+            .filter(|view| view.version_seq <= seq)
+        else {
             return;
         };
+        view.version_seq = seq;
         view.version = Some(version);
         view.takes_config = source;
         let own = self
@@ -149,9 +172,7 @@
             .as_ref()
             .map(|config| config.version)
             .unwrap_or_default();
-        if version > own {
-            self.send_to(connection, vec![EntryItem::WantConfig], out);
-        } else if source && version < own {
+        if source && version < own {
             out.push(EntryAction::OfferConfig {
                 connection,
                 have: version,
