Request keys of submissions that did not run are given back

Ruled out: admission before the claim alone, since a submission can still end as not run later. Change: an answer with not_run, or a claim that could not be confirmed, releases the key in the background by a deletion at the revision that was read and only by its holder; the answer is not held up. A change of a version that does not exist is a conflict or invalid, not an unavailable store; checks of an inventory run apart from the request threads.

--- a/crates/entry/src/request/submit.rs
+++ b/crates/entry/src/request/submit.rs
@@ -126,17 +126,44 @@
 ) -> Result<Response, Refusal> {
     let name = name(headers)?;
     let open = Open::register(state, name, &submission)?;
-    if let Some(key) = key {
-        claim(&open.state, &submission, &key).await?;
+    if let Some(key) = &key {
+        claim(&open.state, &submission, key).await?;
     }
     if let Some(deadline) = &mut submission.deadline_ms {
         let used = u64::try_from(open.arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
         *deadline = deadline.saturating_sub(Millis::new(used));
     }
+    let claimed = key.map(|key| Claimed {
+        state: Arc::clone(&open.state),
+        group: submission.group.clone(),
+        key,
+        holder: submission.submission.clone(),
+    });
     let answer = open.run(submission).await?;
+    let not_run = answer.failure.as_ref().is_some_and(|f| f.not_run);
+    if let Some(claimed) = claimed.filter(|_| not_run) {
+        tokio::spawn(claimed.release());
+    }
     Ok(respond(&answer))
 }
 
+/// A request key whose submission did not run and never will.
+struct Claimed {
+    state: Arc<State>,
+    group: GroupId,
+    key: RequestKey,
+    holder: SubmissionId,
+}
+
+impl Claimed {
+    /// Gives the key back, without holding up the answer.
+    async fn release(self) {
+        let claimer = &self.state.claimer;
+        // A key that could not be given back stays taken, which keeps the promise of one run.
+        let _ = claimer.release(&self.group, &self.key, self.holder).await;
+    }
+}
+
 fn name(headers: &HeaderMap) -> Result<Option<SubmissionId>, Refusal> {
     let Some(value) = headers.get(SUBMISSION_HEADER) else {
         return Ok(None);
@@ -151,7 +178,11 @@
         .map_err(|error: dfs_ids::IdError| bad(error.to_string()))
 }
 
-async fn claim(state: &State, submission: &Submission, key: &RequestKey) -> Result<(), Refusal> {
+async fn claim(
+    state: &Arc<State>,
+    submission: &Submission,
+    key: &RequestKey,
+) -> Result<(), Refusal> {
     let group = submission.group.clone();
     let submission = submission.submission.clone();
     match state.claimer.claim(&group, key, submission.clone()).await {
@@ -171,6 +202,14 @@
             reason,
             retry_after_ms,
         } => {
+            let claimed = Claimed {
+                state: Arc::clone(state),
+                group: group.clone(),
+                key: key.clone(),
+                holder: submission.clone(),
+            };
+            // The claim may have been made although its reply was lost.
+            tokio::spawn(claimed.release());
             let error = ErrorText::new(&reason);
             dfs_log::emit(RequestEvent::KeyUnavailable {
                 submission,
--- a/crates/entry/src/version/apply.rs
+++ b/crates/entry/src/version/apply.rs
@@ -11,6 +11,7 @@
 use dfs_log::ErrorText;
 use dfs_store::ApplyError;
 use dfs_store::Change;
+use dfs_store::ConfigReadError;
 use dfs_store::ConfigStore;
 use dfs_wire::api::ApplyConfig;
 use dfs_wire::api::ConfigError;
@@ -25,10 +26,14 @@
     request: ApplyConfig,
 ) -> Result<ConfigVersion, ConfigError> {
     let base = base_config(store, request.base).await?;
-    let config = merge(&request, base).inspect_err(|error| tell_invalid(&operator, error))?;
+    let (base_version, change_id) = (request.base, request.change.clone());
+    // The checks of a large inventory would hold up the requests of this thread.
+    let merged = tokio::task::spawn_blocking(move || merge(&request, base)).await;
+    let merged = merged.unwrap_or_else(|error| std::panic::resume_unwind(error.into_panic()));
+    let config = merged.inspect_err(|error| tell_invalid(&operator, error))?;
     let change = Change {
-        change: request.change.clone(),
-        base: request.base,
+        change: change_id,
+        base: base_version,
         config: config.clone(),
     };
     let version = store
@@ -37,7 +42,7 @@
         .map_err(|error| refusal(&change, &operator, error))?;
     dfs_log::emit(ConfigEvent::Accepted {
         version,
-        change: request.change,
+        change: change.change,
         operator,
     });
     holder.adopt(ConfigUpdate::Whole(config), ConfigSource::Apply);
@@ -51,11 +56,34 @@
     if base == ConfigVersion::default() {
         return Ok(None);
     }
-    let read = store.read_version(base).await;
-    read.map(Some)
-        .map_err(|error| ConfigError::StoreUnavailable {
-            message: error.to_string(),
-        })
+    match store.read_version(base).await {
+        Ok(config) => Ok(Some(config)),
+        Err(ConfigReadError::NoVersion { .. }) => Err(no_base(store, base).await),
+        Err(error) => Err(unavailable(&error)),
+    }
+}
+
+/// The answer to a change of a version that does not exist.
+async fn no_base(store: &ConfigStore, base: ConfigVersion) -> ConfigError {
+    match store.read_head().await {
+        Ok(Some(head)) => ConfigError::Conflict {
+            winner: head.version,
+            winner_change: head.change,
+        },
+        Ok(None) => {
+            let fault = format!("base: version {base} does not exist: use 0 for the first change");
+            ConfigError::Invalid {
+                faults: vec![fault],
+            }
+        }
+        Err(error) => unavailable(&error),
+    }
+}
+
+fn unavailable(error: &impl ToString) -> ConfigError {
+    ConfigError::StoreUnavailable {
+        message: error.to_string(),
+    }
 }
 
 fn merge(request: &ApplyConfig, base: Option<Config>) -> Result<Config, ConfigError> {
@@ -115,13 +143,11 @@
                 winner_change,
             }
         }
-        ApplyError::WrongVersion { .. } | ApplyError::NoBase { .. } => ConfigError::Invalid {
+        ApplyError::WrongVersion { .. }
+        | ApplyError::NoBase { .. }
+        | ApplyError::ChangeReused { .. } => ConfigError::Invalid {
             faults: vec![error.to_string()],
         },
-        ApplyError::NotApplied { .. } | ApplyError::Unknown { .. } => {
-            ConfigError::StoreUnavailable {
-                message: error.to_string(),
-            }
-        }
+        ApplyError::NotApplied { .. } | ApplyError::Unknown { .. } => unavailable(&error),
     }
 }
--- a/crates/store/src/claim/mod.rs
+++ b/crates/store/src/claim/mod.rs
@@ -1,6 +1,7 @@
 //! Claims of request keys: at most one submission ever holds a key.
 
 mod batch;
+mod release;
 mod settle;
 
 use std::sync::Arc;
@@ -105,11 +106,25 @@
         key: &RequestKey,
         submission: SubmissionId,
     ) -> impl Future<Output = Claim> + Send;
+
+    /// Gives back the key of a submission that certainly did not run and never will.
+    ///
+    /// # Errors
+    ///
+    /// The table service gave no usable reply; the key may stay taken.
+    fn release(
+        &self,
+        group: &GroupId,
+        key: &RequestKey,
+        submission: SubmissionId,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
 
 /// Makes claims; those that wait together share one commit.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct Claimer {
+    table: Arc<dyn TableService>,
+    budget: Arc<WriteBudget>,
     queue: mpsc::Sender<Waiting>,
     settings: ClaimSettings,
 }
@@ -147,12 +162,17 @@
     ) -> Self {
         let (queue, waiting) = mpsc::channel(settings.max_waiting.max(1));
         tokio::spawn(batch::run(
-            table,
-            budget,
+            Arc::clone(&table),
+            Arc::clone(&budget),
             waiting,
             settings.max_batch.max(1),
         ));
-        Self { queue, settings }
+        Self {
+            table,
+            budget,
+            queue,
+            settings,
+        }
     }
 
     async fn enqueue(&self, key: RowKey, submission: SubmissionId) -> Claim {
@@ -183,4 +203,14 @@
     async fn claim(&self, group: &GroupId, key: &RequestKey, submission: SubmissionId) -> Claim {
         self.enqueue(claim_key(group, key), submission).await
     }
+
+    async fn release(
+        &self,
+        group: &GroupId,
+        key: &RequestKey,
+        submission: SubmissionId,
+    ) -> Result<(), StoreError> {
+        let (table, budget) = (Arc::clone(&self.table), Arc::clone(&self.budget));
+        release::release(table, budget, claim_key(group, key), submission).await
+    }
 }
--- a/crates/store/tests/claim.rs
+++ b/crates/store/tests/claim.rs
@@ -190,6 +190,28 @@
         .collect()
 }
 
+#[tokio::test]
+async fn a_released_key_can_be_claimed_again() {
+    let bench = Bench::spawn().await;
+    let claimer = claimer(&bench, TIMEOUT_MS);
+    let key: RequestKey = "slot-1".parse().unwrap();
+    assert_that!(claim(&claimer, "slot-1", "s-1").await, eq(&Claim::Claimed));
+    let released = claimer.release(&group(), &key, submission("s-1")).await;
+    assert_that!(released, ok(anything()));
+    assert_that!(claim(&claimer, "slot-1", "s-2").await, eq(&Claim::Claimed));
+}
+
+#[tokio::test]
+async fn only_the_holder_releases_a_key() {
+    let bench = Bench::spawn().await;
+    let claimer = claimer(&bench, TIMEOUT_MS);
+    let key: RequestKey = "slot-1".parse().unwrap();
+    assert_that!(claim(&claimer, "slot-1", "s-1").await, eq(&Claim::Claimed));
+    let released = claimer.release(&group(), &key, submission("s-2")).await;
+    assert_that!(released, ok(anything()));
+    assert_that!(claim(&claimer, "slot-1", "s-3").await, eq(&taken_by("s-1")));
+}
+
 async fn joined(claims: Vec<JoinHandle<Claim>>) -> Vec<Claim> {
     let mut outcomes = Vec::new();
     for claim in claims {
