Admission counts the work at the targets and what goes first

Cause: the expected wait counted only the group's tasks queued at the entry.

Change: the wait is that of the known tasks that rank before, at all entries, over the slots of the targets that the group may use, or of the group's own tasks over its share of them. deadline_part, the part of a deadline that may be spent waiting, leaves the rest to tasks that come later and rank before.

Conclusion: 0.35 by default.

--- a/crates/conf/src/rules/mod.rs
+++ b/crates/conf/src/rules/mod.rs
@@ -53,6 +53,9 @@
     pub max_queued_tasks: u32,
     /// Most tasks that one group may have queued at one entry.
     pub max_queued_tasks_per_group: u32,
+    /// Part of its deadline that a submission may be expected to wait; the rest is for tasks that
+    /// will overtake it.
+    pub deadline_part: f64,
 }
 
 impl Default for Admission {
@@ -61,6 +64,7 @@
             max_tasks_per_job: 320,
             max_queued_tasks: 100_000,
             max_queued_tasks_per_group: 20_000,
+            deadline_part: 0.35,
         }
     }
 }
--- a/crates/policy/benches/grid/main.rs
+++ b/crates/policy/benches/grid/main.rs
@@ -76,6 +76,12 @@
             variants.push(variant(&name, 4, &placement));
         }
     }
+    for part in [1.0, 0.5, 0.35, 0.25] {
+        let placement = json!({ "open_tasks_per_slot": 64.0 });
+        let mut admission = variant(&format!("deadline-{part}"), 4, &placement);
+        admission.rules.admission.deadline_part = part;
+        variants.push(admission);
+    }
     let placement = json!({ "hints": "on_results", "open_tasks_per_slot": 1.0 });
     variants.push(variant("single", 1, &placement));
     variants
--- a/crates/policy/src/entry/admit.rs
+++ b/crates/policy/src/entry/admit.rs
@@ -29,7 +29,7 @@
         submission: Submission,
         out: &mut Vec<EntryAction>,
     ) {
-        if let Err(failure) = self.admit(&submission) {
+        if let Err(failure) = self.admit(now, &submission) {
             let name = submission.submission;
             out.push(EntryAction::Answer {
                 answer: refused(&name, failure),
@@ -65,7 +65,7 @@
         self.jobs.insert(name, job);
     }
 
-    fn admit(&self, submission: &Submission) -> Result<(), Failure> {
+    fn admit(&self, now: Moment, submission: &Submission) -> Result<(), Failure> {
         let Some(config) = self.config.as_deref().filter(|_| !self.stopping) else {
             let message = "this entry takes no submissions now: try another one";
             return Err(failure(
@@ -78,7 +78,8 @@
         check_size(config, submission)?;
         check_possible(config, group, submission)?;
         self.check_queue(config, submission)?;
-        self.check_live(config, submission)
+        self.check_live(config, submission)?;
+        self.check_deadline(now, config, submission)
     }
 
     fn check_queue(&self, config: &Config, submission: &Submission) -> Result<(), Failure> {
@@ -100,39 +101,41 @@
             );
             return Err(self.overloaded(message));
         }
-        let wait_ms = self.expected_wait(submission);
+        Ok(())
+    }
+
+    fn check_deadline(
+        &self,
+        now: Moment,
+        config: &Config,
+        submission: &Submission,
+    ) -> Result<(), Failure> {
         let deadline_ms = submission
             .deadline_ms
             .unwrap_or(config.rules.deadlines.default_ms);
-        if wait_ms > deadline_ms {
-            let message = format!(
-                "the tasks queued before need about {wait_ms}, the deadline is {deadline_ms}: \
-                 try later or allow more time"
-            );
-            let after = wait_ms
-                .saturating_sub(deadline_ms)
-                .max(Millis::new(MIN_RETRY_AFTER_MS));
-            return Err(failure(
-                FailureReason::DeadlineUnreachable,
-                message,
-                Some(after),
-            ));
+        let usable_ms = scaled(deadline_ms, config.rules.admission.deadline_part);
+        let wait_ms = self.expected_wait(now, config, submission, usable_ms);
+        if wait_ms <= usable_ms {
+            return Ok(());
         }
-        Ok(())
+        let message = format!(
+            "the tasks before it need about {wait_ms}, the deadline is {deadline_ms}: \
+             try later or allow more time"
+        );
+        let after = wait_ms
+            .saturating_sub(usable_ms)
+            .max(Millis::new(MIN_RETRY_AFTER_MS));
+        let reason = FailureReason::DeadlineUnreachable;
+        Err(failure(reason, message, Some(after)))
     }
 
     fn overloaded(&self, message: String) -> Failure {
-        let wait_ms = self.totals.time_for(self.queue.tasks(), self.live_slots());
+        let tasks = f64::from(self.queue.tasks());
+        let wait_ms = self.totals.time_for(tasks, f64::from(self.live_slots()));
         let after = Millis::new(wait_ms.get().max(MIN_RETRY_AFTER_MS));
         failure(FailureReason::Overloaded, message, Some(after))
     }
 
-    /// Time in which the tasks queued before this submission will have started.
-    fn expected_wait(&self, submission: &Submission) -> Millis {
-        self.totals
-            .time_for(self.queue.tasks_of(&submission.group), self.live_slots())
-    }
-
     fn live_slots(&self) -> u32 {
         self.agents
             .values()
@@ -161,6 +164,16 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "the checked rules keep the part between 0 and 1"
+)]
+fn scaled(span: Millis, part: f64) -> Millis {
+    Millis::new((span.get() as f64 * part) as u64)
+}
+
 fn check_group<'a>(config: &'a Config, submission: &Submission) -> Result<&'a Group, Failure> {
     let Some(group) = config.group(&submission.group) else {
         let message = format!("group {} is not in the inventory", submission.group);
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod settle;
 mod status;
 mod view;
+mod wait;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/crates/policy/src/entry/status.rs
+++ b/crates/policy/src/entry/status.rs
@@ -63,9 +63,9 @@
         clippy::cast_sign_loss,
         reason = "a positive number of milliseconds; a larger one saturates"
     )]
-    pub(super) fn time_for(&self, tasks: u32, slots: u32) -> Millis {
-        let slots = f64::from(slots.max(1));
-        Millis::new((f64::from(tasks) * self.mean_run_us() / slots / MICROS_PER_MILLI) as u64)
+    pub(super) fn time_for(&self, tasks: f64, slots: f64) -> Millis {
+        let slots = slots.max(1.0);
+        Millis::new((tasks * self.mean_run_us() / slots / MICROS_PER_MILLI) as u64)
     }
 }
 
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -78,8 +78,12 @@
     /// and settled since.
     pub fn load(&self) -> f64 {
         let slots = self.offer().map_or(1, |offer| offer.slots.get().max(1));
+        f64::from(self.open_of_others() + self.open_tasks()) / f64::from(slots)
+    }
+
+    /// Known open tasks of other entries.
+    pub fn open_of_others(&self) -> u32 {
         let hinted = self.hint.running + self.hint.queued;
-        let others = hinted.saturating_sub(self.open_at_hint);
-        f64::from(others + self.open_tasks()) / f64::from(slots)
+        hinted.saturating_sub(self.open_at_hint)
     }
 }
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -44,10 +44,23 @@
 
     /// Charges busy time; a negative amount gives back an estimate that was too high.
     pub fn charge(&mut self, group: &GroupId, busy_us: f64) {
-        let share = self.shares.get(group).copied().unwrap_or(DEFAULT_SHARE);
+        let share = self.share_of(group);
         *self.used.entry(group.clone()).or_default() += busy_us / share;
     }
 
+    /// Part of the capacity that is owed to a group while it and the active ones have work.
+    #[must_use]
+    pub fn part_of(&self, group: &GroupId) -> f64 {
+        let others = self.active.iter().filter(|active| *active != group);
+        let others: f64 = others.map(|active| self.share_of(active)).sum();
+        let own = self.share_of(group);
+        own / (own + others)
+    }
+
+    fn share_of(&self, group: &GroupId) -> f64 {
+        self.shares.get(group).copied().unwrap_or(DEFAULT_SHARE)
+    }
+
     /// Busy microseconds per unit of share.
     #[must_use]
     pub fn used_by(&self, group: &GroupId) -> f64 {
