--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod settle;
 mod status;
 mod view;
+mod wait;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -36,6 +37,7 @@
 pub use event::Submission;
 use job::Job;
 use queue::Queue;
+pub use status::Readiness;
 pub use status::Totals;
 use view::AgentView;
 
