A stop at its bound answers everybody; a late claim is not a bad request

Cause 1: when a planned stop passed its bound, the process ended with submissions open, and their callers saw a broken connection; a handler that was still scheduled would have said not_ready, not run, and given a request key back, although tasks may have run. Change: the answer of a submission whose core is gone is outcome_unknown with every task listed, and the last answers get 1 s to leave.

Cause 2: the time a claim took was subtracted from the deadline, and a deadline of 0 ms is refused as malformed. Change: at least 1 ms is left, so that such a submission is late. Before: store::a_claim_that_outlasts_the_deadline_is_late_and_not_malformed sees bad_request.

--- a/crates/daemon/tests/faults/store.rs
+++ b/crates/daemon/tests/faults/store.rs
@@ -4,11 +4,15 @@
 use dfs_standin::Mode;
 use dfs_wire::api::FailureReason;
 use googletest::prelude::*;
+use serde_json::json;
 
+use crate::support::Call;
 use crate::support::Cluster;
+use crate::support::GROUP_TOKEN;
 use crate::support::Kind;
 use crate::support::Load;
 use crate::support::Record;
+use crate::support::SERVICE;
 use crate::support::Shape;
 use crate::support::judge;
 use crate::support::pause_ms;
@@ -67,3 +71,20 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_that_outlasts_the_deadline_is_late_and_not_malformed() {
+    let cluster = Cluster::start(Shape::DEFAULT).await;
+    let slow = Mode::SlowMs(Millis::new(300));
+    cluster.platform.table.faults().set_mode(slow).await;
+    let body = json!({
+        "service": SERVICE,
+        "body": { "echo": { "id": "late", "try": 0 } },
+        "deadline_ms": 200,
+        "request_key": "late",
+    });
+    let call = Call::post("/v1/requests", GROUP_TOKEN, &body);
+    let reply = call.send(cluster.entry_address(0)).await.unwrap();
+    let reason = reply.body["failure"]["reason"].as_str().unwrap();
+    assert!(reason.starts_with("deadline_"), "{reply:?}");
+}
--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -68,6 +68,9 @@
     background: Vec<JoinHandle<()>>,
 }
 
+/// Longest wait for the answers of a stop that passed its bound.
+const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// How a planned stop ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StopKind {
@@ -194,6 +197,7 @@
         };
         self.sessions.stop();
         self.background.iter().for_each(JoinHandle::abort);
+        self.close_callers().await;
         kind
     }
 
@@ -208,6 +212,15 @@
         // The server only ends; it has no result.
         let _ = (&mut self.callers).await;
     }
+
+    /// Without its core every submission still open is answered as unknown; the answers get a moment
+    /// to leave.
+    async fn close_callers(&mut self) {
+        self.gate.advance(Phase::Closed);
+        if !self.callers.is_finished() {
+            let _ = tokio::time::timeout(LAST_ANSWERS_TIMEOUT, &mut self.callers).await;
+        }
+    }
 }
 
 /// Clients of the platform.
--- a/crates/entry/src/request/submit.rs
+++ b/crates/entry/src/request/submit.rs
@@ -17,6 +17,7 @@
 use dfs_ids::Millis;
 use dfs_ids::RequestKey;
 use dfs_ids::SubmissionId;
+use dfs_ids::TaskIndex;
 use dfs_log::ErrorText;
 use dfs_log::RequestEvent;
 use dfs_policy::entry::EntryEvent;
@@ -24,8 +25,10 @@
 use dfs_store::Claim;
 use dfs_store::Claims;
 use dfs_wire::api::Answer;
+use dfs_wire::api::Failure;
 use dfs_wire::api::FailureReason;
 use dfs_wire::api::JobRequest;
+use dfs_wire::api::Outcome;
 use dfs_wire::api::SingleRequest;
 use tokio::sync::oneshot;
 
@@ -118,6 +121,8 @@
 /// Wait that is advised while an entry starts.
 const SOON_MS: Millis = Millis::new(1_000);
 
+const SHORTEST_DEADLINE_MS: Millis = Millis::new(1);
+
 async fn submit(
     state: Arc<State>,
     headers: &HeaderMap,
@@ -131,7 +136,9 @@
     }
     if let Some(deadline) = &mut submission.deadline_ms {
         let used = u64::try_from(open.arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
-        *deadline = deadline.saturating_sub(Millis::new(used));
+        // A deadline that passed meanwhile is late, and not malformed like that of 0 ms.
+        let shortest = SHORTEST_DEADLINE_MS.min(*deadline);
+        *deadline = deadline.saturating_sub(Millis::new(used)).max(shortest);
     }
     let claimed = key.map(|key| Claimed {
         state: Arc::clone(&open.state),
@@ -139,7 +146,7 @@
         key,
         holder: submission.submission.clone(),
     });
-    let answer = open.run(submission).await?;
+    let answer = open.run(submission).await;
     let not_run = answer.failure.as_ref().is_some_and(|f| f.not_run);
     if let Some(claimed) = claimed.filter(|_| not_run) {
         tokio::spawn(claimed.release());
@@ -259,7 +266,7 @@
         })
     }
 
-    async fn run(mut self, submission: Submission) -> Result<Answer, Refusal> {
+    async fn run(mut self, submission: Submission) -> Answer {
         let (answer, waiting) = oneshot::channel();
         dfs_log::emit(RequestEvent::Submitted {
             submission: self.submission.clone(),
@@ -268,17 +275,35 @@
             tasks: submission.tasks.len(),
         });
         self.sent = true;
+        let tasks = submission.tasks.len();
         self.state.core.send(Command::Submit { submission, answer });
-        let Ok(mut answer) = waiting.await else {
-            let message = "this entry has stopped";
-            return Err(Refusal::new(FailureReason::NotReady, message));
-        };
+        let answer = waiting.await;
+        let mut answer = answer.unwrap_or_else(|_| cut_off(&self.submission, tasks));
         self.sent = false;
         self.record(&answer);
         if let Some(name) = &self.name {
             answer.submission = Some(name.clone());
         }
-        Ok(answer)
+        answer
+    }
+}
+
+/// The answer of an entry whose planned stop has passed its bound.
+fn cut_off(submission: &SubmissionId, tasks: usize) -> Answer {
+    let tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
+    let failure = Failure {
+        reason: FailureReason::OutcomeUnknown,
+        message: "this entry has stopped: every task may have run".to_owned(),
+        not_run: false,
+        may_have_run: (0..tasks).map(TaskIndex::new).collect(),
+        faults: Vec::new(),
+        retry_after_ms: None,
+    };
+    Answer {
+        submission: Some(submission.clone()),
+        outcome: Outcome::Failed,
+        results: Vec::new(),
+        failure: Some(failure),
     }
 }
 
