--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -152,14 +152,10 @@
             AgentEvent::ConnectionLost { connection } => {
                 self.connections.remove(connection);
             }
-            AgentEvent::Message { message, .. } => {
-                fail_point!("agent-placement-read", message.places_tasks(), |_| ());
-                self.metrics.count(Counter::MessagesReceived, 1);
-            }
-            AgentEvent::Ended { .. } => fail_point!("agent-ended"),
-            AgentEvent::Acked { .. } => fail_point!("agent-acknowledged"),
+            AgentEvent::Message { .. } => self.metrics.count(Counter::MessagesReceived, 1),
             _ => {}
         }
+        fail_at(&event);
         let actions = self.decisions.handle(self.clock.now(), event);
         self.perform_all(actions);
         if is_tick && had_target && !self.decisions.has_target() {
@@ -278,3 +274,25 @@
         let _ = self.roster.send(event);
     }
 }
+
+/// Fail points of events; without the feature they are nothing.
+#[allow(
+    unused_variables,
+    clippy::missing_const_for_fn,
+    reason = "the macro may be empty"
+)]
+fn fail_at(event: &AgentEvent) {
+    let places_tasks =
+        matches!(event, AgentEvent::Message { message, .. } if message.places_tasks());
+    fail_point!("agent-placement-read", places_tasks, |_| ());
+    fail_point!(
+        "agent-ended",
+        matches!(event, AgentEvent::Ended { .. }),
+        |_| ()
+    );
+    fail_point!(
+        "agent-acknowledged",
+        matches!(event, AgentEvent::Acked { .. }),
+        |_| ()
+    );
+}
