A refusal by a leaving target takes the target out at once

Cause: the refusals arrived, the report that the target is gone was late, and the entry placed the same tasks there again, without end and without a wait. Ruled out: a retry; a task of a leaving target does not spend the budget. Change: a refusal because of leaving counts as the state of the target unless a report of the same or a later number tells another. Conclusion: every answer that leads to a new placement changes a state.

--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -8,6 +8,7 @@
 use dfs_wire::session::EntryItem;
 use dfs_wire::session::Held;
 use dfs_wire::session::LoadHint;
+use dfs_wire::session::NotRunReason;
 use dfs_wire::session::Report;
 use dfs_wire::session::ReportError;
 use dfs_wire::session::TargetState;
@@ -67,6 +68,9 @@
                     }
                 }
                 AgentItem::NotRun(tasks) => {
+                    if tasks.iter().any(|t| t.reason == NotRunReason::Leaving) {
+                        self.on_leaving(&agent, report.seq);
+                    }
                     for not_run in tasks {
                         self.on_not_run(now, &agent, &not_run.task, not_run.reason, out);
                     }
@@ -134,6 +138,15 @@
         Some(view.next_message)
     }
 
+    /// The report that tells of the leaving target may be late, and without it the same tasks
+    /// would be placed there again and again.
+    fn on_leaving(&mut self, agent: &AgentId, seq: u64) {
+        if let Some(view) = self.agents.get_mut(agent).filter(|v| v.target_seq < seq) {
+            view.target = TargetState::Leaving;
+            view.target_seq = seq;
+        }
+    }
+
     fn on_load(&mut self, agent: &AgentId, seq: u64, hint: LoadHint) {
         let Some(view) = self
             .agents
--- a/crates/policy/tests/matrix/main.rs
+++ b/crates/policy/tests/matrix/main.rs
@@ -5,6 +5,7 @@
 mod link;
 mod matrix_directed;
 mod matrix_pairs;
+mod matrix_random;
 mod matrix_single;
 mod node;
 mod run;
--- a/crates/policy/tests/matrix/matrix_directed.rs
+++ b/crates/policy/tests/matrix/matrix_directed.rs
@@ -148,3 +148,16 @@
     let (_, answer) = &world.callers[0].answers[0];
     expect_that!(answer.outcome, eq(Outcome::Complete));
 }
+
+#[googletest::test]
+fn a_task_is_not_placed_again_and_again_on_a_target_that_left() {
+    let mut world = pair();
+    while world.step() {}
+    inject(&mut world, Kind::Goodbye, 0);
+    inject(&mut world, Kind::Late, 0);
+    world.submit(0, Caller::new(0, "placed once", 1, false));
+    world.run_for(5 * SECOND_US);
+    let (_, answer) = &world.callers[0].answers[0];
+    expect_that!(answer.outcome, eq(Outcome::Complete));
+    expect_that!(world.has_livelock, eq(false));
+}
--- /dev/null
+++ b/crates/policy/tests/matrix/matrix_random.rs
@@ -0,0 +1,93 @@
+//! Random schedules of faults over larger loads, with fixed seeds.
+
+use googletest::prelude::*;
+use proptest::collection::vec;
+use proptest::sample::select;
+use proptest::strategy::Strategy;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestCaseError;
+use proptest::test_runner::TestError;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+use crate::fault::Fault;
+use crate::fault::Kind;
+use crate::run::FAR_DEADLINE_MS;
+use crate::run::Load;
+use crate::run::run;
+
+const ENTRIES: usize = 2;
+const AGENTS: usize = 3;
+const MAX_SUBMISSIONS: usize = 9;
+const MAX_FAULTS: usize = 6;
+/// Steps over which faults are spread; a load without faults has about so many.
+const STEPS: usize = 120;
+const CASES: u32 = 500;
+
+fn fault() -> impl Strategy<Value = (usize, Fault)> {
+    let at = (0..STEPS, select(&Kind::ALL[..]));
+    let place = (0..ENTRIES, 0..AGENTS, 0..MAX_SUBMISSIONS);
+    (at, place).prop_map(|((step, kind), (entry, agent, caller))| {
+        let fault = Fault {
+            kind,
+            entry,
+            agent,
+            caller,
+        };
+        (step, fault)
+    })
+}
+
+fn load() -> impl Strategy<Value = Load> {
+    let deadline_ms = select(&[700, FAR_DEADLINE_MS][..]);
+    (2..=MAX_SUBMISSIONS, deadline_ms, 0..2).prop_map(|(submissions, deadline_ms, warm)| Load {
+        entries: ENTRIES,
+        agents: AGENTS,
+        deadline_ms,
+        submissions,
+        is_warm: warm == 1,
+    })
+}
+
+/// The smallest red case found from this seed.
+fn red_from(seed: u8) -> Option<String> {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    let mut runner = TestRunner::new_with_rng(config, random);
+    let schedule = (load(), vec(fault(), 1..=MAX_FAULTS));
+    let result = runner.run(&schedule, |(load, mut faults)| {
+        faults.sort_by_key(|(step, _)| *step);
+        for (_, fault) in &mut faults {
+            fault.caller %= load.submissions;
+        }
+        run(&load, &faults).map_err(TestCaseError::fail)
+    });
+    match result {
+        Ok(()) => None,
+        Err(TestError::Fail(why, case)) => Some(format!("{why} in {case:?}")),
+        Err(TestError::Abort(why)) => Some(why.to_string()),
+    }
+}
+
+macro_rules! seeds {
+    ($($name:ident: $seed:literal;)+) => {
+        $(
+            #[googletest::test]
+            fn $name() {
+                expect_that!(red_from($seed), none());
+            }
+        )+
+    };
+}
+
+seeds! {
+    random_schedules_of_seed_1: 1;
+    random_schedules_of_seed_2: 2;
+    random_schedules_of_seed_3: 3;
+    random_schedules_of_seed_4: 4;
+}
