--- a/crates/conf/src/rules/mod.rs
+++ b/crates/conf/src/rules/mod.rs
@@ -1,9 +1,13 @@
 //! The rules: limits and policies that operators add to the inventory.
 
+mod check;
+
 use dfs_ids::Millis;
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use check::check_rules;
+
 /// All rules; each has a default.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -49,6 +53,9 @@
     pub max_queued_tasks: u32,
     /// Most tasks that one group may have queued at one entry.
     pub max_queued_tasks_per_group: u32,
+    /// Part of its deadline that a submission may be expected to wait; the rest is for tasks that
+    /// will overtake it.
+    pub deadline_part: f64,
 }
 
 impl Default for Admission {
@@ -57,6 +64,7 @@
             max_tasks_per_job: 320,
             max_queued_tasks: 100_000,
             max_queued_tasks_per_group: 20_000,
+            deadline_part: 0.35,
         }
     }
 }
@@ -110,6 +118,9 @@
     pub ageing_ms_per_task: Millis,
     /// Open tasks that an agent grants to all entries together, for each slot.
     pub open_tasks_per_slot: f64,
+    /// Times that a task may be handed back by an agent that turns out to have no free slot; then
+    /// it is queued there.
+    pub max_hand_backs: u32,
     /// When agents tell their load.
     pub hints: HintMode,
     /// Shortest time between two load hints that ride on nothing.
@@ -121,8 +132,9 @@
         Self {
             policy: PlacementPolicy::default(),
             order: Order::default(),
-            ageing_ms_per_task: Millis::new(50),
+            ageing_ms_per_task: Millis::new(200),
             open_tasks_per_slot: 4.0,
+            max_hand_backs: 2,
             hints: HintMode::default(),
             hint_cadence_ms: Millis::new(50),
         }
--- a/crates/entry/src/process/core.rs
+++ b/crates/entry/src/process/core.rs
@@ -3,27 +3,35 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use dfs_ids::AgentId;
 use dfs_ids::Clock;
 use dfs_ids::ConfigVersion;
 use dfs_ids::SubmissionId;
 use dfs_log::Counter;
 use dfs_log::Gauge;
 use dfs_log::Metrics;
+use dfs_log::NotReadyCause;
+use dfs_log::ProcessEvent;
+use dfs_log::ProcessName;
+use dfs_log::SessionEvent;
 use dfs_policy::ConnectionId;
 use dfs_policy::entry as policy;
 use dfs_policy::entry::EntryAction;
 use dfs_policy::entry::EntryEvent;
+use dfs_policy::entry::Readiness;
 use dfs_wire::api::Answer;
 use dfs_wire::api::EntryStatus;
 use dfs_wire::session::Ack;
 use dfs_wire::session::ReportError;
 use dfs_wire::session::ToAgent;
+use fail::fail_point;
 use serde_json::value::RawValue;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
-use super::observe::observe;
+use super::observe::Observer;
 
 /// Time between two looks at leases and deadlines.
 const TICK: Duration = Duration::from_millis(20);
@@ -44,7 +52,7 @@
     Attach {
         connection: ConnectionId,
         event: EntryEvent,
-        sink: mpsc::Sender<ToAgent>,
+        sink: Sink,
     },
     /// A report; `reply` gets its acknowledgement.
     Report {
@@ -71,6 +79,13 @@
     Stopped,
 }
 
+/// Where messages for one agent go.
+#[derive(Debug)]
+pub(crate) struct Sink {
+    pub agent: AgentId,
+    pub messages: mpsc::Sender<ToAgent>,
+}
+
 /// Sends commands to the core.
 #[derive(Debug, Clone)]
 pub(crate) struct CoreHandle {
@@ -97,7 +112,9 @@
     commands: mpsc::UnboundedReceiver<Command>,
     outgoing: mpsc::UnboundedSender<Outgoing>,
     answers: HashMap<SubmissionId, oneshot::Sender<Answer>>,
-    sinks: HashMap<ConnectionId, mpsc::Sender<ToAgent>>,
+    observer: Observer,
+    readiness: watch::Sender<Readiness>,
+    sinks: HashMap<ConnectionId, Sink>,
     replies: HashMap<(ConnectionId, u64), oneshot::Sender<Result<Ack, ReportError>>>,
     lost: Vec<ConnectionId>,
 }
@@ -113,6 +130,8 @@
         let core = Self {
             decisions,
             clock,
+            observer: Observer::new(metrics.clone()),
+            readiness: watch::Sender::new(Readiness::NoConfig),
             metrics,
             commands,
             outgoing,
@@ -124,6 +143,11 @@
         (core, CoreHandle { commands: sender })
     }
 
+    /// Whether the entry is ready, as it changes.
+    pub fn readiness(&self) -> watch::Receiver<Readiness> {
+        self.readiness.subscribe()
+    }
+
     pub async fn run(mut self) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -139,7 +163,24 @@
             let actions = self.decisions.flush(self.clock.now());
             self.perform_all(actions);
             self.settle_lost();
+            self.tell_readiness();
+        }
+    }
+
+    fn tell_readiness(&self) {
+        let now = self.decisions.readiness();
+        let changed = self
+            .readiness
+            .send_if_modified(|old| std::mem::replace(old, now) != now);
+        if !changed {
+            return;
         }
+        dfs_log::emit(match now {
+            Readiness::Ready => ProcessEvent::Ready {},
+            Readiness::NoConfig => not_ready(NotReadyCause::NoConfig),
+            Readiness::NoSession => not_ready(NotReadyCause::NoSession),
+            Readiness::Stopping => not_ready(NotReadyCause::Stopping),
+        });
     }
 
     fn take_batch(&mut self, first: Command) {
@@ -156,6 +197,7 @@
         match command {
             Command::Event(event) => self.handle(event),
             Command::Submit { submission, answer } => {
+                fail_point!("entry-accepted");
                 self.answers.insert(submission.submission.clone(), answer);
                 self.handle(EntryEvent::Submit(submission));
             }
@@ -165,6 +207,7 @@
                 sink,
             } => {
                 self.sinks.insert(connection, sink);
+                self.count_sessions();
                 self.handle(event);
             }
             Command::Report {
@@ -174,6 +217,7 @@
                 reply,
             } => {
                 self.metrics.count(Counter::MessagesReceived, 1);
+                fail_point!("entry-report-read");
                 self.replies.insert((connection, seq), reply);
                 self.handle(event);
             }
@@ -187,7 +231,7 @@
 
     fn handle(&mut self, event: EntryEvent) {
         if let EntryEvent::ConnectionLost { connection } = &event {
-            self.sinks.remove(connection);
+            self.lose_sink(*connection);
         }
         let actions = self.decisions.handle(self.clock.now(), event);
         self.perform_all(actions);
@@ -211,6 +255,7 @@
                 seq,
                 reply,
             } => {
+                fail_point!("entry-acknowledge");
                 if let Some(waiting) = self.replies.remove(&(connection, seq)) {
                     // A connection that broke meanwhile needs no reply.
                     let _ = waiting.send(reply);
@@ -218,17 +263,21 @@
             }
             EntryAction::Close { connection } => {
                 self.sinks.remove(&connection);
+                self.count_sessions();
             }
             EntryAction::OfferConfig { connection, have } => {
                 self.pass(Outgoing::OfferConfig { connection, have });
             }
             EntryAction::ConfigReceived(body) => self.pass(Outgoing::ConfigReceived(body)),
-            EntryAction::Observe(observation) => observe(&self.metrics, observation),
+            EntryAction::Observe(observation) => {
+                self.observer.observe(self.clock.now(), observation);
+            }
             EntryAction::Stopped => self.pass(Outgoing::Stopped),
         }
     }
 
     fn answer(&mut self, submission: &SubmissionId, answer: Answer) {
+        fail_point!("entry-answer");
         if let Some(waiting) = self.answers.remove(submission) {
             // A caller that has gone needs no answer.
             let _ = waiting.send(answer);
@@ -238,17 +287,41 @@
     }
 
     fn send(&mut self, connection: ConnectionId, message: ToAgent) {
+        fail_point!("entry-place", message.places_tasks(), |_| ());
         self.metrics.count(Counter::MessagesSent, 1);
         let Some(sink) = self.sinks.get(&connection) else {
             return;
         };
-        match sink.try_send(message) {
+        match sink.messages.try_send(message) {
             Ok(()) => {}
             // A session that lags or is closed is lost; the fence of the next one makes it safe.
-            Err(TrySendError::Full(_) | TrySendError::Closed(_)) => self.lost.push(connection),
+            Err(TrySendError::Full(_)) => {
+                let buffer_messages =
+                    u32::try_from(sink.messages.max_capacity()).unwrap_or(u32::MAX);
+                let agent = sink.agent.clone();
+                dfs_log::emit(SessionEvent::Lagging {
+                    agent,
+                    buffer_messages,
+                });
+                self.lost.push(connection);
+            }
+            Err(TrySendError::Closed(_)) => self.lost.push(connection),
+        }
+    }
+
+    fn lose_sink(&mut self, connection: ConnectionId) {
+        if let Some(sink) = self.sinks.remove(&connection) {
+            let peer = ProcessName::Agent(sink.agent);
+            dfs_log::emit(SessionEvent::Lost { peer });
+            self.count_sessions();
         }
     }
 
+    fn count_sessions(&self) {
+        let sessions = u64::try_from(self.sinks.len()).unwrap_or(u64::MAX);
+        self.metrics.set(Gauge::Sessions, sessions);
+    }
+
     fn settle_lost(&mut self) {
         while let Some(connection) = self.lost.pop() {
             self.handle(EntryEvent::ConnectionLost { connection });
@@ -260,3 +333,7 @@
         let _ = self.outgoing.send(outgoing);
     }
 }
+
+const fn not_ready(cause: NotReadyCause) -> ProcessEvent {
+    ProcessEvent::NotReady { cause }
+}
--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -16,6 +16,7 @@
 use super::view::EntryView;
 use super::view::Phase;
 use crate::ConnectionId;
+use crate::membership::weight;
 
 impl Agent {
     pub(super) fn on_message(
@@ -151,7 +152,7 @@
     }
 
     /// Drops what waits for entries that are gone.
-    pub(super) fn expire_entries(&mut self, now: Moment) {
+    pub(super) fn expire_entries(&mut self, now: Moment, out: &mut Vec<AgentAction>) {
         let keep_ms = self.keep_results_ms;
         let gone = |view: &EntryView| view.connection.is_none() && view.has_lapsed(now);
         let lapsed: Vec<_> = self
@@ -161,7 +162,11 @@
             .map(|(key, _)| *key)
             .collect();
         for incarnation in lapsed {
-            self.drop_queued(incarnation);
+            let dropped = self.drop_queued(incarnation);
+            if dropped > 0 {
+                let entry = self.entries[&incarnation].entry.clone();
+                out.push(AgentAction::EntryLapsed { entry, dropped });
+            }
             let Some(view) = self.entries.get(&incarnation) else {
                 continue;
             };
@@ -171,13 +176,16 @@
         }
     }
 
-    fn drop_queued(&mut self, incarnation: Incarnation) {
-        let before = self.records.len();
-        self.records.retain(|_, record| {
-            record.entry != incarnation || !matches!(record.stage, Stage::Queued { .. })
-        });
-        let dropped = before - self.records.len();
-        self.queued -= u32::try_from(dropped).unwrap_or(u32::MAX);
+    fn drop_queued(&mut self, incarnation: Incarnation) -> u32 {
+        let of_entry =
+            |task: &&TaskRef| self.records.get(*task).map(|r| r.entry) == Some(incarnation);
+        let tasks: Vec<_> = self.queue.tasks().filter(of_entry).cloned().collect();
+        for task in &tasks {
+            if let Some(record) = self.records.remove(task) {
+                self.queue.remove(task, &record);
+            }
+        }
+        u32::try_from(tasks.len()).unwrap_or(u32::MAX)
     }
 
     /// Removes an entry incarnation and its results; if it comes back, its `resumed` flag tells
@@ -198,8 +206,8 @@
         }
         match record.stage {
             Stage::Queued { .. } => {
+                self.queue.remove(task, record);
                 self.records.remove(task);
-                self.queued -= 1;
             }
             Stage::Running { .. } => record.wanted = false,
             Stage::Finished { .. } => {
@@ -210,30 +218,31 @@
 
     /// Results that may not have arrived are sent again in the next session.
     fn mark_unsent(&mut self, incarnation: Incarnation) {
-        let of_entry = |record: &&mut Record| record.entry == incarnation;
-        for record in self.records.values_mut().filter(of_entry) {
-            if let Stage::Finished { sent, .. } = &mut record.stage {
-                *sent = false;
-            }
+        let finished = |(_, record): &(&TaskRef, &Record)| {
+            record.entry == incarnation && matches!(record.stage, Stage::Finished { .. })
+        };
+        let unsent = self.records.iter().filter(finished);
+        let unsent = unsent.map(|(task, _)| task.clone()).collect();
+        if let Some(view) = self.entries.get_mut(&incarnation) {
+            view.unsent = unsent;
         }
     }
 
-    /// One session at a time brings configurations, so that each change arrives once.
+    /// One session at a time brings configurations, so that each change arrives once; agents
+    /// spread over the entries by rendezvous hashing.
     fn choose_config_source(&mut self) {
-        let connected = |view: &&mut EntryView| view.connection.is_some();
-        if self
+        let own = self.incarnation;
+        let connected = self
             .entries
-            .values()
-            .any(|view| view.is_config_source && view.connection.is_some())
-        {
-            return;
-        }
-        for view in self.entries.values_mut() {
-            view.is_config_source = false;
-        }
-        if let Some(view) = self.entries.values_mut().find(connected) {
-            view.is_config_source = true;
-            view.tell_version = true;
+            .iter()
+            .filter(|(_, view)| view.connection.is_some());
+        let chosen = connected
+            .max_by_key(|(entry, _)| weight(&own, entry))
+            .map(|(entry, _)| *entry);
+        for (entry, view) in &mut self.entries {
+            let is_source = Some(*entry) == chosen;
+            view.tell_version |= is_source != view.is_config_source;
+            view.is_config_source = is_source;
         }
     }
 
--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -2,12 +2,14 @@
 
 mod event;
 mod lease;
+mod queue;
 mod record;
 mod report;
 mod start;
 mod view;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use dfs_conf::Config;
@@ -23,7 +25,9 @@
 pub use event::AgentAction;
 pub use event::AgentEvent;
 pub use event::RunEnd;
+use queue::Queue;
 use record::Record;
+use record::Stage;
 use view::EntryView;
 
 use crate::share::ShareLedger;
@@ -39,9 +43,15 @@
     shares: ShareLedger,
     rules: PlacementRules,
     version: Option<ConfigVersion>,
+    /// Life of this agent; spreads the agents' choices of a config source.
+    incarnation: Incarnation,
     keep_results_ms: Millis,
     running: u32,
-    queued: u32,
+    /// Address of the latest target; kept after it has gone.
+    task_address: Option<SocketAddr>,
+    /// Tasks running on targets at other addresses, which take no slots of the latest one.
+    running_elsewhere: u32,
+    queue: Queue,
     stopping: bool,
     stopped: bool,
     was_full: bool,
@@ -57,7 +67,7 @@
 impl Agent {
     /// An agent that knows no entry, no target and no configuration.
     #[must_use]
-    pub fn new(keep_results_ms: Millis) -> Self {
+    pub fn new(incarnation: Incarnation, keep_results_ms: Millis) -> Self {
         Self {
             entries: BTreeMap::new(),
             records: BTreeMap::new(),
@@ -65,9 +75,12 @@
             shares: ShareLedger::default(),
             rules: PlacementRules::default(),
             version: None,
+            incarnation,
             keep_results_ms,
             running: 0,
-            queued: 0,
+            task_address: None,
+            running_elsewhere: 0,
+            queue: Queue::default(),
             stopping: false,
             stopped: false,
             was_full: false,
@@ -96,7 +109,7 @@
             AgentEvent::Configured(config) => self.on_configured(&config),
             AgentEvent::ConfigBody { connection, body } => self.on_config_body(connection, body),
             AgentEvent::Stop => self.on_stop(),
-            AgentEvent::Tick => self.on_tick(now),
+            AgentEvent::Tick => self.on_tick(now, &mut out),
         }
         out
     }
@@ -113,6 +126,12 @@
         out
     }
 
+    /// Whether a target is within its lease.
+    #[must_use]
+    pub const fn has_target(&self) -> bool {
+        self.target.is_some()
+    }
+
     /// Tasks running on the target.
     #[must_use]
     pub const fn running(&self) -> u32 {
@@ -121,8 +140,8 @@
 
     /// Tasks accepted and not started.
     #[must_use]
-    pub const fn queued(&self) -> u32 {
-        self.queued
+    pub fn queued(&self) -> u32 {
+        self.queue.len()
     }
 
     fn on_configured(&mut self, config: &Arc<Config>) {
@@ -151,6 +170,7 @@
             .target
             .as_ref()
             .is_none_or(|old| old.announcement != announcement);
+        self.follow(announcement.address);
         self.target = Some(LiveTarget {
             announcement,
             heard_at: now,
@@ -160,6 +180,21 @@
         }
     }
 
+    /// Counts anew which running tasks take slots of the target at this address.
+    fn follow(&mut self, address: SocketAddr) {
+        if self.task_address.replace(address) == Some(address) {
+            return;
+        }
+        let is_elsewhere = |record: &&Record| matches!(record.stage, Stage::Running { address: at, .. } if at != address);
+        let elsewhere = self.records.values().filter(is_elsewhere).count();
+        self.running_elsewhere = u32::try_from(elsewhere).unwrap_or(u32::MAX);
+    }
+
+    /// Slots of the latest target that are taken.
+    const fn occupied(&self) -> u32 {
+        self.running - self.running_elsewhere
+    }
+
     fn on_target_gone(&mut self) {
         if self.target.take().is_some() {
             self.tell_target();
@@ -176,7 +211,7 @@
         self.return_queued();
     }
 
-    fn on_tick(&mut self, now: Moment) {
+    fn on_tick(&mut self, now: Moment, out: &mut Vec<AgentAction>) {
         let lapsed = self
             .target
             .as_ref()
@@ -184,7 +219,7 @@
         if lapsed {
             self.on_target_gone();
         }
-        self.expire_entries(now);
+        self.expire_entries(now, out);
     }
 
     fn tell_target(&mut self) {
--- a/crates/policy/src/agent/report.rs
+++ b/crates/policy/src/agent/report.rs
@@ -115,17 +115,8 @@
     ) -> Option<Vec<AgentItem>> {
         let results = self.take_results(incarnation);
         let hint = self.hint();
-        let holds = self
-            .records
-            .values()
-            .any(|record| record.entry == incarnation);
+        let renewal_due = self.renewal_is_due(now, incarnation);
         let view = self.entries.get_mut(&incarnation)?;
-        let renew_ms = if holds {
-            view.busy_renew_ms
-        } else {
-            view.idle_renew_ms
-        };
-        let renewal_due = now >= view.last_sent_at + renew_ms;
         let window_changed = hint.window != view.told_hint.window;
         let hint_due = match self.rules.hints {
             HintMode::OnResults => false,
@@ -134,7 +125,9 @@
                 hint != view.told_hint && now >= view.told_hint_at + self.rules.hint_cadence_ms
             }
         };
-        let news = view.tell_target || view.tell_version || view.config_body.is_some();
+        // To the other entries the version rides on the next report.
+        let tells_source = view.tell_version && view.is_config_source;
+        let news = view.tell_target || tells_source || view.config_body.is_some();
         let answers = !results.is_empty() || !view.not_run.is_empty() || view.probed;
         if !(renewal_due || window_changed || hint_due || news || answers) {
             return None;
@@ -153,6 +146,18 @@
         Some(items)
     }
 
+    fn renewal_is_due(&self, now: Moment, incarnation: Incarnation) -> bool {
+        let Some(view) = self.entries.get(&incarnation) else {
+            return false;
+        };
+        let silent_ms = now.since(view.last_sent_at);
+        if silent_ms >= view.idle_renew_ms {
+            return true;
+        }
+        let mut records = self.records.values();
+        silent_ms >= view.busy_renew_ms && records.any(|record| record.entry == incarnation)
+    }
+
     /// What has changed since the entry was last told.
     fn changed_items(&mut self, incarnation: Incarnation) -> Vec<AgentItem> {
         let state = self.target_state();
@@ -181,16 +186,15 @@
     }
 
     fn take_results(&mut self, incarnation: Incarnation) -> Vec<TaskResult> {
-        let of_entry = |record: &&mut Record| record.entry == incarnation;
-        let mut results = Vec::new();
-        for record in self.records.values_mut().filter(of_entry) {
-            if let Stage::Finished { result, sent } = &mut record.stage
-                && !std::mem::replace(sent, true)
-            {
-                results.push(result.clone());
-            }
-        }
-        results
+        let Some(view) = self.entries.get_mut(&incarnation) else {
+            return Vec::new();
+        };
+        let unsent = std::mem::take(&mut view.unsent);
+        let result = |task: &TaskRef| match &self.records.get(task)?.stage {
+            Stage::Finished { result } => Some(result.clone()),
+            Stage::Queued { .. } | Stage::Running { .. } => None,
+        };
+        unsent.iter().filter_map(result).collect()
     }
 
     /// Load, and the window that each entry with a session gets.
@@ -202,14 +206,14 @@
             .count();
         LoadHint {
             window: window(self.slots(), self.rules.open_tasks_per_slot, sessions),
-            running: self.running,
-            queued: self.queued,
+            running: self.occupied(),
+            queued: self.queued(),
         }
     }
 
     /// Whether the target went from free to full or back since the last call.
     fn crossed_edge(&mut self) -> bool {
-        let full = self.running >= self.slots();
+        let full = self.occupied() >= self.slots();
         std::mem::replace(&mut self.was_full, full) != full
     }
 }
--- a/crates/policy/src/agent/view.rs
+++ b/crates/policy/src/agent/view.rs
@@ -1,7 +1,9 @@
 //! What an agent knows of one entry incarnation.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
+use dfs_ids::EntryId;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::SessionNumber;
@@ -20,6 +22,7 @@
 )]
 #[derive(Debug)]
 pub(super) struct EntryView {
+    pub entry: EntryId,
     /// Absent between two sessions.
     pub connection: Option<ConnectionId>,
     pub session: SessionNumber,
@@ -40,6 +43,8 @@
     /// Whether records of started tasks of this entry may have been dropped since a list of held
     /// tasks was acknowledged.
     pub forgotten: bool,
+    /// Finished tasks whose results are not sent in this session.
+    pub unsent: BTreeSet<TaskRef>,
     pub not_run: Vec<NotRun>,
     pub config_body: Option<Box<RawValue>>,
     pub told_hint: LoadHint,
@@ -74,6 +79,7 @@
         now: Moment,
     ) -> Self {
         Self {
+            entry: open.entry.clone(),
             connection: Some(connection),
             session,
             phase: Phase::Fencing,
@@ -87,6 +93,7 @@
             leased_at: now,
             last_sent_at: now,
             forgotten: false,
+            unsent: BTreeSet::new(),
             not_run: Vec::new(),
             config_body: None,
             told_hint: LoadHint::default(),
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -147,6 +147,8 @@
             service: job.service,
             response_us: now.micros_since(job.submitted_at),
             ideal_us: job.longest_run_us,
+            tasks: job.tasks.len() as u64,
+            messages: job.messages,
         }));
         let body = |task: super::job::Task| match task.state {
             TaskState::Done(body) => Some(RawValue::to_owned(&body)),
@@ -232,6 +234,7 @@
         }
         match reason {
             NotRunReason::Leaving | NotRunReason::Withdrawn => self.requeue(agent, task),
+            NotRunReason::Busy => self.on_handed_back(agent, task),
             NotRunReason::Expired => {
                 self.requeue(agent, task);
                 let message = format!("task {} did not start before its deadline", task.task);
@@ -257,6 +260,14 @@
         }
     }
 
+    fn on_handed_back(&mut self, agent: &AgentId, task: &TaskRef) {
+        let job = self.jobs.get_mut(&task.submission);
+        if let Some(handed_back) = job.and_then(|job| job.task_mut(task.task)) {
+            handed_back.hand_backs += 1;
+        }
+        self.requeue(agent, task);
+    }
+
     /// A task that the agent never read, as its list after the fence shows.
     pub(super) fn on_absent(&mut self, agent: &AgentId, task: &TaskRef) {
         if self.forget_outstanding(agent, task) && self.is_placed(agent, task) {
