A full queue makes room at the cost of the group furthest over its share

Submissions of which nothing was placed are failed as not run, the last in order first, when a group that used less of its share needs the room. Windows are 64 open tasks a slot by default, so that the agents' fair queues decide between groups of different entries.

--- a/crates/conf/src/rules/mod.rs
+++ b/crates/conf/src/rules/mod.rs
@@ -133,7 +133,7 @@
             policy: PlacementPolicy::default(),
             order: Order::default(),
             ageing_ms_per_task: Millis::new(200),
-            open_tasks_per_slot: 4.0,
+            open_tasks_per_slot: 64.0,
             max_hand_backs: 2,
             hints: HintMode::default(),
             hint_cadence_ms: Millis::new(50),
--- a/crates/policy/benches/grid/cluster.rs
+++ b/crates/policy/benches/grid/cluster.rs
@@ -45,8 +45,48 @@
 use super::tally::Sample;
 use super::tally::Tally;
 
+/// How the target of the first agent misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// It does not.
+    None,
+    /// It fails every task after a millisecond.
+    FailsAll,
+    /// It takes ten times as long.
+    SlowByTen,
+    /// It accepts tasks and never answers.
+    Silent,
+}
+
+/// One group and what it submits.
+#[derive(Debug, Clone)]
+pub struct Tenant {
+    pub name: &'static str,
+    /// Part of the submissions.
+    pub weight: f64,
+    /// Entries that see it; empty: all.
+    pub entries: Vec<u64>,
+    /// Tasks of each job and run time of each, in place of those of the mix.
+    pub uniform: Option<(usize, u64)>,
+}
+
+impl Tenant {
+    pub fn only() -> Self {
+        Self {
+            name: "printers",
+            weight: 1.0,
+            entries: Vec::new(),
+            uniform: None,
+        }
+    }
+
+    pub fn group(&self) -> GroupId {
+        self.name.parse().expect("a valid name")
+    }
+}
+
 /// Size of the cluster and of its load.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Shape {
     pub entries: u64,
     pub agents: u64,
@@ -55,6 +95,8 @@
     pub load: f64,
     pub duration_us: u64,
     pub seed: u64,
+    pub tenants: Vec<Tenant>,
+    pub fault: Fault,
 }
 
 enum Happening {
@@ -97,7 +139,6 @@
 impl Cluster {
     pub fn new(shape: Shape, mix: Mix, config: &Arc<Config>) -> Self {
         let mut cluster = Self {
-            shape,
             mix,
             random: SmallRng::seed_from_u64(shape.seed),
             entries: (0..shape.entries).map(|e| entry(e, shape.seed)).collect(),
@@ -110,6 +151,7 @@
             open: BTreeMap::new(),
             tasks_in_system: 0,
             tally: Tally::default(),
+            shape,
         };
         cluster.connect(config);
         cluster
@@ -181,14 +223,18 @@
     }
 
     fn submit(&mut self, now: u64) {
-        let job = self.mix.draw(&mut self.random);
-        let e = self.random.random_range(0..self.shape.entries);
+        let tenant = self.tenant();
+        let mut job = self.mix.draw(&mut self.random);
+        if let Some((tasks, run_us)) = tenant.uniform {
+            job.run_us = vec![run_us; tasks];
+        }
+        let e = self.entry_for(&tenant);
         let slots = u64::from(self.shape.slots) * self.shape.agents;
         let tasks = job.run_us.len() as u64;
         let name = SubmissionId::numbered(Incarnation::new(e + 1), self.serial);
         let submission = Submission {
             submission: name.clone(),
-            group: group(),
+            group: tenant.group(),
             service: service(),
             tasks: job.run_us.iter().map(|run_us| body(*run_us)).collect(),
             deadline_ms: Some(Millis::new(job.deadline_ms)),
@@ -204,13 +250,43 @@
         };
         self.open.insert(name, open);
         self.enter(now, e, EntryEvent::Submit(submission));
-        let rate = self.mix.rate_per_s(count(slots) * self.shape.load);
+        let rate = self.rate_per_s(count(slots) * self.shape.load);
         let gap_s = -(1.0 - self.random.random::<f64>()).ln() / rate;
         let gap = std::time::Duration::from_secs_f64(gap_s).as_micros();
         let gap = u64::try_from(gap).unwrap_or(u64::MAX);
         self.at(now + gap, Happening::Submit);
     }
 
+    fn tenant(&mut self) -> Tenant {
+        let tenants = &self.shape.tenants;
+        let mut left =
+            self.random.random::<f64>() * tenants.iter().map(|tenant| tenant.weight).sum::<f64>();
+        let chosen = tenants.iter().find(|tenant| {
+            left -= tenant.weight;
+            left <= 0.0
+        });
+        chosen.unwrap_or(&tenants[0]).clone()
+    }
+
+    fn entry_for(&mut self, tenant: &Tenant) -> u64 {
+        if tenant.entries.is_empty() {
+            return self.random.random_range(0..self.shape.entries);
+        }
+        tenant.entries[self.random.random_range(0..tenant.entries.len())]
+    }
+
+    /// Submissions a second that keep so many slots busy.
+    fn rate_per_s(&self, slots: f64) -> f64 {
+        let tenants = &self.shape.tenants;
+        let weights: f64 = tenants.iter().map(|tenant| tenant.weight).sum();
+        let work_s = |tenant: &Tenant| match tenant.uniform {
+            Some((tasks, run_us)) => count(tasks as u64 * run_us) / 1e6,
+            None => 1.0 / self.mix.rate_per_s(1.0),
+        };
+        let work_s: f64 = tenants.iter().map(|t| t.weight * work_s(t)).sum();
+        slots * weights / work_s
+    }
+
     fn tick(&mut self, now: u64) {
         for e in 0..self.shape.entries {
             self.enter(now, e, EntryEvent::Tick);
@@ -274,11 +350,16 @@
                     let event = EntryEvent::Report { connection, report };
                     self.at(later, Happening::ToEntry(e, event));
                 }
-                AgentAction::Start { task, body, .. } => {
+                AgentAction::Start {
+                    task, body, group, ..
+                } => {
                     let run_us = body.get().parse().unwrap_or_default();
-                    let end = RunEnd::Started(TaskOutcome::Done(body));
+                    let (run_us, outcome) = self.outcome(a, run_us, body);
+                    let end = RunEnd::Started(outcome);
                     let event = AgentEvent::Ended { task, run_us, end };
                     self.tally.tasks += 1;
+                    self.tally.started_at_first += u64::from(a == 0);
+                    self.tally.occupy(&group, now, run_us);
                     self.at(now + run_us, Happening::ToAgent(a, event));
                 }
                 _ => {}
@@ -286,6 +367,16 @@
         }
     }
 
+    /// Run time and outcome of a task at the target of an agent.
+    fn outcome(&self, a: u64, run_us: u64, body: Arc<RawValue>) -> (u64, TaskOutcome) {
+        match self.shape.fault {
+            Fault::FailsAll if a == 0 => (1_000, TaskOutcome::Failed("fails".to_owned())),
+            Fault::SlowByTen if a == 0 => (10 * run_us, TaskOutcome::Done(body)),
+            Fault::Silent if a == 0 => (600_000_000, TaskOutcome::Unknown("silent".to_owned())),
+            _ => (run_us, TaskOutcome::Done(body)),
+        }
+    }
+
     fn answered(&mut self, now: u64, submission: &SubmissionId, answer: &Answer) {
         let Some(open) = self.open.remove(submission) else {
             return;
@@ -349,10 +440,6 @@
     "lagos".parse().expect("a valid name")
 }
 
-fn group() -> GroupId {
-    "printers".parse().expect("a valid name")
-}
-
 fn service() -> ServiceName {
     "desk".parse().expect("a valid name")
 }
--- /dev/null
+++ b/crates/policy/benches/grid/faults.rs
@@ -0,0 +1,42 @@
+//! One target of eleven misbehaves.
+
+use dfs_conf::Rules;
+
+use super::cluster::Cluster;
+use super::cluster::Fault;
+use super::cluster::Shape;
+use super::cluster::Tenant;
+use super::config;
+use super::mix::MEMBER_DESK;
+use super::mix::count;
+use super::tally::TITLES;
+
+/// Prints response times and what the target has drawn.
+pub fn compare(rules: &Rules, load: f64, duration_us: u64) {
+    println!(
+        "\none target of 11 at {:.0}%\n{:12}{TITLES}",
+        load * 100.0,
+        ""
+    );
+    for fault in [
+        Fault::None,
+        Fault::FailsAll,
+        Fault::SlowByTen,
+        Fault::Silent,
+    ] {
+        let shape = Shape {
+            entries: 4,
+            agents: 11,
+            slots: 8,
+            load,
+            duration_us,
+            seed: 1,
+            tenants: vec![Tenant::only()],
+            fault,
+        };
+        let tally = Cluster::new(shape, MEMBER_DESK, &config(rules)).run();
+        let drawn = count(tally.started_at_first) / count(tally.tasks);
+        let name = format!("{fault:?}");
+        println!("{name:12}{}, {drawn:.3} of the tasks there", tally.row());
+    }
+}
--- a/crates/policy/benches/grid/main.rs
+++ b/crates/policy/benches/grid/main.rs
@@ -1,10 +1,13 @@
 //! Response time and messages of the placement rules over a grid of loads, on the decision code
 //! alone: fixed delays, fixed run times, no processor time.
 //!
-//! `cargo bench -p dfs-policy --bench grid -- [FILTER]… [load=60,80] [seeds=3] [seconds=60]`
+//! `cargo bench -p dfs-policy --bench grid -- [FILTER]… [load=60,80] [seeds=3] [seconds=60]`;
+//! `shares` or `faults` in place of a filter compares groups, or one target that misbehaves.
 
 mod cluster;
+mod faults;
 mod mix;
+mod shares;
 mod tally;
 
 use std::sync::Arc;
@@ -15,7 +18,9 @@
 use serde_json::json;
 
 use self::cluster::Cluster;
+use self::cluster::Fault;
 use self::cluster::Shape;
+use self::cluster::Tenant;
 use self::mix::MEMBER_DESK;
 use self::mix::Mix;
 use self::mix::RETURNS;
@@ -138,6 +143,8 @@
                 load,
                 duration_us: options.seconds * MICROS_PER_SECOND,
                 seed,
+                tenants: vec![Tenant::only()],
+                fault: Fault::None,
             };
             let config = &config;
             scope.spawn(move || Cluster::new(shape, mix, config).run())
@@ -156,6 +163,15 @@
         return;
     }
     let options = options();
+    let rules = variant("default", 4, &json!({})).rules;
+    match options.filters.first().map(String::as_str) {
+        Some("shares") => return shares::compare(&rules),
+        Some("faults") => {
+            let duration_us = options.seconds * MICROS_PER_SECOND;
+            return faults::compare(&rules, options.loads[0], duration_us);
+        }
+        _ => {}
+    }
     let wanted = |name: &str| {
         options.filters.is_empty() || options.filters.iter().any(|filter| name.contains(filter))
     };
--- a/crates/policy/benches/grid/tally.rs
+++ b/crates/policy/benches/grid/tally.rs
@@ -1,5 +1,9 @@
 //! Response times and messages of one run.
 
+use std::collections::BTreeMap;
+
+use dfs_ids::GroupId;
+
 use super::mix::count;
 
 /// One submission that was answered whole.
@@ -32,8 +36,15 @@
     pub useful_us: u64,
     /// Slots times duration, in microseconds.
     pub capacity_us: u64,
+    /// Tasks started at the first agent.
+    pub started_at_first: u64,
+    /// Busy time of each group in each window, in microseconds.
+    pub busy_us: BTreeMap<(GroupId, u64), u64>,
 }
 
+/// Length of a window.
+pub const WINDOW_US: u64 = 10_000_000;
+
 /// Least number of tasks of a wide job.
 const WIDE_TASKS: usize = 160;
 
@@ -51,6 +62,19 @@
         self.tasks += other.tasks;
         self.useful_us += other.useful_us;
         self.capacity_us += other.capacity_us;
+        self.started_at_first += other.started_at_first;
+    }
+
+    /// Adds a run to the busy time of its group, window by window.
+    pub fn occupy(&mut self, group: &GroupId, from_us: u64, run_us: u64) {
+        let end = from_us + run_us;
+        let mut at = from_us;
+        while at < end {
+            let window = at / WINDOW_US;
+            let until = end.min((window + 1) * WINDOW_US);
+            *self.busy_us.entry((group.clone(), window)).or_default() += until - at;
+            at = until;
+        }
     }
 
     /// The figures in one line.
--- a/crates/policy/src/entry/admit.rs
+++ b/crates/policy/src/entry/admit.rs
@@ -29,6 +29,7 @@
         submission: Submission,
         out: &mut Vec<EntryAction>,
     ) {
+        self.make_room(&submission, out);
         if let Err(failure) = self.admit(now, &submission) {
             let name = submission.submission;
             out.push(EntryAction::Answer {
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod dispatch;
 mod event;
+mod evict;
 mod job;
 mod queue;
 mod report;
--- a/crates/policy/src/entry/queue.rs
+++ b/crates/policy/src/entry/queue.rs
@@ -64,6 +64,12 @@
             .map(|(_, submission)| submission)
     }
 
+    /// Submissions of a lane, the last in order first.
+    pub fn last_first(&self, lane: &Lane) -> impl Iterator<Item = &SubmissionId> {
+        let queued = self.lanes.get(lane).into_iter().flatten();
+        queued.rev().map(|(_, submission)| submission)
+    }
+
     pub fn group_is_queued(&self, group: &GroupId) -> bool {
         self.lanes.keys().any(|lane| lane.group == *group)
     }
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -451,5 +451,9 @@
 }
 
 fn retry_after(reason: FailureReason) -> Option<Millis> {
-    matches!(reason, FailureReason::RetriesExhausted).then_some(RETRY_AFTER_MS)
+    let may_help = matches!(
+        reason,
+        FailureReason::RetriesExhausted | FailureReason::Overloaded
+    );
+    may_help.then_some(RETRY_AFTER_MS)
 }
