--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -131,6 +131,9 @@
             .filter(|(_, view)| view.offers(&lane.service) && view.has_room() && fits(view))
             .filter(|(_, view)| self.is_fresh(now, view))
             .filter(|(agent, _)| !self.ejection.is_ejected(agent, now))
+            .filter(|(agent, view)| {
+                view.open_tasks() == 0 || !self.ejection.is_on_trial(agent, now)
+            })
             .map(|(agent, view)| Choice {
                 key: agent,
                 load: view.load(),
