A target that is far slower than the others counts as more loaded

Cause: load was counted in tasks, so a target ten times slower looked free as often as the others and drew tasks with every free slot.

Change: its load with the further task is multiplied by its mean run time over that of all, from a ratio of 3. After a minute without a result it gets one task to show its speed.

--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -136,7 +136,7 @@
             })
             .map(|(agent, view)| Choice {
                 key: agent,
-                load: view.load(),
+                load: self.expected_load(now, agent, view),
             })
             .collect();
         let others: Vec<_> = eligible
@@ -149,6 +149,13 @@
         chosen.cloned()
     }
 
+    /// Load with a further task, longer by as much as the target is slower than the others.
+    fn expected_load(&self, now: Moment, agent: &AgentId, view: &AgentView) -> f64 {
+        let mean_us = self.totals.mean_run_us();
+        let slowness = self.speeds.slowness(agent, mean_us, view.open_tasks(), now);
+        view.load_with(1) * slowness
+    }
+
     pub(super) fn is_fresh(&self, now: Moment, view: &AgentView) -> bool {
         view.is_open && now < view.heard_at + self.identity.lease.fresh_ms
     }
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -45,6 +45,7 @@
 use crate::ejection::Ejection;
 use crate::retry::RetryBudget;
 use crate::share::ShareLedger;
+use crate::speed::Speeds;
 
 /// Who an entry is and how long its leases are.
 #[derive(Debug, Clone)]
@@ -76,6 +77,7 @@
     shares: ShareLedger,
     retries: RetryBudget,
     ejection: Ejection,
+    speeds: Speeds,
     /// Since when an agent holds a higher version.
     behind_since: Option<Moment>,
     /// When an agent was last asked for its configuration.
@@ -104,6 +106,7 @@
             shares: ShareLedger::default(),
             retries: RetryBudget::default(),
             ejection: Ejection::default(),
+            speeds: Speeds::default(),
             behind_since: None,
             asked_at: None,
             next_session: SessionNumber::default(),
--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -149,6 +149,8 @@
     /// Removes an agent incarnation; what it held has an unknown outcome from now on.
     fn lose_agent(&mut self, agent: &AgentId, out: &mut Vec<EntryAction>) {
         self.close_connection(agent, out);
+        self.ejection.forget(agent);
+        self.speeds.forget(agent);
         let Some(view) = self.agents.remove(agent) else {
             return;
         };
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -42,6 +42,7 @@
             return;
         }
         self.totals.ran(result.run_us);
+        self.note_run(now, agent, result.run_us);
         self.settle_charge(agent, &result);
         match result.outcome {
             TaskOutcome::Done(body) => {
@@ -70,6 +71,15 @@
         })
     }
 
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "run times stay far below 2^52 µs"
+    )]
+    fn note_run(&mut self, now: Moment, agent: &AgentId, run_us: u64) {
+        let mean_us = self.totals.mean_run_us();
+        self.speeds.ran(agent, run_us as f64, mean_us, now);
+    }
+
     /// Replaces the estimate that was charged at placement by the measured run time.
     #[expect(
         clippy::cast_precision_loss,
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -77,8 +77,13 @@
     /// Known open tasks for each slot: those of the hint, corrected by what this entry has placed
     /// and settled since.
     pub fn load(&self) -> f64 {
+        self.load_with(0)
+    }
+
+    /// [`Self::load`] if so many tasks are added.
+    pub fn load_with(&self, added: u32) -> f64 {
         let slots = self.offer().map_or(1, |offer| offer.slots.get().max(1));
-        f64::from(self.open_of_others() + self.open_tasks()) / f64::from(slots)
+        f64::from(self.open_of_others() + self.open_tasks() + added) / f64::from(slots)
     }
 
     /// Known open tasks of other entries.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod placement;
 pub mod retry;
 pub mod share;
+pub mod speed;
 
 use derive_more::Display;
 use derive_more::From;
