--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -1,6 +1,9 @@
 //! The one task that owns the decisions; it only carries events and actions.
 
 use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use dfs_ids::Clock;
@@ -46,6 +49,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct CoreHandle {
     commands: mpsc::UnboundedSender<Command>,
+    open: Arc<AtomicUsize>,
 }
 
 impl CoreHandle {
@@ -55,6 +59,11 @@
         let _ = self.commands.send(command);
     }
 
+    /// Tasks that are queued or run, as of the latest batch of commands.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     pub fn event(&self, event: AgentEvent) {
         self.send(Command::Event(event));
     }
@@ -86,7 +95,10 @@
         roster: mpsc::UnboundedSender<RosterEvent>,
     ) -> (Self, CoreHandle, tokio::sync::watch::Receiver<bool>) {
         let (sender, commands) = mpsc::unbounded_channel();
-        let handle = CoreHandle { commands: sender };
+        let handle = CoreHandle {
+            commands: sender,
+            open: Arc::default(),
+        };
         let (stopped, watch) = tokio::sync::watch::channel(false);
         let core = Self {
             decisions,
@@ -119,6 +131,8 @@
             self.perform_all(actions);
             self.metrics
                 .set(Gauge::QueuedTasks, self.decisions.queued().into());
+            let open = self.decisions.queued() + self.decisions.running();
+            self.handle.open.store(open as usize, Ordering::Relaxed);
         }
     }
 
--- a/crates/agent/src/process/start.rs
+++ b/crates/agent/src/process/start.rs
@@ -47,6 +47,8 @@
     Drained,
     /// The time for it ran out.
     BoundPassed,
+    /// It was asked for a second time.
+    AskedAgain,
 }
 
 impl Agent {
@@ -109,22 +111,25 @@
 
     /// Hands queued tasks back, lets running ones end and delivers their results, within the bound
     /// of the settings.
-    pub async fn stop(mut self) -> StopKind {
+    pub async fn stop(mut self, asked_again: impl Future<Output = ()>) -> StopKind {
         let asked = Instant::now();
         let drain_ms = self.drain_ms;
         dfs_log::emit(ProcessEvent::StopRequested { drain_ms });
         self.core.event(AgentEvent::Stop);
-        let drained = self.stopped.wait_for(|stopped| *stopped);
-        let kind = match tokio::time::timeout(drain_ms.into(), drained).await {
-            Ok(_) => {
-                let waited = u64::try_from(asked.elapsed().as_millis()).unwrap_or(u64::MAX);
-                dfs_log::emit(ProcessEvent::Drained {
-                    waited_ms: Millis::new(waited),
-                });
-                StopKind::Drained
-            }
-            Err(_) => StopKind::BoundPassed,
+        let stopped = self.stopped.wait_for(|stopped| *stopped);
+        let drained = tokio::time::timeout(drain_ms.into(), stopped);
+        let kind = tokio::select! {
+            drained = drained => drained.map_or(StopKind::BoundPassed, |_| StopKind::Drained),
+            () = asked_again => StopKind::AskedAgain,
         };
+        let open = self.core.open();
+        let waited = u64::try_from(asked.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let waited_ms = Millis::new(waited);
+        dfs_log::emit(match kind {
+            StopKind::Drained => ProcessEvent::Drained { waited_ms },
+            StopKind::BoundPassed => ProcessEvent::StopBoundPassed { drain_ms, open },
+            StopKind::AskedAgain => ProcessEvent::SecondSignal { open },
+        });
         self.background.iter().for_each(JoinHandle::abort);
         kind
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -152,13 +152,11 @@
     let metrics = dfs_log::init(&settings.log, &ProcessName::Entry(settings.entry.clone()))?;
     let entry = Entry::start(settings, metrics).await?;
     signals.next().await;
-    let kind = tokio::select! {
-        kind = entry.stop() => kind,
-        () = signals.next() => return Ok(second_signal()),
-    };
-    Ok(match kind {
+    Ok(match entry.stop(signals.next()).await {
         dfs_entry::StopKind::Drained => ExitCode::SUCCESS,
-        dfs_entry::StopKind::BoundPassed => ExitCode::from(EXIT_CUT),
+        dfs_entry::StopKind::BoundPassed | dfs_entry::StopKind::AskedAgain => {
+            ExitCode::from(EXIT_CUT)
+        }
     })
 }
 
@@ -167,17 +165,10 @@
     let metrics = dfs_log::init(&settings.log, &ProcessName::Agent(settings.agent.clone()))?;
     let agent = Agent::start(settings, metrics).await?;
     signals.next().await;
-    let kind = tokio::select! {
-        kind = agent.stop() => kind,
-        () = signals.next() => return Ok(second_signal()),
-    };
-    Ok(match kind {
+    Ok(match agent.stop(signals.next()).await {
         dfs_agent::StopKind::Drained => ExitCode::SUCCESS,
-        dfs_agent::StopKind::BoundPassed => ExitCode::from(EXIT_CUT),
+        dfs_agent::StopKind::BoundPassed | dfs_agent::StopKind::AskedAgain => {
+            ExitCode::from(EXIT_CUT)
+        }
     })
 }
-
-fn second_signal() -> ExitCode {
-    dfs_log::emit(ProcessEvent::SecondSignal { open: 0 });
-    ExitCode::from(EXIT_CUT)
-}
--- a/crates/daemon/tests/faults/stop.rs
+++ b/crates/daemon/tests/faults/stop.rs
@@ -92,6 +92,7 @@
     let agents = cluster.agents.iter_mut().map(|agent| &mut agent.daemon);
     let entries = cluster.entries.iter_mut().map(|entry| &mut entry.daemon);
     let mut stopped = Vec::new();
+    let mut open = 0;
     for daemon in entries.chain(agents) {
         daemon.signal(Signal::Terminate);
         until("the stop begins", async || {
@@ -102,9 +103,12 @@
         daemon.signal(Signal::Terminate);
         let status = daemon.ended().await;
         assert_that!(asked.elapsed(), lt(Duration::from_secs(10)));
+        open += usize::from(daemon.log_text().contains("second_signal open=1"));
         stopped.push(status.code().unwrap());
     }
     assert_that!(stopped, contains(eq(&EXIT_CUT)));
+    // The submission at its entry, and the task at its agent.
+    assert_that!(open, eq(2));
     assert!(stopped.iter().all(|code| [0, EXIT_CUT].contains(code)));
     long.abort();
 }
@@ -121,6 +125,11 @@
     cluster.entries[0].daemon.signal(Signal::Terminate);
     let status = cluster.entries[0].daemon.ended().await;
     assert_that!(status.code(), some(eq(EXIT_CUT)));
+    let log = cluster.entries[0].daemon.log_text();
+    assert_that!(
+        log,
+        contains_substring("stop_bound_passed drain_ms=1500 open=1")
+    );
     let failure = long.await.unwrap().unwrap().body["failure"].clone();
     assert_that!(failure["reason"], eq(&json!("outcome_unknown")));
     assert_that!(failure["not_run"], eq(&json!(false)));
--- a/crates/entry/src/process/core.rs
+++ b/crates/entry/src/process/core.rs
@@ -1,6 +1,9 @@
 //! The one task that owns the decisions; it only carries events and actions.
 
 use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use dfs_ids::AgentId;
@@ -90,6 +93,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct CoreHandle {
     commands: mpsc::UnboundedSender<Command>,
+    open: Arc<AtomicUsize>,
 }
 
 impl CoreHandle {
@@ -99,6 +103,11 @@
         let _ = self.commands.send(command);
     }
 
+    /// Submissions without an answer, as of the latest batch of commands.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     pub fn event(&self, event: EntryEvent) {
         self.send(Command::Event(event));
     }
@@ -112,6 +121,7 @@
     commands: mpsc::UnboundedReceiver<Command>,
     outgoing: mpsc::UnboundedSender<Outgoing>,
     answers: HashMap<SubmissionId, oneshot::Sender<Answer>>,
+    open: Arc<AtomicUsize>,
     observer: Observer,
     readiness: watch::Sender<Readiness>,
     sinks: HashMap<ConnectionId, Sink>,
@@ -127,6 +137,7 @@
         outgoing: mpsc::UnboundedSender<Outgoing>,
     ) -> (Self, CoreHandle) {
         let (sender, commands) = mpsc::unbounded_channel();
+        let open = Arc::new(AtomicUsize::new(0));
         let core = Self {
             decisions,
             clock,
@@ -136,11 +147,18 @@
             commands,
             outgoing,
             answers: HashMap::new(),
+            open: Arc::clone(&open),
             sinks: HashMap::new(),
             replies: HashMap::new(),
             lost: Vec::new(),
         };
-        (core, CoreHandle { commands: sender })
+        (
+            core,
+            CoreHandle {
+                commands: sender,
+                open,
+            },
+        )
     }
 
     /// Whether the entry is ready, as it changes.
@@ -163,6 +181,7 @@
             let actions = self.decisions.flush(self.clock.now());
             self.perform_all(actions);
             self.settle_lost();
+            self.open.store(self.answers.len(), Ordering::Relaxed);
             self.tell_readiness();
         }
     }
--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -78,6 +78,8 @@
     Drained,
     /// The time for it ran out.
     BoundPassed,
+    /// It was asked for a second time.
+    AskedAgain,
 }
 
 impl Entry {
@@ -181,23 +183,28 @@
     }
 
     /// Stops without cutting a submission, within the bound of the settings.
-    pub async fn stop(mut self) -> StopKind {
+    pub async fn stop(mut self, asked_again: impl Future<Output = ()>) -> StopKind {
         let asked = Instant::now();
         let drain_ms = self.limits.drain_ms;
         dfs_log::emit(ProcessEvent::StopRequested { drain_ms });
-        let kind = match tokio::time::timeout(drain_ms.into(), self.drain()).await {
-            Ok(()) => {
-                let waited = u64::try_from(asked.elapsed().as_millis()).unwrap_or(u64::MAX);
-                dfs_log::emit(ProcessEvent::Drained {
-                    waited_ms: Millis::new(waited),
-                });
-                StopKind::Drained
-            }
-            Err(_) => StopKind::BoundPassed,
+        let drained = tokio::time::timeout(drain_ms.into(), self.drain());
+        let kind = tokio::select! {
+            drained = drained => drained.map_or(StopKind::BoundPassed, |_| StopKind::Drained),
+            () = asked_again => StopKind::AskedAgain,
         };
+        let open = self.core.open();
+        let waited = u64::try_from(asked.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let waited_ms = Millis::new(waited);
+        dfs_log::emit(match kind {
+            StopKind::Drained => ProcessEvent::Drained { waited_ms },
+            StopKind::BoundPassed => ProcessEvent::StopBoundPassed { drain_ms, open },
+            StopKind::AskedAgain => ProcessEvent::SecondSignal { open },
+        });
         self.sessions.stop();
         self.background.iter().for_each(JoinHandle::abort);
-        self.close_callers().await;
+        if kind == StopKind::BoundPassed {
+            self.close_callers().await;
+        }
         kind
     }
 
