Operators' page, a pool by hand, and entries that know nobody yet

Cause: run by hand as the page says, config wait right after the first change ended with forbidden: the second entry held no configuration, knew no operator, and called the token wrong. Change: such an entry is not ready, with a retry-after. Test: fails before with forbidden.

--- a/crates/entry/src/request/operate.rs
+++ b/crates/entry/src/request/operate.rs
@@ -33,10 +33,7 @@
 ) -> Result<Response, Refusal> {
     operator(&state, &headers)?;
     let Some(config) = state.holder.held() else {
-        return Err(Refusal::new(
-            FailureReason::NotReady,
-            "this entry holds no configuration yet",
-        ));
+        return Err(Refusal::no_config());
     };
     let answer = ConfigAnswer {
         version: config.version,
@@ -94,14 +91,17 @@
 /// secret may apply one.
 fn operator(state: &State, headers: &HeaderMap) -> Result<String, Refusal> {
     let token = body::token(headers)?;
-    let operator = match state.holder.held() {
-        Some(_) => match state.holder.owner(token) {
-            Some(Identity::Operator(operator)) => Some(operator),
-            Some(Identity::Group(_)) | None => None,
-        },
-        None => state
-            .is_bootstrap(token)
-            .then(|| BOOTSTRAP_OPERATOR.to_owned()),
-    };
-    operator.ok_or_else(|| Refusal::new(FailureReason::Forbidden, "the token is not an operator's"))
+    if state.holder.held().is_none() {
+        if state.is_bootstrap(token) {
+            return Ok(BOOTSTRAP_OPERATOR.to_owned());
+        }
+        return Err(Refusal::no_config());
+    }
+    match state.holder.owner(token) {
+        Some(Identity::Operator(operator)) => Ok(operator),
+        Some(Identity::Group(_)) | None => Err(Refusal::new(
+            FailureReason::Forbidden,
+            "the token is not an operator's",
+        )),
+    }
 }
--- a/crates/entry/src/request/refuse.rs
+++ b/crates/entry/src/request/refuse.rs
@@ -12,6 +12,8 @@
 use dfs_wire::api::FailureReason;
 use dfs_wire::api::Outcome;
 
+/// Wait that is advised while an entry starts.
+const SOON_MS: Millis = Millis::new(1_000);
 const MILLIS_PER_SECOND: u64 = 1_000;
 
 /// A refusal; nothing has run.
@@ -31,6 +33,12 @@
         }
     }
 
+    /// The refusal of an entry that holds no configuration, and so knows nobody.
+    pub fn no_config() -> Self {
+        let message = "this entry holds no configuration yet: try another one";
+        Self::new(FailureReason::NotReady, message).retry_after(SOON_MS)
+    }
+
     pub fn retry_after(self, after: Millis) -> Self {
         Self {
             retry_after_ms: Some(after),
--- a/crates/entry/src/request/submit.rs
+++ b/crates/entry/src/request/submit.rs
@@ -99,8 +99,7 @@
 fn group(state: &State, headers: &HeaderMap) -> Result<GroupId, Refusal> {
     let token = body::token(headers)?;
     if state.holder.held().is_none() {
-        let message = "this entry holds no configuration yet: try another one";
-        return Err(Refusal::new(FailureReason::NotReady, message).retry_after(SOON_MS));
+        return Err(Refusal::no_config());
     }
     match state.holder.owner(token) {
         Some(Identity::Group(group)) => Ok(group),
@@ -115,9 +114,6 @@
     }
 }
 
-/// Wait that is advised while an entry starts.
-const SOON_MS: Millis = Millis::new(1_000);
-
 async fn submit(
     state: Arc<State>,
     headers: &HeaderMap,
--- a/crates/entry/tests/request_key.rs
+++ b/crates/entry/tests/http.rs
@@ -1,4 +1,4 @@
-//! A request key over submissions that did not run and over two entries.
+//! The HTTP interface of entries without any target.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -109,3 +109,12 @@
         assert!(book_until(to, "no_target").await);
     }
 }
+
+#[tokio::test]
+async fn an_entry_without_a_configuration_is_not_ready_for_operators_either() {
+    let platform = Platform::spawn().await.unwrap();
+    let entry = start(&platform, "one").await;
+    let refused = post(entry.address, "/v1/config", "op", &first_config()).await;
+    assert_that!(refused["failure"]["reason"], eq(&json!("not_ready")));
+    assert_that!(refused["failure"]["retry_after_ms"], eq(&json!(1000)));
+}
