--- a/crates/daemon/tests/faults/support/load.rs
+++ b/crates/daemon/tests/faults/support/load.rs
@@ -91,6 +91,12 @@
     json!({ "run_ms": run_ms, "echo": { "id": id, "try": attempt } })
 }
 
+/// Added to every seed, to search with other loads than CI does.
+fn seed_offset() -> u64 {
+    let offset = std::env::var("FAULTS_SEED_OFFSET");
+    offset.map_or(0, |offset| offset.parse().unwrap())
+}
+
 /// An entry as the callers' balancer sees it.
 #[derive(Debug, Clone, Copy)]
 struct Door {
@@ -116,6 +122,7 @@
 
     /// Starts callers on these addresses, and waits for first answers.
     pub async fn start_on(addresses: Vec<SocketAddr>, seed: u64) -> Self {
+        let seed = seed + seed_offset();
         let door = |address| Door {
             address,
             ready: true,
