--- a/crates/cli/src/demo/pool.rs
+++ b/crates/cli/src/demo/pool.rs
@@ -147,8 +147,18 @@
 
     /// Stops every process in order.
     pub async fn stop(self) {
-        futures::future::join_all(self.entries.into_iter().map(Entry::stop)).await;
-        futures::future::join_all(self.agents.into_iter().map(Agent::stop)).await;
+        futures::future::join_all(
+            self.entries
+                .into_iter()
+                .map(|entry| entry.stop(std::future::pending())),
+        )
+        .await;
+        futures::future::join_all(
+            self.agents
+                .into_iter()
+                .map(|agent| agent.stop(std::future::pending())),
+        )
+        .await;
     }
 }
 
--- a/crates/daemon/tests/faults/stop.rs
+++ b/crates/daemon/tests/faults/stop.rs
@@ -139,9 +139,9 @@
     cluster.entries[0].daemon.signal(Signal::Terminate);
     let status = cluster.entries[0].daemon.ended().await;
     assert_that!(status.code(), some(eq(EXIT_CUT)));
-    let log = cluster.entries[0].daemon.log_text();
+    let events = cluster.entries[0].daemon.log_text();
     assert_that!(
-        log,
+        events,
         contains_substring("stop_bound_passed drain_ms=1500 open=1")
     );
     let failure = long.await.unwrap().unwrap().body["failure"].clone();
