A list of held tasks that arrives twice is answered alike

Cause: the second arrival was answered without the tasks to drop; if the first reply was lost, the agent took the second, and a cancelled task started. Ruled out: a task dropped by mistake; only what is not outstanding is named. Change: the reply names what is unwanted at each arrival; only the first one opens the session and settles what is missing. Before: the directed test saw one start after the answer; after: none. Conclusion: a reply depends on what is known, not on how often it is asked.

New as well: connections that are read to their end after the next session has opened, and a task whose lease is over when a slot becomes free.

--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -11,6 +11,7 @@
 use dfs_wire::session::Report;
 use dfs_wire::session::ReportError;
 use dfs_wire::session::TargetState;
+use dfs_wire::session::TaskRef;
 
 use super::Entry;
 use super::EntryAction;
@@ -86,36 +87,46 @@
         Ok(ack)
     }
 
-    /// Compares the list with what is outstanding: a task that is not listed never starts, unless
-    /// the agent has forgotten tasks.
+    /// Opens the session with the list of held tasks; a list that arrives twice is answered alike.
     fn on_held(&mut self, agent: &AgentId, held: &Held, out: &mut Vec<EntryAction>) -> Ack {
         let Some(view) = self.agents.get_mut(agent) else {
             return Ack::default();
         };
-        if view.is_open {
-            return Ack::default();
+        if !std::mem::replace(&mut view.is_open, true) {
+            self.drop_answered(agent);
+            out.push(EntryAction::Observe(Observation::SessionOpened {
+                agent: agent.clone(),
+            }));
+            self.settle_missing(agent, held, out);
         }
-        view.is_open = true;
-        // A withdrawal may be lost with its session, so tasks of answered submissions are dropped.
+        Ack {
+            drop: self.unwanted(agent, held),
+            ..Ack::default()
+        }
+    }
+
+    /// A withdrawal may be lost with its session, so tasks of answered submissions are dropped.
+    fn drop_answered(&mut self, agent: &AgentId) {
+        let Some(view) = self.agents.get_mut(agent) else {
+            return;
+        };
         let jobs = &self.jobs;
         view.outstanding.retain(|task| {
             let job = jobs.get(&task.submission);
             job.is_some_and(|job| job.is_placed(task, agent))
         });
-        let missing: Vec<_> = view
-            .outstanding
-            .iter()
+    }
+
+    /// A task that is outstanding and not listed never starts, unless the agent has forgotten tasks.
+    fn settle_missing(&mut self, agent: &AgentId, held: &Held, out: &mut Vec<EntryAction>) {
+        let Some(view) = self.agents.get(agent) else {
+            return;
+        };
+        let missing = view.outstanding.iter();
+        let missing: Vec<_> = missing
             .filter(|task| !held.tasks.contains(task))
             .cloned()
             .collect();
-        let unwanted = held
-            .tasks
-            .iter()
-            .filter(|task| !view.outstanding.contains(task));
-        let drop = unwanted.cloned().collect();
-        out.push(EntryAction::Observe(Observation::SessionOpened {
-            agent: agent.clone(),
-        }));
         for task in missing {
             if held.forgotten {
                 self.forget_outstanding(agent, &task);
@@ -124,10 +135,17 @@
                 self.on_absent(agent, &task);
             }
         }
-        Ack {
-            drop,
-            ..Ack::default()
-        }
+    }
+
+    fn unwanted(&self, agent: &AgentId, held: &Held) -> Vec<TaskRef> {
+        let Some(view) = self.agents.get(agent) else {
+            return Vec::new();
+        };
+        let unwanted = held.tasks.iter();
+        unwanted
+            .filter(|task| !view.outstanding.contains(task))
+            .cloned()
+            .collect()
     }
 
     /// Returns the number of messages sent before the state was known.
--- a/crates/policy/tests/matrix/fault.rs
+++ b/crates/policy/tests/matrix/fault.rs
@@ -18,7 +18,7 @@
 const LONG_US: u64 = 10_000_000;
 /// Shorter than every lease.
 const SHORT_US: u64 = 800_000;
-/// Time until a target that said goodbye announces itself again.
+/// Time until a target that said goodbye is back, and until a late connection is read.
 const RETURN_US: u64 = 400_000;
 
 /// Kinds of faults, each at one place.
@@ -43,6 +43,8 @@
     ResetToAgent,
     /// The agent attaches anew before the entry has read the old connection to its end.
     Crossed,
+    /// The old connection is read to its end only after the new session has opened.
+    CrossedLate,
     CutBoth,
     CutToEntry,
     CutToAgent,
@@ -100,7 +102,7 @@
 }
 
 impl Kind {
-    pub const ALL: [Self; 33] = [
+    pub const ALL: [Self; 34] = [
         Self::CrashEntry,
         Self::CrashAgent,
         Self::CrashTarget,
@@ -116,6 +118,7 @@
         Self::ResetToEntry,
         Self::ResetToAgent,
         Self::Crossed,
+        Self::CrossedLate,
         Self::CutBoth,
         Self::CutToEntry,
         Self::CutToAgent,
@@ -159,6 +162,7 @@
             | Self::ResetToEntry
             | Self::ResetToAgent
             | Self::Crossed
+            | Self::CrossedLate
             | Self::CutBoth
             | Self::CutToEntry
             | Self::CutToAgent
@@ -183,6 +187,7 @@
                 | Self::ResetToEntry
                 | Self::ResetToAgent
                 | Self::Crossed
+                | Self::CrossedLate
                 | Self::CutBothShort
                 | Self::CutToEntryShort
                 | Self::CutToAgentShort
@@ -227,7 +232,8 @@
             Kind::Reset => self.close_link(entry, agent, |_| true),
             Kind::ResetToEntry => self.close_link(entry, agent, Item::goes_to_entry),
             Kind::ResetToAgent => self.close_link(entry, agent, |item| !item.goes_to_entry()),
-            Kind::Crossed => self.cross(entry, agent),
+            Kind::Crossed => self.cross(entry, agent, 0),
+            Kind::CrossedLate => self.cross(entry, agent, RETURN_US),
             Kind::CutBoth => {
                 self.cut(entry, agent, Way::ToEntry, LONG_US);
                 self.cut(entry, agent, Way::ToAgent, LONG_US);
@@ -316,7 +322,7 @@
         }
     }
 
-    fn cross(&mut self, entry: usize, agent: usize) {
+    fn cross(&mut self, entry: usize, agent: usize, delay_us: u64) {
         for connection in self.connections_of(entry, agent) {
             self.close_at_agent(connection);
             if self.agents[agent].is_awake() {
@@ -327,7 +333,7 @@
                 .extract_if(.., |_, item| item.connection() == Some(connection))
                 .collect();
             for (_, item) in old {
-                self.push(item);
+                self.push_after(delay_us, item);
             }
         }
     }
--- a/crates/policy/tests/matrix/matrix_directed.rs
+++ b/crates/policy/tests/matrix/matrix_directed.rs
@@ -15,6 +15,7 @@
 use crate::fault::Fault;
 use crate::fault::Kind;
 use crate::link::Item;
+use crate::link::Way;
 use crate::node::Caller;
 use crate::world::World;
 
@@ -27,6 +28,18 @@
     world
 }
 
+/// The same with one task running and one queued at the agent.
+fn busy_pair() -> World {
+    let mut world = pair();
+    world.submit(0, Caller::new(0, "runs", 1, false));
+    world.submit(0, Caller::new(0, "waits", 1, false));
+    let is_quiet = |item: &Item| matches!(item, Item::Ended { .. });
+    while world.starts.is_empty() || !world.items.values().all(is_quiet) {
+        world.step();
+    }
+    world
+}
+
 fn failure(world: &World, caller: usize) -> &Failure {
     let (_, answer) = world.callers[caller].answers.first().expect("an answer");
     answer.failure.as_ref().expect("a failure")
@@ -110,17 +123,7 @@
 
 #[googletest::test]
 fn a_cancelled_task_does_not_start_in_the_next_session() {
-    let mut world = pair();
-    world.submit(0, Caller::new(0, "runs", 1, false));
-    world.submit(0, Caller::new(0, "waits", 1, false));
-    while world.starts.is_empty()
-        || !world
-            .items
-            .values()
-            .all(|i| matches!(i, Item::Ended { .. }))
-    {
-        world.step();
-    }
+    let mut world = busy_pair();
     inject(&mut world, Kind::Cancel, 1);
     world.step();
     inject(&mut world, Kind::Reset, 1);
@@ -161,3 +164,44 @@
     expect_that!(answer.outcome, eq(Outcome::Complete));
     expect_that!(world.has_livelock, eq(false));
 }
+
+#[googletest::test]
+fn a_task_whose_lease_is_over_does_not_start_when_a_slot_is_free() {
+    let mut world = busy_pair();
+    world.targets[0].is_frozen = true;
+    world.cuts.insert((0, 0, Way::ToAgent));
+    world.run_for(4 * SECOND_US);
+    world.targets[0].is_frozen = false;
+    world.run_for(SECOND_US / 2);
+    expect_that!(world.starts.len(), eq(1));
+}
+
+#[googletest::test]
+fn a_list_that_arrives_twice_is_answered_alike() {
+    let mut world = busy_pair();
+    inject(&mut world, Kind::Cancel, 1);
+    world.step();
+    inject(&mut world, Kind::Reset, 1);
+    let is_list = |item: &Item| matches!(item, Item::Report(_, report) if report.seq == 0);
+    while !world.items.values().any(is_list) {
+        world.step();
+    }
+    let list = world.items.values().find(|item| is_list(item)).cloned();
+    world.push(list.unwrap());
+    let replies = |world: &World| {
+        let replies = world.items.iter();
+        let replies = replies.filter(|(_, item)| matches!(item, Item::Reply(..)));
+        replies.map(|(key, _)| *key).collect::<Vec<_>>()
+    };
+    while replies(&world).is_empty() {
+        world.step();
+    }
+    world.items.remove(&replies(&world)[0]);
+    world.run_for(5 * SECOND_US);
+    let cancelled = world.callers[1].submission.as_ref();
+    let started = world
+        .starts
+        .iter()
+        .filter(|s| Some(&s.submission) == cancelled);
+    expect_that!(started.count(), eq(0));
+}
--- a/crates/policy/tests/matrix/matrix_pairs.rs
+++ b/crates/policy/tests/matrix/matrix_pairs.rs
@@ -54,7 +54,7 @@
     long_freezes_and_another: FreezeEntry FreezeEntryWithClock FreezeAgent FreezeAgentWithClock;
     short_freezes_and_another: FreezeEntryShort FreezeAgentShort FreezeTarget;
     closed_connections_and_another: Close Reset ResetToEntry;
-    crossed_connections_and_another: ResetToAgent Crossed;
+    crossed_connections_and_another: ResetToAgent Crossed CrossedLate;
     long_cuts_and_another: CutBoth CutToEntry CutToAgent;
     short_cuts_and_another: CutBothShort CutToEntryShort CutToAgentShort;
     cut_targets_and_another: CutTarget CutToTarget CutFromTarget;
