Test: a task whose lease is over does not start when a slot is free

The earlier test stayed green in a trial without the lease check, since the frozen target's own lease handed the task back; this one goes red.

--- a/crates/policy/tests/matrix/matrix_directed.rs
+++ b/crates/policy/tests/matrix/matrix_directed.rs
@@ -168,10 +168,10 @@
 #[googletest::test]
 fn a_task_whose_lease_is_over_does_not_start_when_a_slot_is_free() {
     let mut world = busy_pair();
-    world.targets[0].is_frozen = true;
+    let (_, end) = world.items.pop_first().unwrap();
     world.cuts.insert((0, 0, Way::ToAgent));
     world.run_for(4 * SECOND_US);
-    world.targets[0].is_frozen = false;
+    world.push(end);
     world.run_for(SECOND_US / 2);
     expect_that!(world.starts.len(), eq(1));
 }
