The target's lease is settled before each round of starts

Cause: only a tick ended the lease of a silent target; an agent that woke took the messages that had waited and started their tasks before its tick. Ruled out: the entry's lease, which may be the longer of the two. Change: flush looks at the target's lease first. Before: the directed test saw a start on a silent target; after: none. Conclusion: what must hold at a start is checked at the start.

--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -114,9 +114,11 @@
         out
     }
 
-    /// Starts what can start and sends what is due; called once after a batch of events.
+    /// Starts what can start and sends what is due; called once after a batch of events. The
+    /// target's lease is settled first, since a batch may hold all that waited during a pause.
     pub fn flush(&mut self, now: Moment) -> Vec<AgentAction> {
         let mut out = Vec::new();
+        self.expire_target(now);
         self.start_ready(now, &mut out);
         self.send_reports(now, &mut out);
         if self.is_drained(now) && !self.stopped {
@@ -212,6 +214,11 @@
     }
 
     fn on_tick(&mut self, now: Moment, out: &mut Vec<AgentAction>) {
+        self.expire_target(now);
+        self.expire_entries(now, out);
+    }
+
+    fn expire_target(&mut self, now: Moment) {
         let lapsed = self
             .target
             .as_ref()
@@ -219,7 +226,6 @@
         if lapsed {
             self.on_target_gone();
         }
-        self.expire_entries(now, out);
     }
 
     fn tell_target(&mut self) {
--- a/crates/policy/tests/matrix/matrix_directed.rs
+++ b/crates/policy/tests/matrix/matrix_directed.rs
@@ -1,6 +1,8 @@
 //! Single schedules, each for one promise that the other judges see only in part.
 
+use dfs_ids::Millis;
 use dfs_ids::SessionNumber;
+use dfs_policy::agent::AgentEvent;
 use dfs_wire::api::Failure;
 use dfs_wire::api::FailureReason;
 use dfs_wire::api::Outcome;
@@ -16,6 +18,7 @@
 use crate::fault::Kind;
 use crate::link::Item;
 use crate::link::Way;
+use crate::node;
 use crate::node::Caller;
 use crate::world::World;
 
@@ -205,3 +208,18 @@
         .filter(|s| Some(&s.submission) == cancelled);
     expect_that!(started.count(), eq(0));
 }
+
+#[googletest::test]
+fn a_task_that_waited_in_a_buffer_does_not_start_on_a_target_that_fell_silent() {
+    let mut world = pair();
+    let mut heartbeat = node::announcement(0);
+    heartbeat.lease_ms = Millis::new(1_000);
+    world.at_agent(0, AgentEvent::Announced(heartbeat), true);
+    world.submit(0, Caller::new(0, "waits", 1, false));
+    run_until_sent(&mut world);
+    world.now_us += 3 * SECOND_US / 2;
+    while world.next_key().is_some() {
+        world.step();
+    }
+    expect_that!(world.starts, is_empty());
+}
