--- a/crates/cli/src/demo/pool.rs
+++ b/crates/cli/src/demo/pool.rs
@@ -1,6 +1,7 @@
 //! Entries in two failure domains, agents, targets and the stand-in platform in one process.
 
 use std::fmt;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -147,8 +148,10 @@
 
     /// Stops every process in order.
     pub async fn stop(self) {
-        futures::future::join_all(self.entries.into_iter().map(Entry::stop)).await;
-        futures::future::join_all(self.agents.into_iter().map(Agent::stop)).await;
+        let entries = self.entries.into_iter().map(|entry| entry.stop(pending()));
+        futures::future::join_all(entries).await;
+        let agents = self.agents.into_iter().map(|agent| agent.stop(pending()));
+        futures::future::join_all(agents).await;
     }
 }
 
