--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -17,6 +17,7 @@
 use dfs_policy::agent::RunEnd;
 use dfs_wire::session::Report;
 use dfs_wire::target::Announcement;
+use fail::fail_point;
 use tokio::sync::mpsc;
 
 use super::roster::RosterEvent;
@@ -154,6 +155,7 @@
             AgentEvent::Message { .. } => self.metrics.count(Counter::MessagesReceived, 1),
             _ => {}
         }
+        fail_at(&event);
         let actions = self.decisions.handle(self.clock.now(), event);
         self.perform_all(actions);
         if is_tick && had_target && !self.decisions.has_target() {
@@ -203,6 +205,7 @@
     fn perform(&mut self, action: AgentAction) {
         match action {
             AgentAction::Report { connection, report } => {
+                fail_point!("agent-report", report.has_results(), |_| ());
                 self.metrics.count(Counter::MessagesSent, 1);
                 if let Some(reports) = self.connections.get(&connection) {
                     // A connection that has just closed reports its own loss.
@@ -219,6 +222,7 @@
                 body,
                 ..
             } => {
+                fail_point!("agent-start");
                 let handle = self.handle.clone();
                 let run = self.runner.run(Start {
                     service,
@@ -229,6 +233,7 @@
                     let (run_us, end): (u64, RunEnd) = run.await;
                     handle.event(AgentEvent::Ended { task, run_us, end });
                 });
+                fail_point!("agent-started");
             }
             AgentAction::Opened { connection, open } => {
                 let peer = ProcessName::Entry(open.entry.clone());
@@ -269,3 +274,25 @@
         let _ = self.roster.send(event);
     }
 }
+
+/// Fail points of events; without the feature they are nothing.
+#[allow(
+    unused_variables,
+    clippy::missing_const_for_fn,
+    reason = "the macro may be empty"
+)]
+fn fail_at(event: &AgentEvent) {
+    let places_tasks =
+        matches!(event, AgentEvent::Message { message, .. } if message.places_tasks());
+    fail_point!("agent-placement-read", places_tasks, |_| ());
+    fail_point!(
+        "agent-ended",
+        matches!(event, AgentEvent::Ended { .. }),
+        |_| ()
+    );
+    fail_point!(
+        "agent-acknowledged",
+        matches!(event, AgentEvent::Acked { .. }),
+        |_| ()
+    );
+}
--- a/crates/daemon/tests/faults/support/cluster.rs
+++ b/crates/daemon/tests/faults/support/cluster.rs
@@ -38,11 +38,15 @@
     pub entries: usize,
     pub agents: usize,
     pub slots: u32,
+    /// Lease of sessions.
+    pub lease_ms: u64,
     pub target_lease_ms: u64,
     pub unready_ms: u64,
     pub drain_ms: u64,
     pub run_timeout_ms: u64,
     pub max_connections: u32,
+    /// Whether agents know only the balancer's address, which leads to the first entry.
+    pub balanced: bool,
 }
 
 impl Shape {
@@ -50,11 +54,13 @@
         entries: 2,
         agents: 3,
         slots: 4,
+        lease_ms: 1_000,
         target_lease_ms: 1_000,
         unready_ms: 500,
         drain_ms: 20_000,
         run_timeout_ms: 4_000,
         max_connections: 1_000,
+        balanced: false,
     };
 }
 
@@ -95,6 +101,8 @@
     pub shape: Shape,
     pub files: TempDir,
     lives: usize,
+    /// The balancer as each agent reaches it.
+    balancer: Vec<Relay>,
     _permit: SemaphorePermit<'static>,
 }
 
@@ -109,6 +117,7 @@
             shape,
             files: tempfile::tempdir().unwrap(),
             lives: 0,
+            balancer: Vec::new(),
             _permit: CLUSTERS.acquire().await.unwrap(),
         };
         for number in 0..shape.entries {
@@ -125,7 +134,8 @@
         cluster
     }
 
-    async fn add_entry(&mut self, number: usize) {
+    /// Starts an entry that the settings of no agent name, unless agents are added later.
+    pub async fn add_entry(&mut self, number: usize) {
         let at = self.platform.addresses();
         let callers = Relay::to(None).await;
         let sessions = Relay::to(None).await;
@@ -146,7 +156,7 @@
                 "max_writes_per_s": 100,
             },
             "lease": {
-                "lease_ms": 1_000,
+                "lease_ms": self.shape.lease_ms,
                 "busy_renew_ms": 200,
                 "idle_renew_ms": 200,
                 "fresh_ms": 500,
@@ -172,10 +182,17 @@
         self.entries.push(node);
     }
 
+    /// Starts an agent and its target.
     async fn add_agent(&mut self, number: usize) {
         let announcements = Relay::to(None).await;
         let tasks = Relay::to(None).await;
-        let entries: Vec<_> = self.entries.iter().map(|e| e.sessions.address).collect();
+        let mut entries: Vec<_> = self.entries.iter().map(|e| e.sessions.address).collect();
+        if self.shape.balanced {
+            let first = self.entries[0].sessions.address;
+            let balancer = Relay::to(Some(first)).await;
+            entries = vec![balancer.address];
+            self.balancer.push(balancer);
+        }
         let settings = json!({
             "agent": format!("agent-{number}"),
             "domain": domain(number),
@@ -209,9 +226,14 @@
 
     /// Kills an entry, if it still runs, and starts a new one in its place.
     pub async fn replace_entry(&mut self, number: usize) {
+        self.replace_entry_with(number, "").await;
+    }
+
+    /// The same with fail points in the new one.
+    pub async fn replace_entry_with(&mut self, number: usize, points: &str) {
         self.entries[number].daemon.kill();
         let settings = self.entries[number].settings.clone();
-        self.entries[number].daemon = self.spawn(Role::Entry, number, &settings, "");
+        self.entries[number].daemon = self.spawn(Role::Entry, number, &settings, points);
         self.entries[number].connect().await;
     }
 
--- a/crates/policy/benches/grid/main.rs
+++ b/crates/policy/benches/grid/main.rs
@@ -1,10 +1,13 @@
 //! Response time and messages of the placement rules over a grid of loads, on the decision code
 //! alone: fixed delays, fixed run times, no processor time.
 //!
-//! `cargo bench -p dfs-policy --bench grid -- [FILTER]… [load=60,80] [seeds=3] [seconds=60]`
+//! `cargo bench -p dfs-policy --bench grid -- [FILTER]… [load=60,80] [seeds=3] [seconds=60]`;
+//! `shares` or `faults` in place of a filter compares groups, or one target that misbehaves.
 
 mod cluster;
+mod faults;
 mod mix;
+mod shares;
 mod tally;
 
 use std::sync::Arc;
@@ -15,7 +18,9 @@
 use serde_json::json;
 
 use self::cluster::Cluster;
+use self::cluster::Fault;
 use self::cluster::Shape;
+use self::cluster::Tenant;
 use self::mix::MEMBER_DESK;
 use self::mix::Mix;
 use self::mix::RETURNS;
@@ -69,6 +74,19 @@
             }
         }
     }
+    for ageing in [20, 50, 100, 200, 500, 2_000] {
+        for open in [4.0, unbounded] {
+            let placement = json!({ "open_tasks_per_slot": open, "ageing_ms_per_task": ageing });
+            let name = format!("ageing-{ageing}/window-{open}");
+            variants.push(variant(&name, 4, &placement));
+        }
+    }
+    for part in [1.0, 0.5, 0.35, 0.25] {
+        let placement = json!({ "open_tasks_per_slot": 64.0 });
+        let mut admission = variant(&format!("deadline-{part}"), 4, &placement);
+        admission.rules.admission.deadline_part = part;
+        variants.push(admission);
+    }
     let placement = json!({ "hints": "on_results", "open_tasks_per_slot": 1.0 });
     variants.push(variant("single", 1, &placement));
     variants
@@ -125,6 +143,8 @@
                 load,
                 duration_us: options.seconds * MICROS_PER_SECOND,
                 seed,
+                tenants: vec![Tenant::only()],
+                fault: Fault::None,
             };
             let config = &config;
             scope.spawn(move || Cluster::new(shape, mix, config).run())
@@ -138,7 +158,20 @@
 }
 
 fn main() {
+    // `cargo test --all-targets` starts benches as well, without this argument.
+    if !std::env::args().any(|argument| argument == "--bench") {
+        return;
+    }
     let options = options();
+    let rules = variant("default", 4, &json!({})).rules;
+    match options.filters.first().map(String::as_str) {
+        Some("shares") => return shares::compare(&rules),
+        Some("faults") => {
+            let duration_us = options.seconds * MICROS_PER_SECOND;
+            return faults::compare(&rules, options.loads[0], duration_us);
+        }
+        _ => {}
+    }
     let wanted = |name: &str| {
         options.filters.is_empty() || options.filters.iter().any(|filter| name.contains(filter))
     };
