--- a/crates/slopes/src/measure/idle.rs
+++ b/crates/slopes/src/measure/idle.rs
@@ -126,7 +126,12 @@
         let memory = float(used.memory_bytes);
         sample.add(SlopeName::EntrySessionMemoryBytes, memory);
         // Their background tasks are ended, so that the next size starts alone.
-        futures::future::join_all(agents.into_iter().map(Agent::stop)).await;
+        futures::future::join_all(
+            agents
+                .into_iter()
+                .map(|agent| agent.stop(std::future::pending())),
+        )
+        .await;
     }
     Ok(())
 }
@@ -161,7 +166,12 @@
         let memory = float(used.memory_bytes);
         sample.add(SlopeName::AgentSessionMemoryBytes, memory);
         drop(agent);
-        futures::future::join_all(entries.into_iter().map(Entry::stop)).await;
+        futures::future::join_all(
+            entries
+                .into_iter()
+                .map(|entry| entry.stop(std::future::pending())),
+        )
+        .await;
     }
     Ok(())
 }
--- a/crates/slopes/src/measure/store.rs
+++ b/crates/slopes/src/measure/store.rs
@@ -55,7 +55,12 @@
         sample.add(SlopeName::EntryWrites, float(commits) / seconds);
         let bytes = after.wire_bytes() - passed.wire_bytes();
         sample.add(SlopeName::EntryStoreBytes, float(bytes) / seconds);
-        futures::future::join_all(entries.into_iter().map(Entry::stop)).await;
+        futures::future::join_all(
+            entries
+                .into_iter()
+                .map(|entry| entry.stop(std::future::pending())),
+        )
+        .await;
     }
     Ok(())
 }
