An entry looks at a bounded number of agents and lanes for a task

Cause: each placement looked at every agent, and each attempt at every lane of every group; once the windows were full, each event tried all lanes against all agents.

Change: above 48 agents a random 48 are looked at, and all only if none of them takes the task. Lanes are ordered once for each pass, and a service of which no target took a task is closed to further groups without limits.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -15,6 +15,7 @@
 import hashlib
 import json
 import os
+import random
 import socket
 import subprocess
 import sys
@@ -29,18 +30,28 @@
 SECRET = "session-secret-of-the-bench"
 OPERATOR = "operator-token-of-the-bench"
 READY_TIMEOUT_S = 20
+PORTS = range(12_000, 32_000)
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BIN = os.environ.get("BENCH_BIN", os.path.join(ROOT, "target", "release"))
 
+taken_ports = set()
+
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
-    return [f"127.0.0.1:{port}" for port in ports]
+    """Ports below the range from which the system takes those of outgoing connections."""
+    ports = []
+    candidates = random.sample(PORTS, len(PORTS))
+    while len(ports) < count:
+        port = candidates.pop()
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in taken_ports:
+            taken_ports.add(port)
+            ports.append(f"127.0.0.1:{port}")
+    return ports
 
 
 def digest(token):
--- /dev/null
+++ b/crates/policy/benches/cost.rs
@@ -0,0 +1,221 @@
+//! Processor time of an entry for each task, from submission to result, by agents and groups.
+//!
+//! `cargo bench -p dfs-policy --bench cost`
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use dfs_conf::Config;
+use dfs_conf::LeaseSettings;
+use dfs_conf::Rules;
+use dfs_ids::Incarnation;
+use dfs_ids::Millis;
+use dfs_ids::Moment;
+use dfs_ids::SessionNumber;
+use dfs_ids::Slots;
+use dfs_ids::SubmissionId;
+use dfs_policy::ConnectionId;
+use dfs_policy::entry::Entry;
+use dfs_policy::entry::EntryAction;
+use dfs_policy::entry::EntryEvent;
+use dfs_policy::entry::Identity;
+use dfs_policy::entry::Submission;
+use dfs_wire::session::AgentItem;
+use dfs_wire::session::Attach;
+use dfs_wire::session::EntryItem;
+use dfs_wire::session::Held;
+use dfs_wire::session::LoadHint;
+use dfs_wire::session::Report;
+use dfs_wire::session::TargetState;
+use dfs_wire::session::TaskOutcome;
+use dfs_wire::session::TaskRef;
+use dfs_wire::session::TaskResult;
+use dfs_wire::target::Offer;
+use dfs_wire::target::Resources;
+use serde_json::json;
+use serde_json::value::RawValue;
+
+const TASKS: u64 = 300;
+/// Runs of which the fastest counts.
+const RUNS: u32 = 3;
+const RUN_US: u64 = 300_000;
+
+struct Bench {
+    entry: Entry,
+    reports: Vec<u64>,
+    placed: VecDeque<(u64, TaskRef)>,
+}
+
+fn config(groups: u64) -> Arc<Config> {
+    let digest = |n: u64| format!("{n:064x}");
+    let group = |n| {
+        json!({
+            "group": format!("g{n}"), "share": 1.0, "tokens_sha256": [digest(n)],
+            "services": ["desk"],
+        })
+    };
+    let inventory = json!({
+        "domains": ["lagos"],
+        "operators": [],
+        "services": [{ "service": "desk" }],
+        "groups": (0..groups).map(group).collect::<Vec<_>>(),
+    });
+    Arc::new(Config {
+        version: dfs_ids::ConfigVersion::new(1),
+        inventory: serde_json::from_value(inventory).expect("the inventory is valid"),
+        rules: Rules::default(),
+    })
+}
+
+impl Bench {
+    fn new(agents: u64, groups: u64, window: u32) -> Self {
+        let identity = Identity {
+            entry: "entry".parse().expect("a valid name"),
+            domain: "lagos".parse().expect("a valid name"),
+            incarnation: Incarnation::new(1),
+            lease: LeaseSettings::default(),
+        };
+        let mut bench = Self {
+            entry: Entry::new(identity, 1),
+            reports: Vec::new(),
+            placed: VecDeque::new(),
+        };
+        bench.handle(EntryEvent::Configured(config(groups)));
+        for a in 0..agents {
+            bench.attach(a, window);
+        }
+        bench
+    }
+
+    fn attach(&mut self, a: u64, window: u32) {
+        let attach = Attach {
+            secret: String::new(),
+            agent: format!("agent-{a:05}").parse().expect("a valid name"),
+            incarnation: Incarnation::new(a + 1),
+            domain: "lagos".parse().expect("a valid name"),
+        };
+        let connection = ConnectionId(a);
+        self.handle(EntryEvent::Attach { connection, attach });
+        self.reports.push(0);
+        let offer = Offer {
+            target: format!("target-{a:05}").parse().expect("a valid name"),
+            services: vec!["desk".parse().expect("a valid name")],
+            slots: Slots::new(8),
+            connections: 64,
+            resources: Resources::default(),
+        };
+        let held = Held {
+            tasks: Vec::new(),
+            forgotten: false,
+        };
+        let load = LoadHint {
+            window,
+            ..LoadHint::default()
+        };
+        let items = vec![
+            AgentItem::Held(held),
+            AgentItem::Target(TargetState::Live(offer)),
+            AgentItem::Load(load),
+        ];
+        self.report(a, items);
+    }
+
+    fn report(&mut self, a: u64, items: Vec<AgentItem>) {
+        let seq = &mut self.reports[usize::try_from(a).expect("a small index")];
+        let report = Report {
+            session: SessionNumber::new(a + 1),
+            seq: *seq,
+            items,
+        };
+        *seq += 1;
+        let connection = ConnectionId(a);
+        self.handle(EntryEvent::Report { connection, report });
+    }
+
+    fn submit(&mut self, n: u64, groups: u64) {
+        let body = RawValue::from_string("1".to_owned()).expect("a number is JSON");
+        self.handle(EntryEvent::Submit(Submission {
+            submission: SubmissionId::numbered(Incarnation::new(1), n),
+            group: format!("g{}", n % groups).parse().expect("a valid name"),
+            service: "desk".parse().expect("a valid name"),
+            tasks: vec![Arc::from(body)],
+            deadline_ms: Some(Millis::new(600_000)),
+            declared_ms: None,
+            repeatable: false,
+        }));
+    }
+
+    fn finish_oldest(&mut self) {
+        let Some((agent, task)) = self.placed.pop_front() else {
+            return;
+        };
+        let body = RawValue::from_string("1".to_owned()).expect("a number is JSON");
+        let result = TaskResult {
+            task,
+            wait_us: 0,
+            run_us: RUN_US,
+            outcome: TaskOutcome::Done(Arc::from(body)),
+        };
+        self.report(agent, vec![AgentItem::Results(vec![result])]);
+    }
+
+    fn handle(&mut self, event: EntryEvent) {
+        let now = Moment::from_millis(1);
+        let mut actions = self.entry.handle(now, event);
+        actions.extend(self.entry.flush(now));
+        for action in actions {
+            let EntryAction::Send {
+                connection,
+                message,
+            } = action
+            else {
+                continue;
+            };
+            for item in message.items {
+                if let EntryItem::Place(placement) = item {
+                    let submission = placement.submission;
+                    let task = |task: &dfs_wire::session::PlacedTask| TaskRef {
+                        submission: submission.clone(),
+                        task: task.task,
+                        attempt: task.attempt,
+                    };
+                    let tasks = placement.tasks.iter().map(task);
+                    self.placed.extend(tasks.map(|task| (connection.0, task)));
+                }
+            }
+        }
+    }
+}
+
+/// Time for each task while `open` submissions are open all the time.
+fn measure(agents: u64, groups: u64, window: u32, open: u64) -> Duration {
+    let mut bench = Bench::new(agents, groups, window);
+    (0..open).for_each(|n| bench.submit(n, groups));
+    let start = Instant::now();
+    for n in open..open + TASKS {
+        bench.finish_oldest();
+        bench.submit(n, groups);
+    }
+    start.elapsed() / u32::try_from(TASKS).expect("a small count")
+}
+
+fn main() {
+    // `cargo test --all-targets` starts benches as well, without this argument.
+    if !std::env::args().any(|argument| argument == "--bench") {
+        return;
+    }
+    println!("agents groups  slots free µs/task  windows full µs/task");
+    for agents in [11, 100, 650, 1_300] {
+        for groups in [5, 450] {
+            let fastest = |window, open| {
+                let runs = (0..RUNS).map(|_| measure(agents, groups, window, open));
+                runs.min().unwrap_or_default().as_nanos() / 1_000
+            };
+            let free = fastest(8, agents * 5);
+            let full = fastest(1, agents + 2 * groups);
+            println!("{agents:6} {groups:6} {free:19} {full:21}");
+        }
+    }
+}
--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -14,6 +14,7 @@
 use dfs_wire::session::PlacedTask;
 use dfs_wire::session::Placement;
 use dfs_wire::session::TaskRef;
+use rand::Rng;
 
 use super::Entry;
 use super::EntryAction;
@@ -24,6 +25,9 @@
 use crate::placement::Choice;
 use crate::placement::pick;
 
+/// Agents looked at for one task; at 95% load one of them has a free slot almost surely.
+const MAX_CHOICES: usize = 48;
+
 /// Tasks placed in one pass.
 type Batches = BTreeMap<BatchKey, Vec<PlacedTask>>;
 
@@ -41,21 +45,37 @@
             return;
         };
         let mut batches = Batches::new();
-        let mut blocked = BTreeSet::new();
-        while let Some(lane) = self.next_lane(&blocked) {
-            if !self.place_next(now, &config, &lane, &mut batches) {
-                self.probe_silent(now, &lane, out);
-                blocked.insert(lane);
+        let mut lanes: BTreeSet<(u64, Lane)> = self
+            .queue
+            .lanes()
+            .map(|lane| (self.share_key(lane), lane.clone()))
+            .collect();
+        let mut closed = BTreeSet::new();
+        while let Some((_, lane)) = lanes.pop_first() {
+            let draws_on_all = config
+                .group(&lane.group)
+                .is_some_and(|group| group.targets.is_empty());
+            if draws_on_all && closed.contains(&lane.service) {
+                continue;
+            }
+            if self.place_next(now, &config, &lane, &mut batches) {
+                if self.queue.first(&lane).is_some() {
+                    lanes.insert((self.share_key(&lane), lane));
+                }
+                continue;
+            }
+            self.probe_silent(now, &lane, out);
+            if draws_on_all {
+                closed.insert(lane.service);
             }
         }
         self.send_batches(now, batches, out);
     }
 
-    /// The lane of the group that used least of its share.
-    fn next_lane(&self, blocked: &BTreeSet<Lane>) -> Option<Lane> {
-        let used = |lane: &Lane| self.shares.used_by(&lane.group);
-        let open = self.queue.lanes().filter(|lane| !blocked.contains(lane));
-        open.min_by(|a, b| used(a).total_cmp(&used(b))).cloned()
+    /// Orders lanes by what their groups used of their shares; numbers that are not negative sort
+    /// as their bits.
+    fn share_key(&self, lane: &Lane) -> u64 {
+        self.shares.used_by(&lane.group).max(0.0).to_bits()
     }
 
     /// Places one task of a lane; false if no target takes one.
@@ -120,33 +140,48 @@
         let group = config.group(&lane.group)?;
         let required = config.service(&lane.service)?.requires;
         let avoid = self.jobs.get(submission)?.task(index)?.avoid.clone();
-        let fits = |view: &AgentView| {
-            view.offer().is_some_and(|offer| {
-                allows(group, &offer.target) && offer.resources.covers(&required)
-            })
+        let sample = self.sample();
+        let choice = |(agent, view): (&AgentId, &AgentView)| {
+            let offer = view.offer()?;
+            let fits = allows(group, &offer.target) && offer.resources.covers(&required);
+            let may_take = fits && view.offers(&lane.service) && view.has_room();
+            (may_take && self.is_fresh(now, view) && !self.is_held_back(now, agent, view)).then(
+                || Choice {
+                    key: agent.clone(),
+                    load: self.expected_load(now, agent, view),
+                },
+            )
         };
-        let eligible: Vec<_> = self
-            .agents
+        let sampled = sample
             .iter()
-            .filter(|(_, view)| view.offers(&lane.service) && view.has_room() && fits(view))
-            .filter(|(_, view)| self.is_fresh(now, view))
-            .filter(|(agent, _)| !self.ejection.is_ejected(agent, now))
-            .filter(|(agent, view)| {
-                view.open_tasks() == 0 || !self.ejection.is_on_trial(agent, now)
-            })
-            .map(|(agent, view)| Choice {
-                key: agent,
-                load: self.expected_load(now, agent, view),
-            })
-            .collect();
+            .filter_map(|agent| self.agents.get_key_value(agent));
+        let mut eligible: Vec<_> = sampled.filter_map(choice).collect();
+        if eligible.is_empty() {
+            eligible = self.agents.iter().filter_map(choice).collect();
+        }
         let others: Vec<_> = eligible
             .iter()
-            .filter(|c| Some(c.key) != avoid.as_ref())
-            .copied()
+            .filter(|c| Some(&c.key) != avoid.as_ref())
+            .cloned()
             .collect();
         let eligible = if others.is_empty() { eligible } else { others };
-        let chosen = pick(config.rules.placement.policy, &eligible, &mut self.random);
-        chosen.cloned()
+        pick(config.rules.placement.policy, &eligible, &mut self.random)
+    }
+
+    /// Whether the agent's target is set aside, or on trial with a task already.
+    fn is_held_back(&self, now: Moment, agent: &AgentId, view: &AgentView) -> bool {
+        let on_trial = || self.ejection.is_on_trial(agent, now);
+        self.ejection.is_ejected(agent, now) || (view.open_tasks() > 0 && on_trial())
+    }
+
+    /// Agents to choose from: all, or some at random where there are many.
+    fn sample(&mut self) -> Vec<AgentId> {
+        if self.roster.len() <= MAX_CHOICES {
+            return self.roster.clone();
+        }
+        let random = &mut self.random;
+        let any = || self.roster[random.random_range(0..self.roster.len())].clone();
+        std::iter::repeat_with(any).take(MAX_CHOICES).collect()
     }
 
     /// Load with a further task, longer by as much as the target is slower than the others.
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -68,6 +68,8 @@
     config: Option<Arc<Config>>,
     /// Agents by name; at most one life of each.
     agents: BTreeMap<AgentId, AgentView>,
+    /// The names of all agents, in no order.
+    roster: Vec<AgentId>,
     /// The agent of each open connection.
     connections: BTreeMap<ConnectionId, AgentId>,
     /// Open submissions; an answered one is removed at once.
@@ -100,6 +102,7 @@
             identity,
             config: None,
             agents: BTreeMap::new(),
+            roster: Vec::new(),
             connections: BTreeMap::new(),
             jobs: BTreeMap::new(),
             deadlines: BTreeSet::new(),
--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -98,7 +98,10 @@
             takes_config: false,
             probed_at: None,
         };
-        self.agents.insert(attach.agent, view);
+        let name = attach.agent.clone();
+        if self.agents.insert(attach.agent, view).is_none() && !self.roster.contains(&name) {
+            self.roster.push(name);
+        }
     }
 
     fn close_connection(&mut self, agent: &AgentId, out: &mut Vec<EntryAction>) {
@@ -149,6 +152,7 @@
     /// Removes an agent incarnation; what it held has an unknown outcome from now on.
     fn lose_agent(&mut self, agent: &AgentId, out: &mut Vec<EntryAction>) {
         self.close_connection(agent, out);
+        self.roster.retain(|name| name != agent);
         self.ejection.forget(agent);
         self.speeds.forget(agent);
         let Some(view) = self.agents.remove(agent) else {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -13,7 +13,7 @@
 }
 
 /// Picks one of the eligible targets.
-pub fn pick<T: Copy>(
+pub fn pick<T: Clone>(
     policy: PlacementPolicy,
     eligible: &[Choice<T>],
     random: &mut impl Rng,
@@ -21,7 +21,7 @@
     if eligible.is_empty() {
         return None;
     }
-    let any = |random: &mut _| eligible[Rng::random_range(random, 0..eligible.len())];
+    let any = |random: &mut _| &eligible[Rng::random_range(random, 0..eligible.len())];
     let choice = match policy {
         PlacementPolicy::Random => any(random),
         PlacementPolicy::TwoChoices => {
@@ -30,16 +30,16 @@
         }
         PlacementPolicy::LeastWork => least(eligible, random),
     };
-    Some(choice.key)
+    Some(choice.key.clone())
 }
 
 /// The least loaded target; equal ones are picked at random so that entries do not agree on one.
-fn least<T: Copy>(eligible: &[Choice<T>], random: &mut impl Rng) -> Choice<T> {
+fn least<'a, T>(eligible: &'a [Choice<T>], random: &mut impl Rng) -> &'a Choice<T> {
     let lowest = eligible
         .iter()
         .map(|c| c.load)
         .fold(f64::INFINITY, f64::min);
     let ties = || eligible.iter().filter(|c| c.load <= lowest);
     let nth = random.random_range(0..ties().count().max(1));
-    *ties().nth(nth).unwrap_or(&eligible[0])
+    ties().nth(nth).unwrap_or(&eligible[0])
 }
