Bench of windows at the default ageing

Conclusion: 64 stays the default; below 95% load windows do not bind, and in overload the order at the agents weighs more.

--- a/crates/policy/benches/grid/main.rs
+++ b/crates/policy/benches/grid/main.rs
@@ -81,6 +81,10 @@
             variants.push(variant(&name, 4, &placement));
         }
     }
+    for open in [2.0, 4.0, 8.0, 16.0, 64.0] {
+        let placement = json!({ "open_tasks_per_slot": open });
+        variants.push(variant(&format!("open-{open}"), 4, &placement));
+    }
     for part in [1.0, 0.5, 0.35, 0.25] {
         let placement = json!({ "open_tasks_per_slot": 64.0 });
         let mut admission = variant(&format!("deadline-{part}"), 4, &placement);
