--- a/crates/policy/tests/matrix/link.rs
+++ b/crates/policy/tests/matrix/link.rs
@@ -55,6 +55,8 @@
     pub agent_life: Incarnation,
     pub is_open_at_entry: bool,
     pub is_open_at_agent: bool,
+    /// Whether the agent has seen the end; no message of the connection is read after it.
+    pub is_lost_at_agent: bool,
     /// When the oldest call without a reply was made.
     pub waiting: std::collections::BTreeMap<u64, u64>,
 }
