An agent forgets that a group is active once its queue is empty

Cause: a group stayed active at an agent for ever, so the floor at which others start was that of groups long idle, and an idle group came back with the credit of all the time it was away.

--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -181,8 +181,10 @@
             |task: &&TaskRef| self.records.get(*task).map(|r| r.entry) == Some(incarnation);
         let tasks: Vec<_> = self.queue.tasks().filter(of_entry).cloned().collect();
         for task in &tasks {
-            if let Some(record) = self.records.remove(task) {
-                self.queue.remove(task, &record);
+            if let Some(record) = self.records.remove(task)
+                && self.queue.remove(task, &record)
+            {
+                self.shares.deactivate(&record.group);
             }
         }
         u32::try_from(tasks.len()).unwrap_or(u32::MAX)
@@ -206,7 +208,9 @@
         }
         match record.stage {
             Stage::Queued { .. } => {
-                self.queue.remove(task, record);
+                if self.queue.remove(task, record) {
+                    self.shares.deactivate(&record.group);
+                }
                 self.records.remove(task);
             }
             Stage::Running { .. } => record.wanted = false,
--- a/crates/policy/src/agent/queue.rs
+++ b/crates/policy/src/agent/queue.rs
@@ -27,15 +27,18 @@
         self.by_start.insert((record.start_by, task.clone()));
     }
 
-    pub fn remove(&mut self, task: &TaskRef, record: &Record) {
+    /// Removes a task; true if it was the last of its group.
+    pub fn remove(&mut self, task: &TaskRef, record: &Record) -> bool {
         self.by_start.remove(&(record.start_by, task.clone()));
         let Some(tasks) = self.by_group.get_mut(&record.group) else {
-            return;
+            return false;
         };
         tasks.remove(&(record.rank, task.clone()));
-        if tasks.is_empty() {
+        let was_last = tasks.is_empty();
+        if was_last {
             self.by_group.remove(&record.group);
         }
+        was_last
     }
 
     pub fn len(&self) -> u32 {
--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -50,8 +50,8 @@
                 wanted: true,
             });
             self.queue.insert(&task, record);
+            self.shares.activate(&placement.group);
         }
-        self.shares.activate(&placement.group);
     }
 
     fn busy(&self, if_full: IfFull) -> Option<NotRunReason> {
@@ -101,7 +101,9 @@
         let Some(record) = self.records.remove(task) else {
             return;
         };
-        self.queue.remove(task, &record);
+        if self.queue.remove(task, &record) {
+            self.shares.deactivate(&record.group);
+        }
         self.tell_not_run(record.entry, task.clone(), reason);
     }
 
@@ -162,7 +164,9 @@
         let Stage::Queued { body } = std::mem::replace(&mut record.stage, running) else {
             return;
         };
-        self.queue.remove(task, record);
+        if self.queue.remove(task, record) {
+            self.shares.deactivate(&record.group);
+        }
         self.running += 1;
         out.push(AgentAction::Start {
             task: task.clone(),
