--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -68,6 +68,9 @@
     background: Vec<JoinHandle<()>>,
 }
 
+/// Longest wait for the answers of a stop that passed its bound.
+const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// How a planned stop ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StopKind {
@@ -75,6 +78,8 @@
     Drained,
     /// The time for it ran out.
     BoundPassed,
+    /// It was asked for a second time.
+    AskedAgain,
 }
 
 impl Entry {
@@ -178,22 +183,28 @@
     }
 
     /// Stops without cutting a submission, within the bound of the settings.
-    pub async fn stop(mut self) -> StopKind {
+    pub async fn stop(mut self, asked_again: impl Future<Output = ()>) -> StopKind {
         let asked = Instant::now();
         let drain_ms = self.limits.drain_ms;
         dfs_log::emit(ProcessEvent::StopRequested { drain_ms });
-        let kind = match tokio::time::timeout(drain_ms.into(), self.drain()).await {
-            Ok(()) => {
-                let waited = u64::try_from(asked.elapsed().as_millis()).unwrap_or(u64::MAX);
-                dfs_log::emit(ProcessEvent::Drained {
-                    waited_ms: Millis::new(waited),
-                });
-                StopKind::Drained
-            }
-            Err(_) => StopKind::BoundPassed,
+        let drained = tokio::time::timeout(drain_ms.into(), self.drain());
+        let kind = tokio::select! {
+            drained = drained => drained.map_or(StopKind::BoundPassed, |()| StopKind::Drained),
+            () = asked_again => StopKind::AskedAgain,
         };
+        let open = self.core.open();
+        let waited = u64::try_from(asked.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let waited_ms = Millis::new(waited);
+        dfs_log::emit(match kind {
+            StopKind::Drained => ProcessEvent::Drained { waited_ms },
+            StopKind::BoundPassed => ProcessEvent::StopBoundPassed { drain_ms, open },
+            StopKind::AskedAgain => ProcessEvent::SecondSignal { open },
+        });
         self.sessions.stop();
         self.background.iter().for_each(JoinHandle::abort);
+        if kind == StopKind::BoundPassed {
+            self.close_callers().await;
+        }
         kind
     }
 
@@ -208,6 +219,15 @@
         // The server only ends; it has no result.
         let _ = (&mut self.callers).await;
     }
+
+    /// Without its core every submission still open is answered as unknown; the answers get a moment
+    /// to leave.
+    async fn close_callers(&mut self) {
+        self.gate.advance(Phase::Closed);
+        if !self.callers.is_finished() {
+            let _ = tokio::time::timeout(LAST_ANSWERS_TIMEOUT, &mut self.callers).await;
+        }
+    }
 }
 
 /// Clients of the platform.
