Matrix: a near deadline that admission accepts

Admission by expected work refused two of the three submissions with a deadline of 600 ms, which left 384 of 744 cases; 1 s and a longer stall bring them back.

--- a/crates/policy/tests/matrix/fault.rs
+++ b/crates/policy/tests/matrix/fault.rs
@@ -18,6 +18,8 @@
 const LONG_US: u64 = 10_000_000;
 /// Shorter than every lease.
 const SHORT_US: u64 = 800_000;
+/// Longer than a near deadline, shorter than every lease.
+const STALL_US: u64 = 1_500_000;
 /// Time until a target that said goodbye is back, and until a late connection is read.
 const RETURN_US: u64 = 400_000;
 
@@ -378,7 +380,7 @@
     }
 
     fn stall(&mut self) {
-        self.now_us += SHORT_US;
+        self.now_us += STALL_US;
         self.disturbed_us = self.disturbed_us.max(self.now_us);
         for index in 0..self.entries.len() {
             if self.entries[index].is_awake() {
--- a/crates/policy/tests/matrix/matrix_random.rs
+++ b/crates/policy/tests/matrix/matrix_random.rs
@@ -15,6 +15,7 @@
 use crate::fault::Kind;
 use crate::run::FAR_DEADLINE_MS;
 use crate::run::Load;
+use crate::run::NEAR_DEADLINE_MS;
 use crate::run::run;
 
 const ENTRIES: usize = 2;
@@ -41,7 +42,7 @@
 }
 
 fn load() -> impl Strategy<Value = Load> {
-    let deadline_ms = select(&[700, FAR_DEADLINE_MS][..]);
+    let deadline_ms = select(&[NEAR_DEADLINE_MS, FAR_DEADLINE_MS][..]);
     let size = (2..=MAX_SUBMISSIONS, 2..=MAX_WIDTH);
     (size, deadline_ms, 0..2).prop_map(|((submissions, width), deadline_ms, warm)| Load {
         entries: ENTRIES,
--- a/crates/policy/tests/matrix/matrix_single.rs
+++ b/crates/policy/tests/matrix/matrix_single.rs
@@ -7,6 +7,7 @@
 use crate::fault::Fault;
 use crate::fault::Kind;
 use crate::run::Load;
+use crate::run::NEAR_DEADLINE_MS;
 use crate::run::SMALL;
 use crate::run::run;
 
@@ -55,7 +56,7 @@
 #[googletest::test]
 fn every_fault_at_every_step_with_a_near_deadline() {
     let load = Load {
-        deadline_ms: 600,
+        deadline_ms: NEAR_DEADLINE_MS,
         ..SMALL
     };
     let kinds = Kind::ALL.into_iter().filter(|kind| !kind.is_harmless());
--- a/crates/policy/tests/matrix/run.rs
+++ b/crates/policy/tests/matrix/run.rs
@@ -22,6 +22,9 @@
 /// A deadline that no single fault reaches.
 pub const FAR_DEADLINE_MS: u64 = 30_000;
 
+/// A deadline that a stall reaches.
+pub const NEAR_DEADLINE_MS: u64 = 1_000;
+
 /// A load of two entries at most, and when it begins.
 #[derive(Debug, Clone, Copy)]
 pub struct Load {
