--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -79,7 +79,7 @@
                     }
                 }
                 AgentItem::Version(version, source) => {
-                    self.on_version(connection, &agent, report.seq, (version, source), out);
+                    self.on_version(connection, &agent, report.seq, version, source, out);
                 }
                 AgentItem::Config(body) => out.push(EntryAction::ConfigReceived(body)),
             }
@@ -185,7 +185,8 @@
         connection: ConnectionId,
         agent: &AgentId,
         seq: u64,
-        (version, source): (ConfigVersion, bool),
+        version: ConfigVersion,
+        source: bool,
         out: &mut Vec<EntryAction>,
     ) {
         let Some(view) = self
--- a/crates/policy/tests/matrix/world.rs
+++ b/crates/policy/tests/matrix/world.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::ops::Bound;
+use std::sync::Arc;
 
 use dfs_ids::Incarnation;
 use dfs_ids::SubmissionId;
@@ -17,6 +18,7 @@
 use dfs_wire::session::Attach;
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
+use serde_json::value::RawValue;
 
 use crate::fault::Heal;
 use crate::link::Connection;
@@ -241,21 +243,7 @@
                 life,
                 task,
                 body,
-            } => {
-                let ended = |end| Item::Ended {
-                    agent,
-                    life,
-                    task: task.clone(),
-                    end,
-                };
-                if self.targets[agent].is_up {
-                    let done = ended(RunEnd::Started(TaskOutcome::Done(body)));
-                    self.starts.push(task.clone());
-                    self.push_after(RUN_US, done);
-                } else {
-                    self.push(ended(RunEnd::Refused));
-                }
-            }
+            } => self.on_start(agent, life, &task, body),
             Item::Ended {
                 agent,
                 life,
@@ -270,6 +258,22 @@
         }
     }
 
+    fn on_start(&mut self, agent: usize, life: Incarnation, task: &TaskRef, body: Arc<RawValue>) {
+        let ended = |end| Item::Ended {
+            agent,
+            life,
+            task: task.clone(),
+            end,
+        };
+        if self.targets[agent].is_up {
+            let done = ended(RunEnd::Started(TaskOutcome::Done(body)));
+            self.starts.push(task.clone());
+            self.push_after(RUN_US, done);
+        } else {
+            self.push(ended(RunEnd::Refused));
+        }
+    }
+
     fn on_submit(&mut self, caller: usize, flush: bool) {
         let now_us = self.now_us;
         let serial = self.next_serial();
