A slow target is the last choice instead of one with a higher load

Cause: multiplied by its slowness, the load of a slow target without tasks was still below that of the others while wide jobs were queued there, so small tasks went to it, which would have passed the wide ones elsewhere.

--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -28,6 +28,9 @@
 /// Agents looked at for one task; at 95% load one of them has a free slot almost surely.
 const MAX_CHOICES: usize = 48;
 
+/// Load that puts a target after all others, far above any true one.
+const SLOW_LOAD: f64 = 1e6;
+
 /// Tasks placed in one pass.
 type Batches = BTreeMap<BatchKey, Vec<PlacedTask>>;
 
@@ -184,11 +187,11 @@
         std::iter::repeat_with(any).take(MAX_CHOICES).collect()
     }
 
-    /// Load with a further task, longer by as much as the target is slower than the others.
+    /// Load with a further task; a slow target comes after all others.
     fn expected_load(&self, now: Moment, agent: &AgentId, view: &AgentView) -> f64 {
         let mean_us = self.totals.mean_run_us();
-        let slowness = self.speeds.slowness(agent, mean_us, view.open_tasks(), now);
-        view.load_with(1) * slowness
+        let is_slow = self.speeds.is_slow(agent, mean_us, view.open_tasks(), now);
+        view.load_with(1) + if is_slow { SLOW_LOAD } else { 0.0 }
     }
 
     pub(super) fn is_fresh(&self, now: Moment, view: &AgentView) -> bool {
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -37,19 +37,13 @@
         record.last_result = now;
     }
 
-    /// How many times longer than on all targets a task takes there; 1 unless it is slow.
+    /// Whether tasks take far longer there than on all targets.
     #[must_use]
-    pub fn slowness(&self, agent: &AgentId, mean_us: f64, open_tasks: u32, now: Moment) -> f64 {
-        let Some(record) = self.records.get(agent) else {
-            return 1.0;
-        };
-        let ratio = record.mean_run_us / mean_us;
-        let is_due = open_tasks == 0 && now.since(record.last_result) >= FORGET_MS;
-        if ratio < SLOW_RATIO || is_due {
-            1.0
-        } else {
-            ratio
-        }
+    pub fn is_slow(&self, agent: &AgentId, mean_us: f64, open_tasks: u32, now: Moment) -> bool {
+        self.records.get(agent).is_some_and(|record| {
+            let is_due = open_tasks == 0 && now.since(record.last_result) >= FORGET_MS;
+            record.mean_run_us >= SLOW_RATIO * mean_us && !is_due
+        })
     }
 
     /// Drops the record of an agent that is gone.
