Idle renewals count the sessions to come, and are spread

Cause: a session keeps the idle interval that it was opened with, worked out from the sessions open at that time. After a restart the n-th one renews at the interval for n, and the rates add up to a harmonic sum; and agents that attached together renewed together.

Ruled out: a fixed interval in the settings; a new interval in the reply to a renewal, which is more exact but changes the messages of the session and is left as the next step.

Change: the entry counts a session for each target of its inventory if that is more than are open. An agent waits half to all of the interval, drawn anew for each report, and the interval allows for it.

Conclusion: mended for inventories that list their targets, but not for sessions opened before the entry has its configuration.

--- a/crates/policy/src/agent/report.rs
+++ b/crates/policy/src/agent/report.rs
@@ -2,6 +2,7 @@
 
 use dfs_conf::HintMode;
 use dfs_ids::Incarnation;
+use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_wire::session::AgentItem;
 use dfs_wire::session::Held;
@@ -19,6 +20,7 @@
 use super::view::InFlight;
 use super::view::Phase;
 use crate::ConnectionId;
+use crate::membership::weight;
 
 impl Agent {
     pub(super) fn on_config_body(&mut self, connection: ConnectionId, body: Box<RawValue>) {
@@ -151,13 +153,22 @@
             return false;
         };
         let silent_ms = now.since(view.last_sent_at);
-        if silent_ms >= view.idle_renew_ms {
+        if silent_ms >= self.idle_renew_ms(incarnation, view) {
             return true;
         }
         let mut records = self.records.values();
         silent_ms >= view.busy_renew_ms && records.any(|record| record.entry == incarnation)
     }
 
+    /// Half to all of the interval of the session, anew for each report, so that agents that
+    /// attached together do not renew together.
+    fn idle_renew_ms(&self, incarnation: Incarnation, view: &EntryView) -> Millis {
+        let longest_ms = view.idle_renew_ms.get();
+        let shortest_ms = longest_ms / 2;
+        let random = weight(&self.incarnation, &(incarnation, view.next_report));
+        Millis::new(shortest_ms + random % (longest_ms - shortest_ms + 1))
+    }
+
     /// What has changed since the entry was last told.
     fn changed_items(&mut self, incarnation: Incarnation) -> Vec<AgentItem> {
         let state = self.target_state();
--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -1,5 +1,8 @@
 //! Sessions: attaching, losing, lapsing, and numbering messages.
 
+use std::sync::Arc;
+
+use dfs_conf::Config;
 use dfs_ids::AgentId;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
@@ -18,10 +21,12 @@
 use crate::ConnectionId;
 
 /// Bytes of one bare renewal with its reply, framing of TCP and IP included.
-const RENEWAL_BYTES: u64 = 420;
+const RENEWAL_BYTES: u64 = 360;
 /// Bytes a second that the renewals of idle sessions may take at one entry.
 const RENEWAL_BYTES_PER_S: u64 = 2_048;
 const MILLIS_PER_SECOND: u64 = 1_000;
+/// Agents renew after half to all of the interval, so after three quarters of it on average.
+const MEAN_OF_INTERVAL: (u64, u64) = (3, 4);
 
 impl Entry {
     pub(super) fn on_attach(
@@ -64,9 +69,16 @@
     }
 
     /// Interval of idle renewals at which all sessions together keep to their share of the bytes.
+    ///
+    /// A session keeps the interval with which it was opened, so the first ones after a restart have
+    /// to count those that are still to come: at most one for each target of the inventory.
     fn idle_renew_ms(&self) -> Millis {
-        let sessions = self.connections.len() as u64 + 1;
-        let interval = sessions * RENEWAL_BYTES * MILLIS_PER_SECOND / RENEWAL_BYTES_PER_S;
+        let open = self.connections.len() as u64 + 1;
+        let targets = |config: &Arc<Config>| config.inventory.targets.len() as u64;
+        let sessions = open.max(self.config.as_ref().map_or(0, targets));
+        let (part, whole) = MEAN_OF_INTERVAL;
+        let bytes = sessions * RENEWAL_BYTES * whole / part;
+        let interval = bytes * MILLIS_PER_SECOND / RENEWAL_BYTES_PER_S;
         self.identity.lease.idle_renew_ms.max(Millis::new(interval))
     }
 
