Capacity page from measured slopes

The page multiplies docs/slopes.json with the sizes; a test holds it to what the tool prints.

The look at each session in a tick could not be told from the noise and has no line.

--- a/crates/slopes/src/measure/idle.rs
+++ b/crates/slopes/src/measure/idle.rs
@@ -34,9 +34,16 @@
 const RENEW_MS: [u64; 4] = [1_000, 400, 200, 100];
 const ENTRY_SESSIONS: [usize; 4] = [25, 50, 100, 200];
 const AGENT_SESSIONS: [usize; 4] = [1, 8, 16, 32];
+const NO_AGENTS: Shape = Shape {
+    agents: 0,
+    slots: 1,
+    busy_renew_ms: 1_000,
+    has_targets: false,
+};
+const ATTACH: Duration = Duration::from_secs(2);
 const SETTLE: Duration = Duration::from_secs(4);
 const WINDOW: Duration = Duration::from_secs(10);
-const IDLE_WINDOW: Duration = Duration::from_secs(25);
+const IDLE_WINDOW: Duration = Duration::from_mins(1);
 
 /// Agents that hold one long task each renew at a fixed interval.
 pub(super) async fn renewals(slopes: &mut Slopes) -> Result<(), SlopesError> {
@@ -91,21 +98,9 @@
 /// Embedded agents without targets at one entry.
 pub(super) async fn entry_sessions(slopes: &mut Slopes) -> Result<(), SlopesError> {
     for sessions in ENTRY_SESSIONS {
-        let shape = Shape {
-            agents: 0,
-            slots: 1,
-            busy_renew_ms: 1_000,
-            has_targets: false,
-        };
-        let cluster = Cluster::start(shape).await?;
+        let cluster = Cluster::start(NO_AGENTS).await?;
         cluster.configure(&inventory(1, sessions)).await?;
-        let started = cluster.entry.usage()?;
-        let mut agents = Vec::new();
-        for number in 0..sessions {
-            let settings = parse(agent_settings(number, &[cluster.sessions.address]))?;
-            let metrics = metrics(&ProcessName::Agent(parse(json!("agent"))?))?;
-            agents.push(Agent::start(settings, metrics).await.context(AgentSnafu)?);
-        }
+        let agents = start_agents(&cluster, sessions).await?;
         tokio::time::sleep(SETTLE).await;
         let (before, usage) = (cluster.sessions.passed(), cluster.entry.usage()?);
         let seconds = window(IDLE_WINDOW).await;
@@ -116,9 +111,6 @@
             size: "sessions of the entry",
             x: size_float(sessions),
         };
-        sample.add(SlopeName::AttachBytes, float(before.wire_bytes()));
-        let attach_us = usage.processor_us - started.processor_us;
-        sample.add(SlopeName::AttachUs, float(attach_us));
         let bytes = after.wire_bytes() - before.wire_bytes();
         let used_us = used.processor_us - usage.processor_us;
         sample.add(SlopeName::EntryIdleBytes, float(bytes) / seconds);
@@ -126,16 +118,50 @@
         let memory = float(used.memory_bytes);
         sample.add(SlopeName::EntrySessionMemoryBytes, memory);
         // Their background tasks are ended, so that the next size starts alone.
-        futures::future::join_all(
-            agents
-                .into_iter()
-                .map(|agent| agent.stop(std::future::pending())),
-        )
-        .await;
+        stop_all(agents).await;
+    }
+    Ok(())
+}
+
+/// Embedded agents attach to an entry that has no configuration to tell them.
+pub(super) async fn attach(slopes: &mut Slopes) -> Result<(), SlopesError> {
+    for sessions in ENTRY_SESSIONS {
+        let cluster = Cluster::start(NO_AGENTS).await?;
+        let before = cluster.entry.usage()?;
+        let agents = start_agents(&cluster, sessions).await?;
+        tokio::time::sleep(ATTACH).await;
+        let used = cluster.entry.usage()?;
+        let mut sample = Sample {
+            slopes: &mut *slopes,
+            size: "sessions opened",
+            x: size_float(sessions),
+        };
+        let bytes = cluster.sessions.passed().wire_bytes();
+        sample.add(SlopeName::AttachBytes, float(bytes));
+        let attach_us = used.processor_us - before.processor_us;
+        sample.add(SlopeName::AttachUs, float(attach_us));
+        stop_all(agents).await;
     }
     Ok(())
 }
 
+async fn start_agents(cluster: &Cluster, count: usize) -> Result<Vec<Agent>, SlopesError> {
+    let mut agents = Vec::new();
+    for number in 0..count {
+        let settings = parse(agent_settings(number, &[cluster.sessions.address]))?;
+        let metrics = metrics(&ProcessName::Agent(parse(json!("agent"))?))?;
+        agents.push(Agent::start(settings, metrics).await.context(AgentSnafu)?);
+    }
+    Ok(agents)
+}
+
+async fn stop_all(agents: Vec<Agent>) {
+    let stops = agents
+        .into_iter()
+        .map(|agent| agent.stop(std::future::pending()));
+    futures::future::join_all(stops).await;
+}
+
 /// One agent with sessions to embedded entries.
 pub(super) async fn agent_sessions(slopes: &mut Slopes) -> Result<(), SlopesError> {
     for sessions in AGENT_SESSIONS {
--- a/crates/slopes/src/measure/mod.rs
+++ b/crates/slopes/src/measure/mod.rs
@@ -24,6 +24,8 @@
 pub enum Part {
     /// Renewals.
     Renewals,
+    /// Opening of sessions.
+    Attach,
     /// Idle sessions of an entry.
     EntrySessions,
     /// Idle sessions of an agent.
@@ -47,6 +49,7 @@
     let mut slopes = Slopes::default();
     match part {
         Part::Renewals => idle::renewals(&mut slopes).await?,
+        Part::Attach => idle::attach(&mut slopes).await?,
         Part::EntrySessions => idle::entry_sessions(&mut slopes).await?,
         Part::AgentSessions => idle::agent_sessions(&mut slopes).await?,
         Part::Tasks => task::tasks(&mut slopes).await?,
--- a/crates/slopes/src/page/control.rs
+++ b/crates/slopes/src/page/control.rs
@@ -79,6 +79,7 @@
     let changes = sizes.changes_per_s();
     let renewal_bytes = slope(SlopeName::RenewalBytes)?;
     let renewals = sessions / sizes.idle_interval_s(renewal_bytes);
+    let session = slopes.fit(SlopeName::EntrySessionMemoryBytes)?;
     let group = slopes.fit(SlopeName::EntryGroupMemoryBytes)?;
     let whole_bytes = slopes.fit(SlopeName::GroupBytes)?;
     let whole_bytes = whole_bytes.intercept + whole_bytes.slope * sizes.groups;
@@ -87,8 +88,8 @@
         Line {
             what: "process, ticks included",
             carried_by: "`entry::process::core`",
-            processor_us: slopes.fit(SlopeName::EntryRenewalUs)?.intercept,
-            memory_bytes: slopes.fit(SlopeName::EntrySessionMemoryBytes)?.intercept,
+            processor_us: slopes.fit(SlopeName::EntrySessionUs)?.intercept,
+            memory_bytes: session.intercept,
             ..Line::default()
         },
         Line {
@@ -96,7 +97,7 @@
             carried_by: "`policy::entry::session`",
             bytes_per_s: renewals * renewal_bytes,
             processor_us: renewals * slope(SlopeName::EntryRenewalUs)?,
-            memory_bytes: sessions * slope(SlopeName::EntrySessionMemoryBytes)?,
+            memory_bytes: sessions * session.slope,
         },
         Line {
             what: "polls of the head, presence",
@@ -107,7 +108,7 @@
         Line {
             what: "configuration in force",
             carried_by: "`entry::version::holder`",
-            memory_bytes: group.intercept + group.slope * sizes.groups,
+            memory_bytes: group.intercept + group.slope * sizes.groups - session.intercept,
             ..Line::default()
         },
         Line {
--- a/crates/slopes/src/page/faults.rs
+++ b/crates/slopes/src/page/faults.rs
@@ -26,11 +26,12 @@
     let session = slopes.fit(SlopeName::EntrySessionMemoryBytes)?.slope;
     for (event, sizes, opened) in events(sizes) {
         let sessions = sizes.sessions_per_entry();
+        let list = sizes.entries * sizes.entry_address_bytes;
         table.row(&[
             event.to_owned(),
             figure(sessions),
             figure(opened),
-            figure(opened * attach / 1e3),
+            figure(opened * (attach + list) / 1e3),
             figure(opened * attach_us / 1e6),
             mebibytes(sessions * session),
             figure(sizes.tasks_per_s / sizes.entries),
--- a/crates/slopes/src/page/sessions.rs
+++ b/crates/slopes/src/page/sessions.rs
@@ -18,7 +18,7 @@
         "entries",
         "sessions of an agent",
         "sessions of an entry",
-        "idle interval, s",
+        "idle interval, mean, s",
         "renewals at an entry, B/s",
         "renewals at an agent, B/s",
         "sessions' memory at an entry, MiB",
@@ -55,7 +55,7 @@
 }
 
 impl Sizes {
-    /// Interval at which all renewals of an entry keep to their bytes, whatever the agents choose.
+    /// Mean interval of idle renewals; an entry counts a session for every target of the inventory.
     pub(super) fn idle_interval_s(&self, renewal_bytes: f64) -> f64 {
         let at_most = self.agents * renewal_bytes / self.renewal_bytes_per_s;
         at_most.max(self.min_idle_s)
--- a/crates/slopes/src/sizes.rs
+++ b/crates/slopes/src/sizes.rs
@@ -27,8 +27,8 @@
     pub min_idle_s: f64,
     /// Earlier versions of the configuration that an entry keeps.
     pub kept_versions: f64,
-    /// Bytes of a presence row with its key.
-    pub presence_row_bytes: f64,
+    /// Bytes of one entry in the list that an agent gets when it attaches.
+    pub entry_address_bytes: f64,
     /// Bytes a second of metrics of one process, from `docs/EVENTS.md`.
     pub metrics_bytes_per_s: f64,
     /// Memory of the histograms of one entry at 450 groups, from `docs/EVENTS.md`.
@@ -60,7 +60,7 @@
             renewal_bytes_per_s: 2_048.0,
             min_idle_s: 1.0,
             kept_versions: 16.0,
-            presence_row_bytes: 200.0,
+            entry_address_bytes: 70.0,
             metrics_bytes_per_s: 1_021.0,
             metrics_memory_bytes: 17.2 * 1_048_576.0,
             limit_control_us: 18_000.0,
--- a/crates/slopes/src/slopes.rs
+++ b/crates/slopes/src/slopes.rs
@@ -63,9 +63,9 @@
     EntryChangeUs,
     /// Processor time of the entry for one change, by the agents that take it there.
     EntryChangeAgentUs,
-    /// Bytes until a new session is idle.
+    /// Bytes of opening a session, without a configuration.
     AttachBytes,
-    /// Processor time of the entry until a new session is idle.
+    /// Processor time of the entry for opening a session.
     AttachUs,
     /// Processor time of one agent for a change.
     AgentChangeUs,
