Changes of the configuration travel as differences from the store to the agents

Ruled out: fewer kept versions, since an agent that lags would need the whole. Change: the version's row carries the difference to the version before if the body is in the object store; an entry reads the rows since the version it holds; it keeps the last 16 differences in place of versions; each update is made and serialised once; the list goes to agents that take their configuration here.

--- a/crates/agent/src/process/version.rs
+++ b/crates/agent/src/process/version.rs
@@ -49,6 +49,6 @@
     /// The version held, as a message.
     pub fn whole(&self) -> Option<Box<RawValue>> {
         let held = Config::clone(self.holder.current()?);
-        to_raw_value(&ConfigUpdate::Whole(held)).ok()
+        to_raw_value(&ConfigUpdate::Whole(Box::new(held))).ok()
     }
 }
--- a/crates/conf/src/holder.rs
+++ b/crates/conf/src/holder.rs
@@ -15,9 +15,10 @@
 #[serde(rename_all = "snake_case")]
 pub enum ConfigUpdate {
     /// All of it.
-    Whole(Config),
-    /// What has changed since a version that the receiver is known to hold.
-    Diff(ConfigDiff),
+    Whole(Box<Config>),
+    /// What has changed since a version that the receiver is known to hold; each difference is
+    /// based on the version that the one before results in.
+    Diffs(Vec<ConfigDiff>),
 }
 
 /// Whether an update was adopted.
@@ -76,19 +77,22 @@
     /// A difference is newer but based on another version than the one held.
     pub fn offer_update(&mut self, update: ConfigUpdate) -> Result<Adoption, DiffError> {
         match update {
-            ConfigUpdate::Whole(config) => Ok(self.offer(config)),
-            ConfigUpdate::Diff(diff) => self.offer_diff(&diff),
+            ConfigUpdate::Whole(config) => Ok(self.offer(*config)),
+            ConfigUpdate::Diffs(diffs) => self.offer_diffs(&diffs),
         }
     }
 
-    fn offer_diff(&mut self, diff: &ConfigDiff) -> Result<Adoption, DiffError> {
+    /// Differences to versions that are held already are passed over.
+    fn offer_diffs(&mut self, diffs: &[ConfigDiff]) -> Result<Adoption, DiffError> {
         let Some(held) = &self.held else {
-            return Err(DiffError::NothingHeld { base: diff.base });
+            let base = diffs.first().map(|diff| diff.base).unwrap_or_default();
+            return Err(DiffError::NothingHeld { base });
         };
-        if diff.version <= held.version {
-            return Ok(Adoption::NotNewer { held: held.version });
+        let held_version = held.version;
+        let mut config = Config::clone(held);
+        for diff in diffs.iter().filter(|diff| diff.version > held_version) {
+            config = diff.apply(&config)?;
         }
-        let config = diff.apply(held)?;
         Ok(self.offer(config))
     }
 }
--- a/crates/conf/tests/versions.rs
+++ b/crates/conf/tests/versions.rs
@@ -125,9 +125,10 @@
     let versions: Vec<Config> = (1..=4)
         .map(|n| config(n, &[group("a", f64::from(u32::try_from(n).unwrap()))]))
         .collect();
-    let whole = |i: usize| ConfigUpdate::Whole(versions[i].clone());
-    let diff =
-        |i: usize, j: usize| ConfigUpdate::Diff(ConfigDiff::between(&versions[i], &versions[j]));
+    let whole = |i: usize| ConfigUpdate::Whole(Box::new(versions[i].clone()));
+    let diff = |i: usize, j: usize| {
+        ConfigUpdate::Diffs(vec![ConfigDiff::between(&versions[i], &versions[j])])
+    };
     let mut holder = ConfigHolder::default();
     let nothing = DiffError::NothingHeld { base: version(1) };
     expect_that!(holder.offer_update(diff(0, 1)), err(eq(nothing)));
@@ -141,6 +142,21 @@
     expect_that!(shown(holder.current().unwrap()), eq(&shown(&versions[3])));
 }
 
+#[googletest::test]
+fn successive_differences_are_adopted_together() {
+    let versions: Vec<Config> = [1_u32, 2, 3, 4]
+        .map(|n| config(n.into(), &[group("a", n.into())]))
+        .to_vec();
+    let steps = versions
+        .windows(2)
+        .map(|two| ConfigDiff::between(&two[0], &two[1]));
+    let mut holder = ConfigHolder::default();
+    holder.offer(versions[1].clone());
+    let adopted = holder.offer_update(ConfigUpdate::Diffs(steps.collect()));
+    expect_that!(adopted, ok(eq(Adoption::Adopted(version(4)))));
+    expect_that!(shown(holder.current().unwrap()), eq(&shown(&versions[3])));
+}
+
 #[googletest::test]
 fn a_token_has_its_owner() {
     let index = TokenIndex::new(&config(1, &[group("a", 1.0), group("b", 1.0)]).inventory);
--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -33,6 +33,7 @@
 use dfs_store::WriteBudget;
 use dfs_wire::session::EntryItem;
 use rand::Rng;
+use serde_json::value::RawValue;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -266,11 +267,8 @@
     while let Some(outgoing) = incoming.recv().await {
         match outgoing {
             Outgoing::OfferConfig { connection, have } => {
-                let Some(update) = holder.update_for(have) else {
-                    continue;
-                };
-                if let Ok(body) = serde_json::value::to_raw_value(&update) {
-                    let item = EntryItem::Config(body);
+                if let Some(update) = holder.update_for(have) {
+                    let item = EntryItem::Config(RawValue::to_owned(&update));
                     core.event(EntryEvent::SendItem { connection, item });
                 }
             }
--- a/crates/entry/src/version/apply.rs
+++ b/crates/entry/src/version/apply.rs
@@ -1,6 +1,7 @@
 //! Applying an operator's change.
 
 use dfs_conf::Config;
+use dfs_conf::ConfigDiff;
 use dfs_conf::ConfigUpdate;
 use dfs_conf::Faults;
 use dfs_conf::check_inventory;
@@ -28,13 +29,19 @@
     let base = base_config(store, request.base).await?;
     let (base_version, change_id) = (request.base, request.change.clone());
     // The checks of a large inventory would hold up the requests of this thread.
-    let merged = tokio::task::spawn_blocking(move || merge(&request, base)).await;
+    let merged = tokio::task::spawn_blocking(move || {
+        let config = merge(&request, base.clone())?;
+        let diff = base.map(|base| ConfigDiff::between(&base, &config));
+        Ok((config, diff))
+    });
+    let merged = merged.await;
     let merged = merged.unwrap_or_else(|error| std::panic::resume_unwind(error.into_panic()));
-    let config = merged.inspect_err(|error| tell_invalid(&operator, error))?;
+    let (config, diff) = merged.inspect_err(|error| tell_invalid(&operator, error))?;
     let change = Change {
         change: change_id,
         base: base_version,
         config: config.clone(),
+        diff,
     };
     let version = store
         .apply(&change)
@@ -45,7 +52,7 @@
         change: change.change,
         operator,
     });
-    holder.adopt(ConfigUpdate::Whole(config), ConfigSource::Apply);
+    holder.adopt(ConfigUpdate::Whole(Box::new(config)), ConfigSource::Apply);
     Ok(version)
 }
 
--- a/crates/entry/src/version/holder.rs
+++ b/crates/entry/src/version/holder.rs
@@ -1,5 +1,6 @@
 //! The version in force in this process.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -23,11 +24,13 @@
 use dfs_log::Gauge;
 use dfs_log::Metrics;
 use dfs_policy::entry::EntryEvent;
+use serde_json::value::RawValue;
+use serde_json::value::to_raw_value;
 
 use crate::process::CoreHandle;
 
-/// Earlier versions that are kept to work out differences.
-const KEPT_VERSIONS: usize = 16;
+/// Differences between successive versions that are kept for processes that lag.
+const KEPT_DIFFS: usize = 16;
 
 /// Holds the version in force; it only ever moves to a higher one.
 #[derive(Debug, Clone)]
@@ -43,8 +46,12 @@
 struct State {
     holder: ConfigHolder,
     tokens: TokenIndex,
-    /// Versions that were in force before, the newest last.
-    earlier: VecDeque<Arc<Config>>,
+    /// Steps between the versions that were in force, the newest last; each is based on the version
+    /// that the one before results in.
+    diffs: VecDeque<ConfigDiff>,
+    /// Updates made for the version in force, by the version that they are based on; zero for the
+    /// whole.
+    made: BTreeMap<ConfigVersion, Arc<RawValue>>,
     confirmed_at: Option<Moment>,
 }
 
@@ -84,18 +91,27 @@
         self.state().holder.version().unwrap_or_default()
     }
 
-    /// What a process that holds version `have` needs, if anything.
-    pub fn update_for(&self, have: ConfigVersion) -> Option<ConfigUpdate> {
-        let state = self.state();
+    /// What a process that holds version `have` needs, if anything, as a message.
+    ///
+    /// Each update is worked out and serialised once, however many processes need it.
+    pub fn update_for(&self, have: ConfigVersion) -> Option<Arc<RawValue>> {
+        let mut state = self.state();
         let current = state.holder.current()?;
         if have >= current.version {
             return None;
         }
-        let base = state.earlier.iter().find(|config| config.version == have);
-        Some(match base {
-            Some(base) => ConfigUpdate::Diff(ConfigDiff::between(base, current)),
-            None => ConfigUpdate::Whole(Config::clone(current)),
-        })
+        let from = state.diffs.iter().position(|diff| diff.base == have);
+        let base = from.map_or(ConfigVersion::default(), |_| have);
+        if let Some(made) = state.made.get(&base) {
+            return Some(Arc::clone(made));
+        }
+        let update = match from {
+            Some(from) => ConfigUpdate::Diffs(state.diffs.range(from..).cloned().collect()),
+            None => ConfigUpdate::Whole(Box::new(Config::clone(current))),
+        };
+        let message: Arc<RawValue> = Arc::from(to_raw_value(&update).ok()?);
+        state.made.insert(base, Arc::clone(&message));
+        Some(message)
     }
 
     /// Notes that the table service has just confirmed the head.
@@ -123,6 +139,10 @@
 impl State {
     fn adopt(&mut self, update: ConfigUpdate) -> Option<Arc<Config>> {
         let before = self.holder.current().cloned();
+        let known = match &update {
+            ConfigUpdate::Diffs(diffs) => diffs.clone(),
+            ConfigUpdate::Whole(_) => Vec::new(),
+        };
         // A difference to another version is dropped; the sender learns the version held.
         let adoption = self.holder.offer_update(update).ok()?;
         if matches!(adoption, Adoption::NotNewer { .. }) {
@@ -130,10 +150,24 @@
         }
         let config = self.holder.current()?.clone();
         self.tokens = TokenIndex::new(&config.inventory);
-        self.earlier.extend(before);
-        if self.earlier.len() > KEPT_VERSIONS {
-            self.earlier.pop_front();
+        self.made.clear();
+        if let Some(before) = before {
+            self.keep_diffs(&before, &config, known);
         }
         Some(config)
     }
+
+    /// Keeps the steps from the version before to the one in force.
+    fn keep_diffs(&mut self, before: &Config, config: &Config, known: Vec<ConfigDiff>) {
+        let steps: Vec<_> = known
+            .into_iter()
+            .filter(|d| d.version > before.version)
+            .collect();
+        if steps.is_empty() {
+            self.diffs.push_back(ConfigDiff::between(before, config));
+        }
+        self.diffs.extend(steps);
+        let surplus = self.diffs.len().saturating_sub(KEPT_DIFFS);
+        self.diffs.drain(..surplus);
+    }
 }
--- a/crates/entry/src/version/poll.rs
+++ b/crates/entry/src/version/poll.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use dfs_conf::ConfigUpdate;
 use dfs_conf::StoreSettings;
 use dfs_ids::Millis;
 use dfs_log::ConfigEvent;
@@ -44,8 +43,8 @@
         return Ok(());
     };
     if head.version > holder.version() {
-        let config = store.read_version(head.version).await?;
-        holder.adopt(ConfigUpdate::Whole(config), ConfigSource::Store);
+        let update = store.read_update(holder.version(), head.version).await?;
+        holder.adopt(update, ConfigSource::Store);
     }
     Ok(())
 }
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -5,6 +5,7 @@
 use dfs_ids::Moment;
 use dfs_wire::session::Ack;
 use dfs_wire::session::AgentItem;
+use dfs_wire::session::EntryItem;
 use dfs_wire::session::Held;
 use dfs_wire::session::LoadHint;
 use dfs_wire::session::NotRunReason;
@@ -198,12 +199,17 @@
         };
         view.version_seq = seq;
         view.version = Some(version);
-        view.takes_config = source;
+        let starts_source = source && !std::mem::replace(&mut view.takes_config, source);
         let own = self
             .config
             .as_ref()
             .map(|config| config.version)
             .unwrap_or_default();
+        // Agents without this entry as their source learn of the others from theirs.
+        if starts_source && !self.entries.is_empty() {
+            let entries = vec![EntryItem::Entries(self.entries.clone())];
+            self.send_to(connection, entries, out);
+        }
         if source && version < own {
             out.push(EntryAction::OfferConfig {
                 connection,
--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -48,11 +48,7 @@
         let agent = attach.agent.clone();
         self.renew_view(now, connection, attach, open.idle_renew_ms);
         self.connections.insert(connection, agent);
-        let mut items = vec![EntryItem::Open(open)];
-        if !self.entries.is_empty() {
-            items.push(EntryItem::Entries(self.entries.clone()));
-        }
-        self.send_to(connection, items, out);
+        self.send_to(connection, vec![EntryItem::Open(open)], out);
     }
 
     fn terms(&self, resumed: bool) -> Open {
--- a/crates/store/src/config/apply.rs
+++ b/crates/store/src/config/apply.rs
@@ -1,6 +1,7 @@
 //! Replacing the configuration by compare-and-set on the head row.
 
 use dfs_conf::Config;
+use dfs_conf::ConfigDiff;
 use dfs_ids::ConfigVersion;
 use serde::Serialize;
 use serde_json::Value;
@@ -140,6 +141,15 @@
         Ok(Body::Object(digest.clone()))
     }
 
+    /// The difference for the row of a version whose body is not in the row.
+    fn diff_of(&self, change: &Change, body: &Body) -> Option<ConfigDiff> {
+        let Body::Object(_) = body else { return None };
+        let fits = |diff: &&ConfigDiff| {
+            serde_json::to_vec(diff).is_ok_and(|json| json.len() <= self.max_inline_bytes)
+        };
+        change.diff.as_ref().filter(fits).cloned()
+    }
+
     async fn commit_change(
         &self,
         change: &Change,
@@ -154,6 +164,7 @@
         };
         let row = VersionRow {
             change: change.change.clone(),
+            diff: self.diff_of(change, &body),
             body,
         };
         let accepted = ChangeRow {
--- a/crates/store/src/config/mod.rs
+++ b/crates/store/src/config/mod.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 
 use dfs_conf::Config;
+use dfs_conf::ConfigDiff;
+use dfs_conf::ConfigUpdate;
 use dfs_ids::ChangeId;
 use dfs_ids::ConfigVersion;
 
@@ -18,6 +20,7 @@
 
 use crate::ObjectKey;
 use crate::ObjectStore;
+use crate::Row;
 use crate::StoreError;
 use crate::TableService;
 use crate::WriteBudget;
@@ -26,6 +29,9 @@
 use row::head_key;
 use row::version_key;
 
+/// Most differences that are read in place of a whole version.
+const MAX_DIFFS: u64 = 16;
+
 /// Largest configuration that is kept in its row; larger ones go to the object store.
 pub const MAX_INLINE_BYTES: usize = 32 << 10;
 
@@ -38,6 +44,8 @@
     pub base: ConfigVersion,
     /// The configuration that shall be in force; its version is the one after `base`.
     pub config: Config,
+    /// The same as a difference to `base`, for processes that hold it.
+    pub diff: Option<ConfigDiff>,
 }
 
 /// Reads and replaces the configuration.
@@ -102,6 +110,29 @@
         }
     }
 
+    /// What a process that holds version `held` needs to hold `newest`: the differences between, if
+    /// their rows have them, else the whole.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ConfigStore::read_version`].
+    pub async fn read_update(
+        &self,
+        held: ConfigVersion,
+        newest: ConfigVersion,
+    ) -> Result<ConfigUpdate, ConfigReadError> {
+        let missing = newest.get().saturating_sub(held.get());
+        if held != ConfigVersion::default() && missing <= MAX_DIFFS {
+            let versions = (held.next().get()..=newest.get()).map(ConfigVersion::new);
+            let rows = self.table.read(versions.map(version_key).collect()).await?;
+            if let Some(diffs) = diffs(&rows) {
+                return Ok(ConfigUpdate::Diffs(diffs));
+            }
+        }
+        let whole = self.read_version(newest).await?;
+        Ok(ConfigUpdate::Whole(Box::new(whole)))
+    }
+
     async fn read_object(
         &self,
         version: ConfigVersion,
@@ -120,3 +151,9 @@
         Ok(config)
     }
 }
+
+/// The differences of the rows, if every row has one.
+fn diffs(rows: &[Option<Row>]) -> Option<Vec<ConfigDiff>> {
+    let diff = |row: &Option<Row>| row.as_ref()?.parse::<VersionRow>().ok()?.diff;
+    rows.iter().map(diff).collect()
+}
--- a/crates/store/src/config/row.rs
+++ b/crates/store/src/config/row.rs
@@ -1,6 +1,7 @@
 //! Rows of the configuration.
 
 use dfs_conf::Config;
+use dfs_conf::ConfigDiff;
 use dfs_ids::ChangeId;
 use dfs_ids::ConfigVersion;
 use serde::Deserialize;
@@ -25,6 +26,9 @@
     pub(super) change: ChangeId,
     /// The configuration.
     pub(super) body: Body,
+    /// What has changed since the version before, if the body is in the object store.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) diff: Option<ConfigDiff>,
 }
 
 /// Where the body of a version lies.
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -59,6 +59,7 @@
         change: id.parse().unwrap(),
         base: ConfigVersion::new(base),
         config: config(base + 1, id),
+        diff: None,
     }
 }
 
--- a/crates/store/tests/config.rs
+++ b/crates/store/tests/config.rs
@@ -7,10 +7,14 @@
 use common::TIMEOUT_MS;
 use common::change;
 use common::config;
+use dfs_conf::ConfigDiff;
+use dfs_conf::ConfigHolder;
+use dfs_conf::ConfigUpdate;
 use dfs_ids::ConfigVersion;
 use dfs_ids::Millis;
 use dfs_standin::Mode;
 use dfs_store::ApplyError;
+use dfs_store::Change;
 use dfs_store::ConfigReadError;
 use dfs_store::Head;
 use dfs_store::StoreError;
@@ -301,3 +305,47 @@
         err(matches_pattern!(ConfigReadError::Damaged { .. }))
     );
 }
+
+/// A change that brings its difference to the version before.
+fn change_with_diff(base: u64, before: &str, id: &str) -> Change {
+    let mut change = change(base, id);
+    let diff = ConfigDiff::between(&config(base, before), &change.config);
+    change.diff = Some(diff);
+    change
+}
+
+#[tokio::test]
+async fn a_reader_gets_the_differences_since_its_version() {
+    let bench = Bench::spawn().await;
+    let diff = change_with_diff(1, "a", "b").diff.unwrap();
+    let diff_bytes = serde_json::to_vec(&diff).unwrap().len();
+    let store = bench
+        .config_store(TIMEOUT_MS)
+        .with_max_inline_bytes(diff_bytes);
+    store.apply(&change(0, "a")).await.unwrap();
+    store.apply(&change_with_diff(1, "a", "b")).await.unwrap();
+    store.apply(&change_with_diff(2, "b", "c")).await.unwrap();
+
+    let update = store.read_update(version(1), version(3)).await.unwrap();
+    let ConfigUpdate::Diffs(diffs) = &update else {
+        panic!("whole: {update:?}")
+    };
+    assert_that!(diffs, len(eq(2)));
+    let mut holder = ConfigHolder::default();
+    holder.offer(config(1, "a"));
+    holder.offer_update(update).unwrap();
+    assert_eq!(**holder.current().unwrap(), config(3, "c"));
+}
+
+#[tokio::test]
+async fn a_reader_without_a_version_or_a_row_without_a_difference_needs_the_whole() {
+    let bench = Bench::spawn().await;
+    let store = bench.config_store(TIMEOUT_MS).with_max_inline_bytes(0);
+    store.apply(&change(0, "a")).await.unwrap();
+    store.apply(&change_with_diff(1, "a", "b")).await.unwrap();
+    let whole = ConfigUpdate::Whole(Box::new(config(2, "b")));
+    for held in [0, 1] {
+        let update = store.read_update(version(held), version(2)).await;
+        assert_that!(update, ok(eq(&whole)));
+    }
+}
