A service that no live target has the resources for is refused at once

Cause: without targets in the inventory only names of services were compared at admission, while placement also compares resources, so such a task was queued until its deadline. It is refused now with a retry-after, and a test says so.

--- a/crates/policy/src/entry/admit.rs
+++ b/crates/policy/src/entry/admit.rs
@@ -149,9 +149,14 @@
         let Some(group) = config.group(&submission.group) else {
             return Ok(());
         };
+        let Some(service) = config.service(&submission.service) else {
+            return Ok(());
+        };
         let may_serve = self.agents.values().any(|agent| {
             agent.offer().is_some_and(|offer| {
-                offer.services.contains(&submission.service) && allows(group, &offer.target)
+                offer.services.contains(&submission.service)
+                    && offer.resources.covers(&service.requires)
+                    && allows(group, &offer.target)
             })
         });
         if may_serve {
--- a/crates/policy/tests/policy_admission.rs
+++ b/crates/policy/tests/policy_admission.rs
@@ -52,12 +52,15 @@
     placed: Vec<(u64, TaskRef, IfFull)>,
 }
 
+/// A service that no live target has the resources for.
+const LARGE: &str = "large";
+
 fn config(rules: Rules) -> Arc<Config> {
     let group = |name: &str| Group {
         group: name.parse().unwrap(),
         share: 1.0,
         tokens_sha256: Vec::new(),
-        services: vec!["desk".parse().unwrap()],
+        services: vec!["desk".parse().unwrap(), LARGE.parse().unwrap()],
         targets: Vec::new(),
         max_placed: None,
     };
@@ -66,10 +69,19 @@
         inventory: Inventory {
             domains: vec!["lagos".parse().unwrap()],
             operators: Vec::new(),
-            services: vec![Service {
-                service: "desk".parse().unwrap(),
-                requires: Resources::default(),
-            }],
+            services: vec![
+                Service {
+                    service: "desk".parse().unwrap(),
+                    requires: Resources::default(),
+                },
+                Service {
+                    service: LARGE.parse().unwrap(),
+                    requires: Resources {
+                        accelerators: 1,
+                        ..Resources::default()
+                    },
+                },
+            ],
             groups: vec![group("aba"), group("lagos")],
             targets: Vec::new(),
         },
@@ -110,7 +122,7 @@
             bench.handle(EntryEvent::Attach { connection, attach });
             let offer = Offer {
                 target: format!("target-{n}").parse().unwrap(),
-                services: vec!["desk".parse().unwrap()],
+                services: vec!["desk".parse().unwrap(), LARGE.parse().unwrap()],
                 slots: Slots::new(SLOTS),
                 connections: 64,
                 resources: Resources::default(),
@@ -147,11 +159,22 @@
     }
 
     fn submit(&mut self, name: &str, group: &str, tasks: usize, deadline_ms: u64) {
+        self.submit_to("desk", name, group, tasks, deadline_ms);
+    }
+
+    fn submit_to(
+        &mut self,
+        service: &str,
+        name: &str,
+        group: &str,
+        tasks: usize,
+        deadline_ms: u64,
+    ) {
         let body = || Arc::from(RawValue::from_string("1".to_owned()).unwrap());
         let submission = Submission {
             submission: name.parse().unwrap(),
             group: group.parse().unwrap(),
-            service: "desk".parse().unwrap(),
+            service: service.parse().unwrap(),
             tasks: (0..tasks).map(|_| body()).collect(),
             deadline_ms: Some(Millis::new(deadline_ms)),
             declared_ms: None,
@@ -269,3 +292,13 @@
     bench.submit("third", "aba", 20, 60_000);
     expect_that!(bench.refusal_of("third").is_some(), eq(true));
 }
+
+#[googletest::test]
+fn a_service_that_no_live_target_can_run_is_refused_at_once() {
+    let mut bench = Bench::with_agents(Rules::default(), 64);
+    bench.submit_to(LARGE, "large", "aba", 1, 60_000);
+    let failure = bench.refusal_of("large").unwrap();
+    expect_that!(failure.reason, eq(FailureReason::NoTarget));
+    expect_that!(failure.not_run, eq(true));
+    expect_that!(failure.retry_after_ms, some(anything()));
+}
