--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -199,7 +199,8 @@
         };
         view.version_seq = seq;
         view.version = Some(version);
-        let starts_source = source && !std::mem::replace(&mut view.takes_config, source);
+        let took_config = std::mem::replace(&mut view.takes_config, source);
+        let starts_source = source && !took_config;
         let own = self
             .config
             .as_ref()
