A call to a target ends soon after its submission's deadline

Cause: a target that takes tasks and never answers held its slots until target_run_timeout_ms, 600 s by default, although the submissions had been answered at their deadlines; and such calls were counted against nobody, since their submission was gone. Ruled out: an abort at the withdrawal, which would end tasks that are about to answer when another task of the job fails. Change: the call is given up 100 ms after the deadline; an unknown outcome counts against the target also after the answer. New ranges for deadline_part and max_hand_backs. Before: hang::slots_are_free_once_the_deadline_has_passed waits 30 s in vain; after: it passes.

--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -233,6 +233,7 @@
                 task,
                 service,
                 address,
+                time_left_ms,
                 body,
                 ..
             } => {
@@ -241,6 +242,7 @@
                 let run = self.runner.run(Start {
                     service,
                     address,
+                    time_left: time_left_ms.into(),
                     body,
                 });
                 tokio::spawn(async move {
--- a/crates/agent/src/request/run.rs
+++ b/crates/agent/src/request/run.rs
@@ -31,11 +31,17 @@
 /// Longest part of an error body that is passed on.
 const MAX_FAULT_BYTES: usize = 512;
 
+/// Time beyond the submission's deadline after which a call is given up, so that a target that never
+/// answers does not hold its slots.
+const DEADLINE_GRACE: Duration = Duration::from_millis(100);
+
 /// A task to start.
 #[derive(Debug)]
 pub(crate) struct Start {
     pub service: ServiceName,
     pub address: SocketAddr,
+    /// Time until the submission is answered, with or without the task.
+    pub time_left: Duration,
     pub body: Arc<RawValue>,
 }
 
@@ -69,9 +75,10 @@
         let runner = self.clone();
         async move {
             let started = Instant::now();
-            let end = match tokio::time::timeout(runner.run_timeout, runner.call(&start)).await {
+            let longest = runner.run_timeout.min(start.time_left + DEADLINE_GRACE);
+            let end = match tokio::time::timeout(longest, runner.call(&start)).await {
                 Ok(end) => end,
-                Err(_) => unknown(format!("no answer within {:?}", runner.run_timeout)),
+                Err(_) => unknown(format!("no answer within {longest:?}")),
             };
             let run_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
             (run_us, end)
--- a/crates/conf/src/rules/check.rs
+++ b/crates/conf/src/rules/check.rs
@@ -24,6 +24,9 @@
 const TASKS_PER_JOB: RangeInclusive<u32> = 1..=100_000;
 const QUEUED_TASKS: RangeInclusive<u32> = 1..=10_000_000;
 const OPEN_TASKS_PER_SLOT: RangeInclusive<f64> = 1.0..=1_000.0;
+/// A deadline part of 0 would refuse whatever has to wait at all.
+const DEADLINE_PART: RangeInclusive<f64> = 0.01..=1.0;
+const HAND_BACKS: RangeInclusive<u32> = 0..=100;
 const HINT_CADENCE_MS: RangeInclusive<Millis> = Millis::new(1)..=Millis::new(60_000);
 const BUDGET_RATIO: RangeInclusive<f64> = 0.0..=1.0;
 const BUDGET_BURST: RangeInclusive<u32> = 0..=1_000_000;
@@ -89,6 +92,8 @@
     checker.range(at("max_tasks_per_job"), per_job, &TASKS_PER_JOB);
     checker.range(at("max_queued_tasks"), queued, &QUEUED_TASKS);
     checker.range(at("max_queued_tasks_per_group"), per_group, &QUEUED_TASKS);
+    let part = admission.deadline_part;
+    checker.range(at("deadline_part"), part, &DEADLINE_PART);
     checker.at_most(
         (at("max_tasks_per_job"), per_job),
         (at("max_queued_tasks_per_group"), per_group),
@@ -107,6 +112,8 @@
     checker.range(at("open_tasks_per_slot"), open, &OPEN_TASKS_PER_SLOT);
     let cadence = placement.hint_cadence_ms;
     checker.range(at("hint_cadence_ms"), cadence, &HINT_CADENCE_MS);
+    let backs = placement.max_hand_backs;
+    checker.range(at("max_hand_backs"), backs, &HAND_BACKS);
 }
 
 fn check_retry(checker: &mut Checker, retry: &RetryRules) {
--- a/crates/conf/tests/rules.rs
+++ b/crates/conf/tests/rules.rs
@@ -21,6 +21,14 @@
 #[googletest::test]
 fn each_fault_is_named() {
     let cases = [
+        (
+            json!({"admission": {"deadline_part": 0.0}}),
+            "admission.deadline_part: 0 is out of range; allowed: 0.01 to 1",
+        ),
+        (
+            json!({"placement": {"max_hand_backs": 101}}),
+            "placement.max_hand_backs: 101 is out of range; allowed: 0 to 100",
+        ),
         (
             json!({"retry": {"budget_ratio": 1.5}}),
             "retry.budget_ratio: 1.5 is out of range; allowed: 0 to 1",
--- a/crates/daemon/tests/faults/main.rs
+++ b/crates/daemon/tests/faults/main.rs
@@ -3,6 +3,7 @@
 mod cancel;
 mod config;
 mod crash;
+mod hang;
 mod hostile;
 mod leave;
 mod links;
--- a/crates/policy/src/agent/event.rs
+++ b/crates/policy/src/agent/event.rs
@@ -7,6 +7,7 @@
 use dfs_ids::ConfigVersion;
 use dfs_ids::EntryId;
 use dfs_ids::GroupId;
+use dfs_ids::Millis;
 use dfs_ids::ServiceName;
 use dfs_wire::session::Ack;
 use dfs_wire::session::EntryAddress;
@@ -106,6 +107,8 @@
         service: ServiceName,
         /// The target's address.
         address: SocketAddr,
+        /// Time until the submission is answered, with or without the task.
+        time_left_ms: Millis,
         /// The body.
         body: Arc<RawValue>,
     },
--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -105,7 +105,7 @@
             AgentEvent::ConnectionLost { connection } => self.on_lost(connection),
             AgentEvent::Announced(announcement) => self.on_announced(now, announcement),
             AgentEvent::Goodbye => self.on_target_gone(),
-            AgentEvent::Ended { task, run_us, end } => self.on_ended(now, &task, run_us, end),
+            AgentEvent::Ended { task, run_us, end } => self.on_ended(&task, run_us, end),
             AgentEvent::Configured(config) => self.on_configured(&config),
             AgentEvent::ConfigBody { connection, body } => self.on_config_body(connection, body),
             AgentEvent::Stop => self.on_stop(),
--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -173,11 +173,12 @@
             group: record.group.clone(),
             service: record.service.clone(),
             address,
+            time_left_ms: record.start_by.since(now),
             body,
         });
     }
 
-    pub(super) fn on_ended(&mut self, now: Moment, task: &TaskRef, run_us: u64, end: RunEnd) {
+    pub(super) fn on_ended(&mut self, task: &TaskRef, run_us: u64, end: RunEnd) {
         let Some(record) = self.records.get_mut(task) else {
             return;
         };
@@ -223,6 +224,5 @@
                 }
             }
         }
-        let _ = now;
     }
 }
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -25,6 +25,7 @@
 use super::job::Job;
 use super::job::TaskState;
 use super::queue::Lane;
+use super::view::AgentView;
 use crate::order::rank;
 
 /// Wait that is advised when further attempts were refused.
@@ -50,11 +51,14 @@
                 self.on_done(now, agent, &result.task, result.run_us, body, out);
             }
             TaskOutcome::Failed(message) => {
-                self.note_failure(now, agent, &result.task, out);
+                // The other tasks of a job that has failed already blame nobody.
+                if self.is_placed(agent, &result.task) {
+                    self.note_failure(now, agent, out);
+                }
                 self.on_failed(agent, &result.task, message, out);
             }
             TaskOutcome::Unknown(message) => {
-                self.note_failure(now, agent, &result.task, out);
+                self.note_failure(now, agent, out);
                 self.on_unknown(agent, &result.task, &message, out);
             }
         }
@@ -259,7 +263,7 @@
             NotRunReason::ConnectionRefused
             | NotRunReason::QueueFull
             | NotRunReason::NotOffered => {
-                self.note_failure(now, agent, task, out);
+                self.note_failure(now, agent, out);
                 if !self.retry(agent, task, out) {
                     self.requeue(agent, task);
                     let message = format!("task {} was refused ({reason}): try later", task.task);
@@ -337,35 +341,28 @@
             .is_some_and(|job| job.is_placed(task, agent))
     }
 
-    fn note_failure(
-        &mut self,
-        now: Moment,
-        agent: &AgentId,
-        task: &TaskRef,
-        out: &mut Vec<EntryAction>,
-    ) {
+    /// Counts a failure against a target, compared with those that share a service with it.
+    fn note_failure(&mut self, now: Moment, agent: &AgentId, out: &mut Vec<EntryAction>) {
         let Some(config) = self.config.clone() else {
             return;
         };
-        let Some(job) = self.jobs.get(&task.submission) else {
-            return;
-        };
-        let peers: Vec<_> = self
-            .agents
-            .iter()
-            .filter(|(_, view)| view.offers(&job.service))
-            .map(|(peer, _)| peer.clone())
-            .collect();
-        if self
-            .ejection
-            .failed(&config.rules.ejection, agent, &peers, now)
-        {
-            out.push(EntryAction::Observe(Observation::Ejected {
-                agent: agent.clone(),
-            }));
+        let peers = self.peers(agent);
+        let rules = &config.rules.ejection;
+        if self.ejection.failed(rules, agent, &peers, now) {
+            let agent = agent.clone();
+            out.push(EntryAction::Observe(Observation::Ejected { agent }));
         }
     }
 
+    fn peers(&self, agent: &AgentId) -> Vec<AgentId> {
+        let Some(offer) = self.agents.get(agent).and_then(AgentView::offer) else {
+            return Vec::new();
+        };
+        let shares = |view: &AgentView| offer.services.iter().any(|service| view.offers(service));
+        let peers = self.agents.iter().filter(|(_, view)| shares(view));
+        peers.map(|(peer, _)| peer.clone()).collect()
+    }
+
     pub(super) fn on_cancel(&mut self, submission: &SubmissionId, out: &mut Vec<EntryAction>) {
         let message = "the caller cancelled the submission".to_owned();
         self.fail(
