--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -1,12 +1,12 @@
 //! The one task that owns the decisions; it only carries events and actions.
 
 use std::collections::HashMap;
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
 
+use derive_more::From;
 use dfs_ids::Clock;
+use dfs_inbox::Handle;
+use dfs_inbox::Inbox;
+use dfs_inbox::Wake;
 use dfs_log::Counter;
 use dfs_log::Gauge;
 use dfs_log::Metrics;
@@ -28,13 +28,8 @@
 use crate::request::Runner;
 use crate::request::Start;
 
-/// Time between two looks at leases and renewals.
-const TICK: Duration = Duration::from_millis(20);
-/// Events that are taken before tasks are started and reports are sent.
-const MAX_BATCH: usize = 256;
-
 /// Something for the core to do.
-#[derive(Debug)]
+#[derive(Debug, From)]
 pub(crate) enum Command {
     /// An event.
     Event(AgentEvent),
@@ -45,36 +40,15 @@
     },
 }
 
-/// Sends commands to the core.
-#[derive(Debug, Clone)]
-pub(crate) struct CoreHandle {
-    commands: mpsc::UnboundedSender<Command>,
-    open: Arc<AtomicUsize>,
-}
-
-impl CoreHandle {
-    /// Passes a command on. Sessions and running tasks are bounded, so the queue is.
-    pub fn send(&self, command: Command) {
-        // The core outlives every other task; after it only the process ends.
-        let _ = self.commands.send(command);
-    }
-
-    /// Tasks that are queued or run, as of the latest batch of commands.
-    pub fn open(&self) -> usize {
-        self.open.load(Ordering::Relaxed)
-    }
-
-    pub fn event(&self, event: AgentEvent) {
-        self.send(Command::Event(event));
-    }
-}
+/// Sends commands to the core; its open work are tasks that are queued or run.
+pub(crate) type CoreHandle = Handle<Command>;
 
 /// The decisions with their connections to the outside.
 pub(crate) struct Core {
     decisions: policy::Agent,
     clock: Clock,
     metrics: Metrics,
-    commands: mpsc::UnboundedReceiver<Command>,
+    inbox: Inbox<Command>,
     handle: CoreHandle,
     connections: HashMap<ConnectionId, mpsc::UnboundedSender<Report>>,
     runner: Runner,
@@ -94,17 +68,13 @@
         versions: Versions,
         roster: mpsc::UnboundedSender<RosterEvent>,
     ) -> (Self, CoreHandle, tokio::sync::watch::Receiver<bool>) {
-        let (sender, commands) = mpsc::unbounded_channel();
-        let handle = CoreHandle {
-            commands: sender,
-            open: Arc::default(),
-        };
+        let (inbox, handle) = Inbox::new();
         let (stopped, watch) = tokio::sync::watch::channel(false);
         let core = Self {
             decisions,
             clock,
             metrics,
-            commands,
+            inbox,
             handle: handle.clone(),
             connections: HashMap::new(),
             runner,
@@ -117,32 +87,18 @@
     }
 
     pub async fn run(mut self) {
-        let mut tick = tokio::time::interval(TICK);
-        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            tokio::select! {
-                command = self.commands.recv() => {
-                    let Some(command) = command else { return };
-                    self.take_batch(command);
-                }
-                _ = tick.tick() => self.handle(AgentEvent::Tick),
+            match self.inbox.next().await {
+                Wake::Commands(commands) => commands.into_iter().for_each(|c| self.take(c)),
+                Wake::Tick => self.handle(AgentEvent::Tick),
+                Wake::Closed => return,
             }
             let actions = self.decisions.flush(self.clock.now());
             self.perform_all(actions);
-            self.metrics
-                .set(Gauge::QueuedTasks, self.decisions.queued().into());
-            let open = self.decisions.queued() + self.decisions.running();
-            self.handle.open.store(open as usize, Ordering::Relaxed);
-        }
-    }
-
-    fn take_batch(&mut self, first: Command) {
-        self.take(first);
-        for _ in 1..MAX_BATCH {
-            let Ok(command) = self.commands.try_recv() else {
-                return;
-            };
-            self.take(command);
+            let queued = self.decisions.queued();
+            self.metrics.set(Gauge::QueuedTasks, queued.into());
+            let open = queued + self.decisions.running();
+            self.inbox.set_open(open as usize);
         }
     }
 
--- a/crates/entry/src/process/core.rs
+++ b/crates/entry/src/process/core.rs
@@ -1,15 +1,15 @@
 //! The one task that owns the decisions; it only carries events and actions.
 
 use std::collections::HashMap;
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
 
+use derive_more::From;
 use dfs_ids::AgentId;
 use dfs_ids::Clock;
 use dfs_ids::ConfigVersion;
 use dfs_ids::SubmissionId;
+use dfs_inbox::Handle;
+use dfs_inbox::Inbox;
+use dfs_inbox::Wake;
 use dfs_log::Counter;
 use dfs_log::Gauge;
 use dfs_log::Metrics;
@@ -36,13 +36,8 @@
 
 use super::observe::Observer;
 
-/// Time between two looks at leases and deadlines.
-const TICK: Duration = Duration::from_millis(20);
-/// Events that are taken before tasks are placed.
-const MAX_BATCH: usize = 256;
-
 /// Something for the core to do.
-#[derive(Debug)]
+#[derive(Debug, From)]
 pub(crate) enum Command {
     /// An event without a direct reply.
     Event(EntryEvent),
@@ -65,6 +60,7 @@
         reply: oneshot::Sender<Result<Ack, ReportError>>,
     },
     /// The status page.
+    #[from(ignore)]
     Status(oneshot::Sender<EntryStatus>),
 }
 
@@ -89,39 +85,17 @@
     pub messages: mpsc::Sender<ToAgent>,
 }
 
-/// Sends commands to the core.
-#[derive(Debug, Clone)]
-pub(crate) struct CoreHandle {
-    commands: mpsc::UnboundedSender<Command>,
-    open: Arc<AtomicUsize>,
-}
-
-impl CoreHandle {
-    /// Passes a command on. Callers and sessions are bounded and wait for replies, so the queue is.
-    pub fn send(&self, command: Command) {
-        // The core outlives every other task; after it only the process ends.
-        let _ = self.commands.send(command);
-    }
-
-    /// Submissions without an answer, as of the latest batch of commands.
-    pub fn open(&self) -> usize {
-        self.open.load(Ordering::Relaxed)
-    }
-
-    pub fn event(&self, event: EntryEvent) {
-        self.send(Command::Event(event));
-    }
-}
+/// Sends commands to the core; its open work are submissions without an answer.
+pub(crate) type CoreHandle = Handle<Command>;
 
 /// The decisions with their connections to the outside.
 pub(crate) struct Core {
     decisions: policy::Entry,
     clock: Clock,
     metrics: Metrics,
-    commands: mpsc::UnboundedReceiver<Command>,
+    inbox: Inbox<Command>,
     outgoing: mpsc::UnboundedSender<Outgoing>,
     answers: HashMap<SubmissionId, oneshot::Sender<Answer>>,
-    open: Arc<AtomicUsize>,
     observer: Observer,
     readiness: watch::Sender<Readiness>,
     sinks: HashMap<ConnectionId, Sink>,
@@ -136,29 +110,21 @@
         metrics: Metrics,
         outgoing: mpsc::UnboundedSender<Outgoing>,
     ) -> (Self, CoreHandle) {
-        let (sender, commands) = mpsc::unbounded_channel();
-        let open = Arc::new(AtomicUsize::new(0));
+        let (inbox, handle) = Inbox::new();
         let core = Self {
             decisions,
             clock,
             observer: Observer::new(metrics.clone()),
             readiness: watch::Sender::new(Readiness::NoConfig),
             metrics,
-            commands,
+            inbox,
             outgoing,
             answers: HashMap::new(),
-            open: Arc::clone(&open),
             sinks: HashMap::new(),
             replies: HashMap::new(),
             lost: Vec::new(),
         };
-        (
-            core,
-            CoreHandle {
-                commands: sender,
-                open,
-            },
-        )
+        (core, handle)
     }
 
     /// Whether the entry is ready, as it changes.
@@ -167,21 +133,17 @@
     }
 
     pub async fn run(mut self) {
-        let mut tick = tokio::time::interval(TICK);
-        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            tokio::select! {
-                command = self.commands.recv() => {
-                    let Some(command) = command else { return };
-                    self.take_batch(command);
-                }
-                _ = tick.tick() => self.handle(EntryEvent::Tick),
+            match self.inbox.next().await {
+                Wake::Commands(commands) => commands.into_iter().for_each(|c| self.take(c)),
+                Wake::Tick => self.handle(EntryEvent::Tick),
+                Wake::Closed => return,
             }
             self.settle_lost();
             let actions = self.decisions.flush(self.clock.now());
             self.perform_all(actions);
             self.settle_lost();
-            self.open.store(self.answers.len(), Ordering::Relaxed);
+            self.inbox.set_open(self.answers.len());
             self.tell_readiness();
         }
     }
@@ -202,16 +164,6 @@
         });
     }
 
-    fn take_batch(&mut self, first: Command) {
-        self.take(first);
-        for _ in 1..MAX_BATCH {
-            let Ok(command) = self.commands.try_recv() else {
-                return;
-            };
-            self.take(command);
-        }
-    }
-
     fn take(&mut self, command: Command) {
         match command {
             Command::Event(event) => self.handle(event),
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -1,6 +1,8 @@
 //! What lives as long as a request of a caller or operator.
 
 mod body;
+mod key;
+mod open;
 mod operate;
 mod refuse;
 mod routes;
--- a/crates/entry/src/version/apply.rs
+++ b/crates/entry/src/version/apply.rs
@@ -26,7 +26,7 @@
     operator: String,
     request: ApplyConfig,
 ) -> Result<ConfigVersion, ConfigError> {
-    let base = base_config(store, request.base).await?;
+    let base = base_config(store, holder, request.base).await?;
     let (base_version, change_id) = (request.base, request.change.clone());
     // The checks of a large inventory would hold up the requests of this thread.
     let merged = tokio::task::spawn_blocking(move || {
@@ -58,11 +58,15 @@
 
 async fn base_config(
     store: &ConfigStore,
+    holder: &Holder,
     base: ConfigVersion,
 ) -> Result<Option<Config>, ConfigError> {
     if base == ConfigVersion::default() {
         return Ok(None);
     }
+    if let Some(held) = holder.held().filter(|held| held.version == base) {
+        return Ok(Some(Config::clone(&held)));
+    }
     match store.read_version(base).await {
         Ok(config) => Ok(Some(config)),
         Err(ConfigReadError::NoVersion { .. }) => Err(no_base(store, base).await),
--- a/crates/policy/src/entry/admit.rs
+++ b/crates/policy/src/entry/admit.rs
@@ -14,7 +14,6 @@
 use super::EntryAction;
 use super::Submission;
 use super::job::Job;
-use super::queue::Lane;
 use crate::order::rank;
 
 /// Wait that is advised when the entry or all targets are about to come back.
@@ -51,10 +50,7 @@
                 .deadline_ms
                 .unwrap_or(config.rules.deadlines.default_ms);
         let job = Job::new(submission, now, deadline);
-        let lane = Lane {
-            group: job.group.clone(),
-            service: job.service.clone(),
-        };
+        let lane = job.lane();
         self.shares.activate(&job.group);
         for _ in &job.tasks {
             self.retries.earn(&config.rules.retry, &job.group);
--- a/crates/policy/src/entry/job.rs
+++ b/crates/policy/src/entry/job.rs
@@ -14,6 +14,7 @@
 use serde_json::value::RawValue;
 
 use super::Submission;
+use super::queue::Lane;
 
 /// An open submission.
 #[derive(Debug)]
@@ -100,6 +101,14 @@
         }
     }
 
+    /// Where its tasks are queued.
+    pub fn lane(&self) -> Lane {
+        Lane {
+            group: self.group.clone(),
+            service: self.service.clone(),
+        }
+    }
+
     pub fn task(&self, index: TaskIndex) -> Option<&Task> {
         self.tasks.get(index.get() as usize)
     }
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of an entry: what is admitted, where tasks go, and what callers are answered.
 
 mod admit;
+mod answer;
 mod config;
 mod dispatch;
 mod event;
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -1,18 +1,12 @@
-//! Settling tasks and answering submissions.
+//! Settling tasks: results, refusals and outcomes that nobody will know.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use dfs_ids::AgentId;
-use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::SubmissionId;
-use dfs_wire::api::Answer;
-use dfs_wire::api::Failure;
 use dfs_wire::api::FailureReason;
-use dfs_wire::api::Outcome;
 use dfs_wire::api::TaskFault;
-use dfs_wire::session::EntryItem;
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
@@ -22,15 +16,10 @@
 use super::Entry;
 use super::EntryAction;
 use super::Observation;
-use super::job::Job;
 use super::job::TaskState;
-use super::queue::Lane;
 use super::view::AgentView;
 use crate::order::rank;
 
-/// Wait that is advised when further attempts were refused.
-const RETRY_AFTER_MS: Millis = Millis::new(1_000);
-
 impl Entry {
     pub(super) fn on_result(
         &mut self,
@@ -148,38 +137,10 @@
         };
         if self.queue.contains(submission) {
             let rank = rank(&config.rules.placement, job.submitted_at, job.left);
-            self.queue.put(lane(job), submission, rank);
+            self.queue.put(job.lane(), submission, rank);
         }
     }
 
-    fn complete(&mut self, now: Moment, submission: &SubmissionId, out: &mut Vec<EntryAction>) {
-        let Some(job) = self.remove(submission) else {
-            return;
-        };
-        out.push(EntryAction::Observe(Observation::Completed {
-            group: job.group,
-            service: job.service,
-            response_us: now.micros_since(job.submitted_at),
-            ideal_us: job.longest_run_us,
-            tasks: job.tasks.len() as u64,
-            messages: job.messages,
-        }));
-        let body = |task: super::job::Task| match task.state {
-            TaskState::Done(body) => Some(RawValue::to_owned(&body)),
-            TaskState::Queued | TaskState::Placed { .. } => None,
-        };
-        let answer = Answer {
-            submission: Some(submission.clone()),
-            outcome: Outcome::Complete,
-            results: job.tasks.into_iter().filter_map(body).collect(),
-            failure: None,
-        };
-        out.push(EntryAction::Answer {
-            submission: submission.clone(),
-            answer,
-        });
-    }
-
     fn on_failed(
         &mut self,
         agent: &AgentId,
@@ -332,7 +293,7 @@
         }
         self.queue.count(&job.group, 1);
         let rank = rank(&config.rules.placement, job.submitted_at, job.left);
-        self.queue.put(lane(job), &task.submission, rank);
+        self.queue.put(job.lane(), &task.submission, rank);
     }
 
     fn is_placed(&self, agent: &AgentId, task: &TaskRef) -> bool {
@@ -362,105 +323,4 @@
         let peers = self.agents.iter().filter(|(_, view)| shares(view));
         peers.map(|(peer, _)| peer.clone()).collect()
     }
-
-    pub(super) fn on_cancel(&mut self, submission: &SubmissionId, out: &mut Vec<EntryAction>) {
-        let message = "the caller cancelled the submission".to_owned();
-        self.fail(
-            submission,
-            FailureReason::Cancelled,
-            message,
-            Vec::new(),
-            out,
-        );
-    }
-
-    pub(super) fn expire_deadlines(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
-        while let Some((deadline, submission)) = self.deadlines.first().cloned()
-            && deadline <= now
-        {
-            self.deadlines.pop_first();
-            let message = "the deadline passed before every task had ended".to_owned();
-            self.fail(
-                &submission,
-                FailureReason::DeadlineExceeded,
-                message,
-                Vec::new(),
-                out,
-            );
-        }
-    }
-
-    /// Fails a submission as a whole, at once, and withdraws what has not started.
-    pub(super) fn fail(
-        &mut self,
-        submission: &SubmissionId,
-        reason: FailureReason,
-        message: String,
-        faults: Vec<TaskFault>,
-        out: &mut Vec<EntryAction>,
-    ) {
-        let Some(job) = self.remove(submission) else {
-            return;
-        };
-        self.withdraw(submission, &job, out);
-        let may_have_run = job.may_have_run();
-        let failure = Failure {
-            reason,
-            message,
-            not_run: may_have_run.is_empty(),
-            may_have_run,
-            faults,
-            retry_after_ms: retry_after(reason),
-        };
-        let answer = Answer {
-            submission: Some(submission.clone()),
-            outcome: Outcome::Failed,
-            results: Vec::new(),
-            failure: Some(failure),
-        };
-        out.push(EntryAction::Answer {
-            submission: submission.clone(),
-            answer,
-        });
-    }
-
-    fn withdraw(&mut self, submission: &SubmissionId, job: &Job, out: &mut Vec<EntryAction>) {
-        let mut by_agent: BTreeMap<AgentId, Vec<TaskRef>> = BTreeMap::new();
-        for (agent, task) in job.placed(submission) {
-            by_agent.entry(agent).or_default().push(task);
-        }
-        for (agent, tasks) in by_agent {
-            let connection = self.agents.get(&agent).and_then(|view| view.connection);
-            if let Some(connection) = connection {
-                self.send_to(connection, vec![EntryItem::Withdraw(tasks)], out);
-            }
-        }
-    }
-
-    fn remove(&mut self, submission: &SubmissionId) -> Option<Job> {
-        let job = self.jobs.remove(submission)?;
-        self.deadlines.remove(&(job.deadline, submission.clone()));
-        self.queue.take(&lane(&job), submission);
-        let pending = u32::try_from(job.pending.len()).unwrap_or(u32::MAX);
-        self.queue.uncount(&job.group, pending);
-        if !self.queue.group_is_queued(&job.group) {
-            self.shares.deactivate(&job.group);
-        }
-        Some(job)
-    }
-}
-
-fn lane(job: &Job) -> Lane {
-    Lane {
-        group: job.group.clone(),
-        service: job.service.clone(),
-    }
-}
-
-fn retry_after(reason: FailureReason) -> Option<Millis> {
-    let may_help = matches!(
-        reason,
-        FailureReason::RetriesExhausted | FailureReason::Overloaded
-    );
-    may_help.then_some(RETRY_AFTER_MS)
 }
--- a/crates/slopes/src/error.rs
+++ b/crates/slopes/src/error.rs
@@ -60,6 +60,18 @@
         /// Why.
         source: hyper::Error,
     },
+    /// A version could not be read.
+    #[snafu(display("version: {source}"))]
+    Read {
+        /// Why.
+        source: dfs_store::ConfigReadError,
+    },
+    /// A change was not accepted.
+    #[snafu(display("change: {source}"))]
+    Apply {
+        /// Why.
+        source: dfs_store::ApplyError,
+    },
     /// An entry refused a request.
     #[snafu(display("status {status}: {body}"))]
     Refused {
--- a/crates/slopes/src/measure/cluster.rs
+++ b/crates/slopes/src/measure/cluster.rs
@@ -1,12 +1,21 @@
 //! One entry, its agents and targets, and a relay on the links that are counted.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use dfs_conf::ConfigDiff;
 use dfs_conf::TokenDigest;
+use dfs_ids::ConfigVersion;
+use dfs_ids::Millis;
 use dfs_standin::Platform;
 use dfs_standin::TargetOptions;
 use dfs_standin::TargetStandin;
+use dfs_store::Change;
+use dfs_store::ConfigStore;
+use dfs_store::HttpObjects;
+use dfs_store::HttpTable;
+use dfs_store::WriteBudget;
 use dfs_wire::target::Offer;
 use dfs_wire::target::Resources;
 use http::Method;
@@ -29,7 +38,9 @@
 use super::relay::Relay;
 use crate::SlopesError;
 use crate::error::AnswerSnafu;
+use crate::error::ApplySnafu;
 use crate::error::JsonSnafu;
+use crate::error::ReadSnafu;
 use crate::error::RequestSnafu;
 use crate::error::StartSnafu;
 
@@ -41,6 +52,8 @@
 const DOMAIN: &str = "domain-0";
 const LOOK: Duration = Duration::from_millis(100);
 const LOOKS: u32 = 300;
+const STORE_TIMEOUT_MS: Millis = Millis::new(10_000);
+const STORE_WRITES_PER_S: u32 = 100;
 
 /// Sizes and times of a cluster.
 #[derive(Debug, Clone, Copy)]
@@ -116,13 +129,25 @@
         self.wait_for_sessions().await
     }
 
-    /// Commits rules as a new version.
-    pub async fn change_rules(&self, base: usize) -> Result<(), SlopesError> {
-        let rules = json!({ "deadlines": { "default_ms": 60_000 + base } });
-        let change = json!({ "change": format!("change-{base}"), "base": base, "rules": rules });
-        let path = "/v1/config";
-        self.send(Method::POST, path, OPERATOR_TOKEN, &change)
-            .await?;
+    /// Commits rules as a new version at the platform, as another entry would.
+    pub async fn change_rules(&self, base: u64) -> Result<(), SlopesError> {
+        let at = self.platform.addresses();
+        let table = Arc::new(HttpTable::new(at.table_address, STORE_TIMEOUT_MS));
+        let objects = Arc::new(HttpObjects::new(at.object_address, STORE_TIMEOUT_MS));
+        let budget = Arc::new(WriteBudget::per_second(STORE_WRITES_PER_S));
+        let store = ConfigStore::new(table, objects, budget);
+        let base = ConfigVersion::new(base);
+        let before = store.read_version(base).await.context(ReadSnafu)?;
+        let mut config = before.clone();
+        config.version = base.next();
+        config.rules.deadlines.default_ms = Millis::new(60_000 + base.get());
+        let change = Change {
+            change: parse(json!(format!("change-{base}")))?,
+            base,
+            diff: Some(ConfigDiff::between(&before, &config)),
+            config,
+        };
+        store.apply(&change).await.context(ApplySnafu)?;
         Ok(())
     }
 
--- a/crates/slopes/src/measure/config.rs
+++ b/crates/slopes/src/measure/config.rs
@@ -27,7 +27,7 @@
 
 /// Agents that take changes from one entry.
 const SOURCES: [usize; 4] = [5, 10, 20, 40];
-const CHANGES_EACH: usize = 3;
+const CHANGES_EACH: u32 = 3;
 
 /// Slopes of bytes and memory over one size.
 struct Names {
@@ -98,10 +98,10 @@
     let (sessions, table) = (cluster.sessions.passed(), cluster.table.passed());
     let (objects, writes) = (cluster.objects.passed(), cluster.platform.table.commits());
     let (entry, agents) = (cluster.entry.usage()?, cluster.agents_usage()?);
-    let mut base = 1;
+    let mut base: u32 = 1;
     for step in CHANGES {
         for _ in 0..step {
-            cluster.change_rules(base).await?;
+            cluster.change_rules(base.into()).await?;
             base += 1;
             tokio::time::sleep(SETTLE / 3).await;
         }
@@ -109,7 +109,7 @@
         let mut sample = Sample {
             slopes: &mut *slopes,
             size: "changes, 450 groups, 10 agents",
-            x: size_float(base - 1),
+            x: f64::from(base - 1),
         };
         let bytes = cluster.sessions.passed().wire_bytes() - sessions.wire_bytes();
         sample.add(SlopeName::ChangeBytes, float(bytes) / per_agent);
@@ -139,7 +139,7 @@
         tokio::time::sleep(SETTLE).await;
         let before = cluster.entry.usage()?.processor_us;
         for change in 0..CHANGES_EACH {
-            cluster.change_rules(change + 1).await?;
+            cluster.change_rules((change + 1).into()).await?;
             tokio::time::sleep(SETTLE).await;
         }
         let used = cluster.entry.usage()?.processor_us - before;
@@ -148,7 +148,7 @@
             size: "agents told, 450 groups",
             x: size_float(agents),
         };
-        let of_one = float(used) / size_float(CHANGES_EACH);
+        let of_one = float(used) / f64::from(CHANGES_EACH);
         sample.add(SlopeName::EntryChangeAgentUs, of_one);
     }
     Ok(())
--- a/crates/slopes/src/measure/daemon.rs
+++ b/crates/slopes/src/measure/daemon.rs
@@ -17,7 +17,10 @@
 use crate::error::StartSnafu;
 
 const PROGRAM: &str = "dragonflyshedd";
-const NANOS_PER_MICRO: u64 = 1_000;
+/// Position of the user time among the fields after the name; the system time follows.
+const USER_TIME_FIELD: usize = 11;
+const TIME_FIELDS: usize = 2;
+const MICROS_PER_TICK: u64 = 10_000;
 const BYTES_PER_KIB: u64 = 1_024;
 const LOOK: Duration = Duration::from_millis(20);
 const LOOKS: u32 = 500;
@@ -80,17 +83,16 @@
         Err(SlopesError::NotReady { expected: 0 })
     }
 
-    /// What it has used so far. A thread that has ended is not counted.
+    /// What it has used so far, in steps of the system's clock tick; threads that have ended count.
     pub fn usage(&self) -> Result<Usage, SlopesError> {
         let process = PathBuf::from(format!("/proc/{}", self.child.id()));
-        let threads = process.join("task");
-        let mut processor_ns = 0;
-        for thread in std::fs::read_dir(&threads).context(FileSnafu { path: threads })? {
-            let path = thread.context(StartSnafu)?.path().join("schedstat");
-            // A thread may end between the two reads.
-            let text = std::fs::read_to_string(path).unwrap_or_default();
-            processor_ns += first_number(&text);
-        }
+        let path = process.join("stat");
+        let stat = std::fs::read_to_string(&path).context(FileSnafu { path })?;
+        let ticks: u64 = fields_after_name(&stat)
+            .skip(USER_TIME_FIELD)
+            .take(TIME_FIELDS)
+            .map(first_number)
+            .sum();
         let path = process.join("status");
         let status = std::fs::read_to_string(&path).context(FileSnafu { path })?;
         let memory_kib = status
@@ -98,7 +100,7 @@
             .find_map(|line| line.strip_prefix("RssAnon:"))
             .map_or(0, first_number);
         Ok(Usage {
-            processor_us: processor_ns / NANOS_PER_MICRO,
+            processor_us: ticks * MICROS_PER_TICK,
             memory_bytes: memory_kib * BYTES_PER_KIB,
         })
     }
@@ -112,6 +114,12 @@
     }
 }
 
+/// The name stands in parentheses and may hold spaces.
+fn fields_after_name(stat: &str) -> impl Iterator<Item = &str> {
+    let rest = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    rest.split_whitespace()
+}
+
 fn first_number(text: &str) -> u64 {
     let first = text.split_whitespace().next();
     first.and_then(|word| word.parse().ok()).unwrap_or_default()
--- a/crates/slopes/src/page/control.rs
+++ b/crates/slopes/src/page/control.rs
@@ -112,18 +112,24 @@
             ..Line::default()
         },
         Line {
-            what: "earlier versions kept whole",
+            what: "differences kept for agents that lag",
             carried_by: "`entry::version::holder`",
             memory_bytes: sizes.kept_versions * slope(SlopeName::KeptVersionMemoryBytes)?,
             ..Line::default()
         },
         Line {
-            what: "change read whole from the store",
-            carried_by: "`entry::version::poll`",
-            bytes_per_s: changes * whole_bytes,
+            what: "change read from the store",
+            carried_by: "`entry::version::poll`, `store::config`",
+            bytes_per_s: changes * slope(SlopeName::ChangeStoreBytes)?,
             processor_us: changes * per_change.intercept.max(0.0),
             ..Line::default()
         },
+        Line {
+            what: "its part of the changes accepted and written whole",
+            carried_by: "`entry::version::apply`, `store::config`",
+            bytes_per_s: changes / sizes.entries * whole_bytes,
+            ..Line::default()
+        },
         Line {
             what: "change told to agents",
             carried_by: "`entry::version::holder`, `conf::diff`",
--- a/crates/slopes/src/page/store.rs
+++ b/crates/slopes/src/page/store.rs
@@ -18,7 +18,7 @@
     let changes = sizes.changes_per_s();
     let groups = slopes.fit(SlopeName::GroupBytes)?;
     let whole_bytes = groups.intercept + groups.slope * sizes.groups;
-    // Every entry reads a version row and its object once.
+    // Every entry reads the rows since its version once.
     let spread = changes * sizes.entries;
     let replaced =
         sizes.replaced_per_day / 86_400.0 * sizes.entries / (sizes.entries + sizes.agents);
@@ -38,9 +38,18 @@
             ),
         ),
         (
-            "changes, applied once and read whole by every entry",
-            "`store::config`, `entry::version::poll`",
-            (2.0 * spread, committed, spread * whole_bytes),
+            "changes, written whole once",
+            "`store::config`",
+            (
+                changes * slope(SlopeName::ChangeReads)?,
+                committed,
+                changes * whole_bytes,
+            ),
+        ),
+        (
+            "changes, read by every entry",
+            "`entry::version::poll`",
+            (spread, 0.0, spread * slope(SlopeName::ChangeStoreBytes)?),
         ),
         (
             "replaced entries",
