--- a/crates/wire/src/session/mod.rs
+++ b/crates/wire/src/session/mod.rs
@@ -41,5 +41,3 @@
 pub const SESSION_OVER_CODE: i32 = -32_001;
 /// JSON-RPC error code for a wrong session secret.
 pub const BAD_SECRET_CODE: i32 = -32_002;
-/// JSON-RPC error code for an entry that takes no further sessions.
-pub const FULL_CODE: i32 = -32_003;
