--- a/crates/cli/src/demo/pool.rs
+++ b/crates/cli/src/demo/pool.rs
@@ -211,6 +211,7 @@
         slots: target.slots,
         connections: target.connections,
         resources: target.resources,
+        labels: Vec::new(),
     }
 }
 
--- a/crates/cli/tests/tool/config.rs
+++ b/crates/cli/tests/tool/config.rs
@@ -17,7 +17,7 @@
         "operators": [{"operator": "ada", "token_sha256": digest}],
         "services": [{
             "service": "price-check",
-            "requires": {"cores": 1, "memory_mib": 64, "accelerators": 0},
+            "requires": {"cpu_millis": 1000, "memory_mib": 64, "accelerators": 0},
         }],
         "groups": [{
             "group": "printers",
--- a/crates/conf/src/inventory/warning.rs
+++ b/crates/conf/src/inventory/warning.rs
@@ -25,9 +25,9 @@
     },
     /// Every target of the service is too small.
     #[display(
-        "service {service}: no target that runs it has {} cores, {} MiB of memory and {} \
+        "service {service}: no target that runs it has {} millicores, {} MiB of memory and {} \
          accelerators, so that every task is refused as impossible",
-        requires.cores,
+        requires.cpu_millis,
         requires.memory_mib,
         requires.accelerators
     )]
--- a/crates/conf/src/rules/mod.rs
+++ b/crates/conf/src/rules/mod.rs
@@ -56,6 +56,8 @@
     /// Part of its deadline that a submission may be expected to wait; the rest is for tasks that
     /// will overtake it.
     pub deadline_part: f64,
+    /// Times its latency objective that a submission may be expected to take.
+    pub max_objectives: f64,
 }
 
 impl Default for Admission {
@@ -65,6 +67,7 @@
             max_queued_tasks: 100_000,
             max_queued_tasks_per_group: 20_000,
             deadline_part: 0.25,
+            max_objectives: 3.0,
         }
     }
 }
@@ -118,6 +121,9 @@
     pub ageing_ms_per_task: Millis,
     /// Open tasks that an agent grants to all entries together, for each slot.
     pub open_tasks_per_slot: f64,
+    /// Load up to which an entry places tasks on a target, where 1 is a full one; the rest waits at
+    /// the entry.
+    pub max_load: f64,
     /// Times that a task may be handed back by an agent that turns out to have no free slot; then
     /// it is queued there.
     pub max_hand_backs: u32,
@@ -134,6 +140,7 @@
             order: Order::default(),
             ageing_ms_per_task: Millis::new(200),
             open_tasks_per_slot: 64.0,
+            max_load: f64::from(u32::MAX),
             max_hand_backs: 2,
             hints: HintMode::default(),
             hint_cadence_ms: Millis::new(50),
--- a/crates/conf/src/settings/entry.rs
+++ b/crates/conf/src/settings/entry.rs
@@ -53,6 +53,9 @@
     pub idle_renew_ms: Millis,
     /// Silence after which an agent is asked for a report before it gets new work.
     pub fresh_ms: Millis,
+    /// Time after the loss of an agent in which its runs may go on; a repeatable task is placed anew
+    /// only after it.
+    pub settle_ms: Millis,
 }
 
 impl Default for LeaseSettings {
@@ -62,6 +65,7 @@
             busy_renew_ms: Millis::new(1_000),
             idle_renew_ms: Millis::new(1_000),
             fresh_ms: Millis::new(2_000),
+            settle_ms: Millis::new(0),
         }
     }
 }
--- a/crates/conf/tests/inventory.rs
+++ b/crates/conf/tests/inventory.rs
@@ -13,13 +13,13 @@
     let target = |name: &str, cores: u32| {
         json!({
             "target": name, "domain": "aba", "rack": "r1", "services": ["desk"],
-            "slots": 8, "connections": 64, "resources": {"cores": cores, "memory_mib": 65_536},
+            "slots": 8, "connections": 64, "resources": {"cpu_millis": cores * 1000, "memory_mib": 65_536},
         })
     };
     json!({
         "domains": ["aba"],
         "operators": [{"operator": "ada", "token_sha256": A}],
-        "services": [{"service": "desk", "requires": {"cores": 8}}],
+        "services": [{"service": "desk", "requires": {"cpu_millis": 8000}}],
         "groups": [{"group": "printers", "share": 2.5, "tokens_sha256": [B], "services": ["desk"]}],
         "targets": [target("t1", 16), target("t2", 4)],
     })
@@ -223,9 +223,9 @@
 fn what_can_never_run_is_a_warning() {
     let cases = [
         (
-            "/services/0/requires/cores",
-            json!(32),
-            "service desk: no target that runs it has 32 cores, 0 MiB of memory and 0 acc",
+            "/services/0/requires/cpu_millis",
+            json!(32_000),
+            "service desk: no target that runs it has 32000 millicores, 0 MiB of memory and 0 acc",
         ),
         (
             "/groups/0/targets",
--- a/crates/conf/tests/size.rs
+++ b/crates/conf/tests/size.rs
@@ -38,7 +38,7 @@
     json!({
         "target": format!("target-{n}"), "domain": format!("domain-{}", n % DOMAINS),
         "rack": format!("rack-{}", n / 3), "services": ["desk"], "slots": 8, "connections": 64,
-        "resources": {"cores": 16, "memory_mib": 65_536, "accelerators": 1},
+        "resources": {"cpu_millis": 16000, "memory_mib": 65_536, "accelerators": 1},
     })
 }
 
@@ -47,7 +47,7 @@
     json!({
         "domains": domains,
         "operators": [{"operator": "ada", "token_sha256": TokenDigest::of("ada")}],
-        "services": [{"service": "desk", "requires": {"cores": 8}}],
+        "services": [{"service": "desk", "requires": {"cpu_millis": 8000}}],
         "groups": (0..GROUPS).map(group).collect::<Vec<_>>(),
         "targets": (0..TARGETS).map(target).collect::<Vec<_>>(),
     })
--- a/crates/daemon/tests/faults/support/cluster.rs
+++ b/crates/daemon/tests/faults/support/cluster.rs
@@ -279,6 +279,7 @@
             slots: self.shape.slots.to_string().parse().unwrap(),
             connections: 64,
             resources: dfs_wire::target::Resources::default(),
+            labels: Vec::new(),
         };
         let options = TargetOptions {
             lease_ms,
--- a/crates/entry/src/request/submit.rs
+++ b/crates/entry/src/request/submit.rs
@@ -15,11 +15,13 @@
 use dfs_ids::Millis;
 use dfs_ids::RequestKey;
 use dfs_ids::SubmissionId;
+use dfs_policy::entry::Constraints;
 use dfs_policy::entry::EntryEvent;
 use dfs_policy::entry::Submission;
 use dfs_wire::api::FailureReason;
 use dfs_wire::api::JobRequest;
 use dfs_wire::api::SingleRequest;
+use dfs_wire::session::Terms;
 
 use super::body;
 use super::key::KeyClaim;
@@ -45,8 +47,15 @@
         service: job.service,
         tasks: job.tasks.into_iter().map(Arc::from).collect(),
         deadline_ms: job.deadline_ms,
-        declared_ms: job.declared_ms,
-        repeatable: false,
+        terms: Terms {
+            declared_ms: job.declared_ms.unwrap_or_default(),
+            repeatable: false,
+            ..Terms::default()
+        },
+        objective_ms: None,
+        max_failures: 1,
+        constraints: Constraints::default(),
+        queue: None,
     };
     submit(state, &headers, submission, job.request_key).await
 }
@@ -65,8 +74,15 @@
         service: request.service,
         tasks: vec![Arc::from(request.body)],
         deadline_ms: request.deadline_ms,
-        declared_ms: request.declared_ms,
-        repeatable: request.repeatable,
+        terms: Terms {
+            declared_ms: request.declared_ms.unwrap_or_default(),
+            repeatable: request.repeatable,
+            ..Terms::default()
+        },
+        objective_ms: None,
+        max_failures: 1,
+        constraints: Constraints::default(),
+        queue: None,
     };
     submit(state, &headers, submission, request.request_key).await
 }
--- a/crates/ids/src/id.rs
+++ b/crates/ids/src/id.rs
@@ -114,6 +114,14 @@
     /// An agent process, as named in its settings.
     AgentId
 );
+name!(
+    /// A property of a target that a submission may ask for.
+    Label
+);
+name!(
+    /// A queue: where callers hand in jobs of one kind.
+    QueueName
+);
 name!(
     /// One submission of a job or request.
     SubmissionId
--- a/crates/ids/src/number.rs
+++ b/crates/ids/src/number.rs
@@ -57,6 +57,10 @@
     /// Version of the configuration; a higher one replaces a lower one.
     ConfigVersion(u64)
 );
+number!(
+    /// Urgency of a submission; zero goes first.
+    Priority(u8)
+);
 number!(
     /// Slots of a target: tasks that it runs at once.
     Slots(u32)
--- a/crates/policy/benches/cost.rs
+++ b/crates/policy/benches/cost.rs
@@ -17,6 +17,7 @@
 use dfs_ids::Slots;
 use dfs_ids::SubmissionId;
 use dfs_policy::ConnectionId;
+use dfs_policy::entry::Constraints;
 use dfs_policy::entry::Entry;
 use dfs_policy::entry::EntryAction;
 use dfs_policy::entry::EntryEvent;
@@ -30,6 +31,7 @@
 use dfs_wire::session::Report;
 use dfs_wire::session::TargetState;
 use dfs_wire::session::TaskOutcome;
+use dfs_wire::session::Terms;
 use dfs_wire::session::TaskRef;
 use dfs_wire::session::TaskResult;
 use dfs_wire::target::Offer;
@@ -105,6 +107,7 @@
             slots: Slots::new(8),
             connections: 64,
             resources: Resources::default(),
+            labels: Vec::new(),
         };
         let held = Held {
             tasks: Vec::new(),
@@ -142,8 +145,11 @@
             service: "desk".parse().expect("a valid name"),
             tasks: vec![Arc::from(body)],
             deadline_ms: Some(Millis::new(600_000)),
-            declared_ms: None,
-            repeatable: false,
+            terms: Terms::default(),
+            objective_ms: None,
+            max_failures: 1,
+            constraints: Constraints::default(),
+            queue: None,
         }));
     }
 
--- a/crates/policy/benches/grid/cluster.rs
+++ b/crates/policy/benches/grid/cluster.rs
@@ -23,6 +23,7 @@
 use dfs_policy::agent::AgentAction;
 use dfs_policy::agent::AgentEvent;
 use dfs_policy::agent::RunEnd;
+use dfs_policy::entry::Constraints;
 use dfs_policy::entry::Entry;
 use dfs_policy::entry::EntryAction;
 use dfs_policy::entry::EntryEvent;
@@ -31,6 +32,7 @@
 use dfs_wire::api::Answer;
 use dfs_wire::session::Attach;
 use dfs_wire::session::TaskOutcome;
+use dfs_wire::session::Terms;
 use dfs_wire::target::Announcement;
 use dfs_wire::target::Offer;
 use dfs_wire::target::Resources;
@@ -238,8 +240,11 @@
             service: service(),
             tasks: job.run_us.iter().map(|run_us| body(*run_us)).collect(),
             deadline_ms: Some(Millis::new(job.deadline_ms)),
-            declared_ms: None,
-            repeatable: false,
+            terms: Terms::default(),
+            objective_ms: None,
+            max_failures: 1,
+            constraints: Constraints::default(),
+            queue: None,
         };
         let fitted = self.tasks_in_system + tasks <= slots;
         self.tasks_in_system += tasks;
@@ -417,6 +422,7 @@
                 slots: Slots::new(self.shape.slots),
                 connections: 64,
                 resources: Resources::default(),
+                labels: Vec::new(),
             },
         }
     }
--- a/crates/policy/src/agent/event.rs
+++ b/crates/policy/src/agent/event.rs
@@ -17,6 +17,7 @@
 use dfs_wire::session::TaskRef;
 use dfs_wire::session::ToAgent;
 use dfs_wire::target::Announcement;
+use dfs_wire::target::Resources;
 use serde_json::value::RawValue;
 
 use crate::ConnectionId;
@@ -105,6 +106,8 @@
         group: GroupId,
         /// The service to call.
         service: ServiceName,
+        /// What the task takes.
+        demand: Resources,
         /// The target's address.
         address: SocketAddr,
         /// Time until the submission is answered, with or without the task.
@@ -112,6 +115,11 @@
         /// The body.
         body: Arc<RawValue>,
     },
+    /// Stops a run whose result is no longer wanted; its end is reported as any other.
+    Stop {
+        /// The task.
+        task: TaskRef,
+    },
     /// A session was opened.
     Opened {
         /// The connection.
@@ -135,11 +143,11 @@
         /// Its connection.
         connection: ConnectionId,
     },
-    /// The lease of an entry lapsed; its queued tasks were dropped.
+    /// The lease of an entry lapsed; its queued tasks were dropped, its repeatable ones stopped.
     EntryLapsed {
         /// The entry.
         entry: EntryId,
-        /// Tasks dropped before they started.
+        /// Tasks dropped before they started, or stopped.
         dropped: u32,
     },
     /// The planned stop is complete.
--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -1,6 +1,7 @@
 //! Sessions: opening, fencing, losing and lapsing.
 
 use dfs_ids::Incarnation;
+use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::SessionNumber;
 use dfs_wire::session::Ack;
@@ -63,7 +64,7 @@
         match item {
             EntryItem::Open(_) => {}
             EntryItem::Place(placement) => self.accept(now, incarnation, placement),
-            EntryItem::Withdraw(tasks) => self.withdraw(incarnation, &tasks),
+            EntryItem::Withdraw(tasks) => self.withdraw(incarnation, &tasks, out),
             EntryItem::Probe => {
                 if let Some(view) = self.entries.get_mut(&incarnation) {
                     view.probed = true;
@@ -103,6 +104,7 @@
             out.push(AgentAction::Close { connection: fenced });
         }
         self.entries.insert(open.incarnation, view);
+        self.end_earlier_lives(open);
         self.mark_unsent(open.incarnation);
         self.choose_config_source();
         out.push(AgentAction::Opened {
@@ -111,7 +113,24 @@
         });
     }
 
-    pub(super) fn on_ack(&mut self, connection: ConnectionId, seq: u64, ack: &Ack) {
+    /// A new life of an entry proves that the earlier ones are over; their leases end at once.
+    fn end_earlier_lives(&mut self, open: &Open) {
+        let earlier = self
+            .entries
+            .iter_mut()
+            .filter(|(life, view)| **life != open.incarnation && view.entry == open.entry);
+        for (_, view) in earlier {
+            view.lease_ms = Millis::default();
+        }
+    }
+
+    pub(super) fn on_ack(
+        &mut self,
+        connection: ConnectionId,
+        seq: u64,
+        ack: &Ack,
+        out: &mut Vec<AgentAction>,
+    ) {
         let Some(incarnation) = self.entry_of(connection) else {
             return;
         };
@@ -133,7 +152,7 @@
             self.records.remove(task);
         }
         for task in &ack.drop {
-            self.drop_unwanted(incarnation, task);
+            self.drop_unwanted(incarnation, task, out);
         }
     }
 
@@ -154,15 +173,24 @@
     /// Drops what waits for entries that are gone.
     pub(super) fn expire_entries(&mut self, now: Moment, out: &mut Vec<AgentAction>) {
         let keep_ms = self.keep_results_ms;
-        let gone = |view: &EntryView| view.connection.is_none() && view.has_lapsed(now);
         let lapsed: Vec<_> = self
             .entries
             .iter()
-            .filter(|(_, view)| gone(view))
+            .filter(|(_, view)| view.has_lapsed(now))
             .map(|(key, _)| *key)
             .collect();
         for incarnation in lapsed {
-            let dropped = self.drop_queued(incarnation);
+            let stopped = self.stop_runs(incarnation, out);
+            let connection = self.entries[&incarnation].connection;
+            if let Some(connection) = connection.filter(|_| stopped > 0) {
+                // The list of held tasks in the next session tells the entry what has become of them.
+                self.on_lost(connection);
+                out.push(AgentAction::Close { connection });
+            }
+            if self.entries[&incarnation].connection.is_some() {
+                continue;
+            }
+            let dropped = stopped + self.drop_queued(incarnation);
             if dropped > 0 {
                 let entry = self.entries[&incarnation].entry.clone();
                 out.push(AgentAction::EntryLapsed { entry, dropped });
@@ -176,6 +204,20 @@
         }
     }
 
+    /// Stops all repeatable runs of an entry; returns how many were not told to stop before.
+    fn stop_runs(&mut self, incarnation: Incarnation, out: &mut Vec<AgentAction>) -> u32 {
+        let of_entry = |(_, record): &(&TaskRef, &Record)| {
+            record.entry == incarnation && matches!(record.stage, Stage::Running { .. })
+        };
+        let running = self.records.iter().filter(of_entry);
+        let running: Vec<_> = running.map(|(task, _)| task.clone()).collect();
+        let mut stopped = 0;
+        for task in running {
+            stopped += u32::from(self.stop_run(&task, out));
+        }
+        stopped
+    }
+
     fn drop_queued(&mut self, incarnation: Incarnation) -> u32 {
         let of_entry =
             |task: &&TaskRef| self.records.get(*task).map(|r| r.entry) == Some(incarnation);
@@ -199,7 +241,12 @@
         self.entries.remove(&incarnation);
     }
 
-    fn drop_unwanted(&mut self, incarnation: Incarnation, task: &TaskRef) {
+    fn drop_unwanted(
+        &mut self,
+        incarnation: Incarnation,
+        task: &TaskRef,
+        out: &mut Vec<AgentAction>,
+    ) {
         let Some(record) = self.records.get_mut(task) else {
             return;
         };
@@ -213,7 +260,10 @@
                 }
                 self.records.remove(task);
             }
-            Stage::Running { .. } => record.wanted = false,
+            Stage::Running { .. } => {
+                record.wanted = false;
+                self.stop_run(task, out);
+            }
             Stage::Finished { .. } => {
                 self.records.remove(task);
             }
--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -21,6 +21,7 @@
 use dfs_wire::session::TargetState;
 use dfs_wire::session::TaskRef;
 use dfs_wire::target::Announcement;
+use dfs_wire::target::Resources;
 
 pub use event::AgentAction;
 pub use event::AgentEvent;
@@ -51,6 +52,8 @@
     task_address: Option<SocketAddr>,
     /// Tasks running on targets at other addresses, which take no slots of the latest one.
     running_elsewhere: u32,
+    /// What the tasks running on the latest target take together.
+    used: Resources,
     queue: Queue,
     stopping: bool,
     stopped: bool,
@@ -80,6 +83,7 @@
             running: 0,
             task_address: None,
             running_elsewhere: 0,
+            used: Resources::default(),
             queue: Queue::default(),
             stopping: false,
             stopped: false,
@@ -101,7 +105,7 @@
                 connection,
                 seq,
                 ack,
-            } => self.on_ack(connection, seq, &ack),
+            } => self.on_ack(connection, seq, &ack, &mut out),
             AgentEvent::ConnectionLost { connection } => self.on_lost(connection),
             AgentEvent::Announced(announcement) => self.on_announced(now, announcement),
             AgentEvent::Goodbye => self.on_target_gone(),
@@ -190,6 +194,9 @@
         let is_elsewhere = |record: &&Record| matches!(record.stage, Stage::Running { address: at, .. } if at != address);
         let elsewhere = self.records.values().filter(is_elsewhere).count();
         self.running_elsewhere = u32::try_from(elsewhere).unwrap_or(u32::MAX);
+        let is_here = |record: &&Record| matches!(record.stage, Stage::Running { address: at, .. } if at == address);
+        let here = self.records.values().filter(is_here);
+        self.used = here.fold(Resources::default(), |used, record| used.plus(&record.terms.demand));
     }
 
     /// Slots of the latest target that are taken.
--- a/crates/policy/src/agent/queue.rs
+++ b/crates/policy/src/agent/queue.rs
@@ -1,11 +1,13 @@
-//! Accepted tasks that wait for a slot, by group, rank and start-by time.
+//! Accepted tasks that wait for room, by priority, group, rank and start-by time.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use dfs_ids::GroupId;
 use dfs_ids::Moment;
+use dfs_ids::Priority;
 use dfs_wire::session::TaskRef;
+use dfs_wire::target::Resources;
 
 use super::record::Record;
 use crate::order::Rank;
@@ -13,15 +15,34 @@
 /// Exactly the records in [`super::record::Stage::Queued`].
 #[derive(Debug, Default)]
 pub(super) struct Queue {
-    /// No group is empty.
-    by_group: BTreeMap<GroupId, BTreeSet<(Rank, TaskRef)>>,
+    /// No lane is empty.
+    lanes: BTreeMap<Lane, BTreeSet<(Rank, TaskRef)>>,
+    /// What the queued tasks will take together.
+    demand: Resources,
     by_start: BTreeSet<(Moment, TaskRef)>,
 }
 
+/// Tasks of one priority and group.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Lane {
+    pub priority: Priority,
+    pub group: GroupId,
+}
+
+impl Lane {
+    fn of(record: &Record) -> Self {
+        Self {
+            priority: record.terms.priority,
+            group: record.group.clone(),
+        }
+    }
+}
+
 impl Queue {
     pub fn insert(&mut self, task: &TaskRef, record: &Record) {
-        self.by_group
-            .entry(record.group.clone())
+        self.demand = self.demand.plus(&record.terms.demand);
+        self.lanes
+            .entry(Lane::of(record))
             .or_default()
             .insert((record.rank, task.clone()));
         self.by_start.insert((record.start_by, task.clone()));
@@ -29,27 +50,35 @@
 
     /// Removes a task; true if it was the last of its group.
     pub fn remove(&mut self, task: &TaskRef, record: &Record) -> bool {
-        self.by_start.remove(&(record.start_by, task.clone()));
-        let Some(tasks) = self.by_group.get_mut(&record.group) else {
+        if self.by_start.remove(&(record.start_by, task.clone())) {
+            self.demand = self.demand.less(&record.terms.demand);
+        }
+        let lane = Lane::of(record);
+        let Some(tasks) = self.lanes.get_mut(&lane) else {
             return false;
         };
         tasks.remove(&(record.rank, task.clone()));
-        let was_last = tasks.is_empty();
-        if was_last {
-            self.by_group.remove(&record.group);
+        if !tasks.is_empty() {
+            return false;
         }
-        was_last
+        self.lanes.remove(&lane);
+        !self.lanes.keys().any(|other| other.group == lane.group)
     }
 
     pub fn len(&self) -> u32 {
         u32::try_from(self.by_start.len()).unwrap_or(u32::MAX)
     }
 
-    /// Groups with their tasks, the lowest rank first.
-    pub fn groups(&self) -> impl Iterator<Item = (&GroupId, impl Iterator<Item = &TaskRef>)> {
-        self.by_group
+    /// Lanes with their tasks, the lowest rank first.
+    pub fn lanes(&self) -> impl Iterator<Item = (&Lane, impl Iterator<Item = &TaskRef>)> {
+        self.lanes
             .iter()
-            .map(|(group, tasks)| (group, tasks.iter().map(|(_, task)| task)))
+            .map(|(lane, tasks)| (lane, tasks.iter().map(|(_, task)| task)))
+    }
+
+    /// What the queued tasks will take together.
+    pub const fn demand(&self) -> &Resources {
+        &self.demand
     }
 
     pub fn tasks(&self) -> impl Iterator<Item = &TaskRef> {
--- a/crates/policy/src/agent/record.rs
+++ b/crates/policy/src/agent/record.rs
@@ -8,6 +8,7 @@
 use dfs_ids::Moment;
 use dfs_ids::ServiceName;
 use dfs_wire::session::TaskResult;
+use dfs_wire::session::Terms;
 use serde_json::value::RawValue;
 
 use crate::order::Rank;
@@ -23,6 +24,7 @@
     /// Never started at or after this point.
     pub start_by: Moment,
     pub rank: Rank,
+    pub terms: Terms,
     pub stage: Stage,
     /// False once the entry has said that it needs no result.
     pub wanted: bool,
@@ -38,6 +40,8 @@
         started_at: Moment,
         /// The target's address at the start; a successor has another one.
         address: SocketAddr,
+        /// Whether the target was told to stop it.
+        is_stopping: bool,
     },
     Finished {
         result: TaskResult,
--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -2,7 +2,6 @@
 
 use std::collections::btree_map::Entry;
 
-use dfs_ids::GroupId;
 use dfs_ids::Incarnation;
 use dfs_ids::Moment;
 use dfs_wire::session::IfFull;
@@ -11,10 +10,12 @@
 use dfs_wire::session::Placement;
 use dfs_wire::session::TaskRef;
 use dfs_wire::session::TaskResult;
+use dfs_wire::target::Resources;
 
 use super::Agent;
 use super::AgentAction;
 use super::RunEnd;
+use super::queue::Lane;
 use super::record::Record;
 use super::record::Stage;
 use crate::order::rank;
@@ -26,13 +27,14 @@
     pub(super) fn accept(&mut self, now: Moment, entry: Incarnation, placement: Placement) {
         let refusal = self.refusal(&placement);
         let rank = rank(&self.rules, now - placement.age_ms, placement.left);
+        let (if_full, terms) = (placement.if_full, placement.terms);
         for placed in placement.tasks {
             let task = TaskRef {
                 submission: placement.submission.clone(),
                 task: placed.task,
                 attempt: placed.attempt,
             };
-            if let Some(reason) = refusal.or_else(|| self.busy(placement.if_full)) {
+            if let Some(reason) = refusal.or_else(|| self.busy(if_full, &terms.demand)) {
                 self.tell_not_run(entry, task, reason);
                 continue;
             }
@@ -46,6 +48,7 @@
                 accepted_at: now,
                 start_by: now + placement.time_left_ms,
                 rank,
+                terms,
                 stage: Stage::Queued { body: placed.body },
                 wanted: true,
             });
@@ -54,9 +57,21 @@
         }
     }
 
-    fn busy(&self, if_full: IfFull) -> Option<NotRunReason> {
-        let occupied = self.occupied() + self.queued() >= self.slots();
-        (occupied && if_full == IfFull::HandBack).then_some(NotRunReason::Busy)
+    fn busy(&self, if_full: IfFull, demand: &Resources) -> Option<NotRunReason> {
+        let demand = self.queue.demand().plus(demand);
+        let has_room = self.has_room(self.queued(), &demand);
+        (!has_room && if_full == IfFull::HandBack).then_some(NotRunReason::Busy)
+    }
+
+    /// Whether another task finds room beside the running ones and `before` others, which take
+    /// `demand` together with it.
+    fn has_room(&self, before: u32, demand: &Resources) -> bool {
+        let Some(target) = &self.target else {
+            return false;
+        };
+        let capacity = &target.announcement.offer.resources;
+        let has_slot = self.occupied() + before < self.slots();
+        has_slot && (*demand == Resources::default() || capacity.covers(&self.used.plus(demand)))
     }
 
     fn refusal(&self, placement: &Placement) -> Option<NotRunReason> {
@@ -77,18 +92,40 @@
         (self.queued() >= MAX_QUEUED_TASKS).then_some(NotRunReason::QueueFull)
     }
 
-    pub(super) fn withdraw(&mut self, entry: Incarnation, tasks: &[TaskRef]) {
+    /// Hands queued tasks back and stops repeatable ones that run.
+    pub(super) fn withdraw(
+        &mut self,
+        entry: Incarnation,
+        tasks: &[TaskRef],
+        out: &mut Vec<AgentAction>,
+    ) {
         for task in tasks {
-            let queued = self
-                .records
-                .get(task)
-                .is_some_and(|r| r.entry == entry && matches!(r.stage, Stage::Queued { .. }));
-            if queued {
+            let Some(record) = self.records.get(task).filter(|r| r.entry == entry) else {
+                continue;
+            };
+            if matches!(record.stage, Stage::Queued { .. }) {
                 self.hand_back(task, NotRunReason::Withdrawn);
+            } else {
+                self.stop_run(task, out);
             }
         }
     }
 
+    /// Stops a run that may be repeated; true if it was not told to stop before.
+    pub(super) fn stop_run(&mut self, task: &TaskRef, out: &mut Vec<AgentAction>) -> bool {
+        let Some(record) = self.records.get_mut(task) else {
+            return false;
+        };
+        let Stage::Running { is_stopping, .. } = &mut record.stage else {
+            return false;
+        };
+        if !record.terms.repeatable || std::mem::replace(is_stopping, true) {
+            return false;
+        }
+        out.push(AgentAction::Stop { task: task.clone() });
+        true
+    }
+
     /// Hands every queued task back to its entry.
     pub(super) fn return_queued(&mut self) {
         let tasks: Vec<_> = self.queue.tasks().cloned().collect();
@@ -121,7 +158,7 @@
 
     pub(super) fn start_ready(&mut self, now: Moment, out: &mut Vec<AgentAction>) {
         self.expire_queued(now);
-        while self.occupied() < self.slots() && self.queued() > 0 {
+        while self.queued() > 0 {
             let Some(task) = self.next_task(now) else {
                 return;
             };
@@ -135,19 +172,22 @@
         }
     }
 
-    /// The next task: the group that used least of its share, then the lowest rank.
+    /// The next task: the highest priority, the group that used least of its share, the lowest rank.
+    /// A task that finds no room lets smaller ones pass.
     fn next_task(&self, now: Moment) -> Option<TaskRef> {
         let may_start = |task: &&TaskRef| {
-            let entry = self.records.get(*task).map(|record| record.entry);
-            let view = entry.and_then(|entry| self.entries.get(&entry));
-            view.is_some_and(|view| view.may_start(now))
+            let Some(record) = self.records.get(*task) else {
+                return false;
+            };
+            let view = self.entries.get(&record.entry);
+            view.is_some_and(|view| view.may_start(now)) && self.has_room(0, &record.terms.demand)
         };
-        let used = |group: &GroupId| self.shares.used_by(group);
+        let key = |lane: &Lane| (lane.priority, self.shares.used_by(&lane.group));
         let first = self
             .queue
-            .groups()
-            .filter_map(|(group, mut tasks)| Some((group, tasks.find(may_start)?)));
-        let next = first.min_by(|(a, _), (b, _)| used(a).total_cmp(&used(b)));
+            .lanes()
+            .filter_map(|(lane, mut tasks)| Some((key(lane), tasks.find(may_start)?)));
+        let next = first.min_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         next.map(|(_, task)| task.clone())
     }
 
@@ -160,6 +200,7 @@
         let running = Stage::Running {
             started_at: now,
             address,
+            is_stopping: false,
         };
         let Stage::Queued { body } = std::mem::replace(&mut record.stage, running) else {
             return;
@@ -168,10 +209,12 @@
             self.shares.deactivate(&record.group);
         }
         self.running += 1;
+        self.used = self.used.plus(&record.terms.demand);
         out.push(AgentAction::Start {
             task: task.clone(),
             group: record.group.clone(),
             service: record.service.clone(),
+            demand: record.terms.demand,
             address,
             time_left_ms: record.start_by.since(now),
             body,
@@ -185,12 +228,15 @@
         let Stage::Running {
             started_at,
             address,
+            ..
         } = record.stage
         else {
             return;
         };
         self.running -= 1;
-        if self.task_address != Some(address) {
+        if self.task_address == Some(address) {
+            self.used = self.used.less(&record.terms.demand);
+        } else {
             self.running_elsewhere -= 1;
         }
         let group = record.group.clone();
--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -7,6 +7,7 @@
 use dfs_conf::Config;
 use dfs_ids::AgentId;
 use dfs_ids::Moment;
+use dfs_ids::Priority;
 use dfs_ids::SubmissionId;
 use dfs_ids::TaskIndex;
 use dfs_wire::session::EntryItem;
@@ -14,14 +15,18 @@
 use dfs_wire::session::PlacedTask;
 use dfs_wire::session::Placement;
 use dfs_wire::session::TaskRef;
+use dfs_wire::target::Offer;
+use dfs_wire::target::Resources;
 use rand::Rng;
 
+use super::Constraints;
 use super::Entry;
 use super::EntryAction;
 use super::admit::allows;
 use super::job::TaskState;
 use super::queue::Lane;
 use super::view::AgentView;
+use super::view::Weight;
 use crate::placement::Choice;
 use crate::placement::pick;
 
@@ -31,6 +36,9 @@
 /// Load that puts a target after all others, far above any true one.
 const SLOW_LOAD: f64 = 1e6;
 
+/// Order of lanes: priority, then use of the share.
+type LaneKey = (Priority, u64);
+
 /// Tasks placed in one pass.
 type Batches = BTreeMap<BatchKey, Vec<PlacedTask>>;
 
@@ -48,14 +56,15 @@
             return;
         };
         let mut batches = Batches::new();
-        let mut lanes: BTreeSet<(u64, Lane)> = self
+        let mut lanes: BTreeSet<(LaneKey, Lane)> = self
             .queue
             .lanes()
-            .map(|lane| (self.share_key(lane), lane.clone()))
+            .map(|lane| (self.lane_key(lane), lane.clone()))
             .collect();
         let mut closed = BTreeSet::new();
         while let Some((_, lane)) = lanes.pop_first() {
-            let draws_on_all = config
+            let is_demanding = self.demands_resources(&lane);
+            let draws_on_all = !is_demanding && config
                 .group(&lane.group)
                 .is_some_and(|group| group.targets.is_empty());
             if draws_on_all && closed.contains(&lane.service) {
@@ -63,7 +72,7 @@
             }
             if self.place_next(now, &config, &lane, &mut batches) {
                 if self.queue.first(&lane).is_some() {
-                    lanes.insert((self.share_key(&lane), lane));
+                    lanes.insert((self.lane_key(&lane), lane));
                 }
                 continue;
             }
@@ -75,10 +84,18 @@
         self.send_batches(now, batches, out);
     }
 
-    /// Orders lanes by what their groups used of their shares; numbers that are not negative sort
-    /// as their bits.
-    fn share_key(&self, lane: &Lane) -> u64 {
-        self.shares.used_by(&lane.group).max(0.0).to_bits()
+    /// Orders lanes by priority, then by what their groups used of their shares; numbers that are
+    /// not negative sort as their bits.
+    fn lane_key(&self, lane: &Lane) -> LaneKey {
+        let used = self.shares.used_by(&lane.group).max(0.0).to_bits();
+        (lane.priority, used)
+    }
+
+    /// Whether the next submission of a lane names what its tasks take; another one may then find
+    /// room where it does not.
+    fn demands_resources(&self, lane: &Lane) -> bool {
+        let first = self.queue.first(lane).and_then(|name| self.jobs.get(name));
+        first.is_some_and(|job| job.terms.demand != Resources::default())
     }
 
     /// Places one task of a lane; false if no target takes one.
@@ -104,13 +121,14 @@
             return false;
         };
         let most = config.rules.placement.max_hand_backs;
-        let if_full = self.if_full(most, &submission, index, &agent);
+        let part = self.part_at(&agent, &submission);
+        let if_full = self.if_full(most, &submission, index, &agent, part);
         let key = BatchKey {
             agent,
             submission,
             if_full,
         };
-        self.place(lane, key, index, batches);
+        self.place(lane, key, index, part, batches);
         true
     }
 
@@ -121,10 +139,12 @@
         submission: &SubmissionId,
         index: TaskIndex,
         agent: &AgentId,
+        part: f64,
     ) -> IfFull {
         let task = self.jobs.get(submission).and_then(|job| job.task(index));
         let may_return = task.is_some_and(|task| task.hand_backs < max_hand_backs);
-        let seems_free = self.agents.get(agent).is_some_and(AgentView::has_free_slot);
+        let view = self.agents.get(agent);
+        let seems_free = view.is_some_and(|view| view.has_free_room(part));
         if may_return && seems_free {
             IfFull::HandBack
         } else {
@@ -132,6 +152,15 @@
         }
     }
 
+    /// Part of the agent's target that one task of the submission takes.
+    fn part_at(&self, agent: &AgentId, submission: &SubmissionId) -> f64 {
+        let offer = self.agents.get(agent).and_then(AgentView::offer);
+        let job = self.jobs.get(submission);
+        offer
+            .zip(job)
+            .map_or(0.0, |(offer, job)| offer.part_of(&job.terms.demand))
+    }
+
     fn choose_agent(
         &mut self,
         now: Moment,
@@ -142,16 +171,23 @@
     ) -> Option<AgentId> {
         let group = config.group(&lane.group)?;
         let required = config.service(&lane.service)?.requires;
-        let avoid = self.jobs.get(submission)?.task(index)?.avoid.clone();
         let sample = self.sample();
+        let job = self.jobs.get(submission)?;
+        let avoid = job.task(index)?.avoid.clone();
+        let demand = job.terms.demand;
+        let max_load = config.rules.placement.max_load;
         let choice = |(agent, view): (&AgentId, &AgentView)| {
             let offer = view.offer()?;
-            let fits = allows(group, &offer.target) && offer.resources.covers(&required);
-            let may_take = fits && view.offers(&lane.service) && view.has_room();
+            let fits = allows(group, &offer.target)
+                && offer.resources.covers(&required)
+                && job.constraints.allow(offer, || job.placed_at(agent));
+            let part = offer.part_of(&demand);
+            let has_room = view.has_room() && view.load() + part <= max_load && part <= 1.0;
+            let may_take = fits && view.offers(&lane.service) && has_room;
             (may_take && self.is_fresh(now, view) && !self.is_held_back(now, agent, view)).then(
                 || Choice {
                     key: agent.clone(),
-                    load: self.expected_load(now, agent, view),
+                    load: self.expected_load(now, agent, view, part),
                 },
             )
         };
@@ -188,17 +224,23 @@
     }
 
     /// Load with a further task; a slow target comes after all others.
-    fn expected_load(&self, now: Moment, agent: &AgentId, view: &AgentView) -> f64 {
-        let mean_us = self.totals.mean_run_us();
-        let is_slow = self.speeds.is_slow(agent, mean_us, view.open_tasks(), now);
-        view.load_with(1) + if is_slow { SLOW_LOAD } else { 0.0 }
+    fn expected_load(&self, now: Moment, agent: &AgentId, view: &AgentView, part: f64) -> f64 {
+        let is_slow = self.speeds.is_slow(agent, view.open_tasks(), now);
+        view.load() + part + if is_slow { SLOW_LOAD } else { 0.0 }
     }
 
     pub(super) fn is_fresh(&self, now: Moment, view: &AgentView) -> bool {
         view.is_open && now < view.heard_at + self.identity.lease.fresh_ms
     }
 
-    fn place(&mut self, lane: &Lane, key: BatchKey, index: TaskIndex, batches: &mut Batches) {
+    fn place(
+        &mut self,
+        lane: &Lane,
+        key: BatchKey,
+        index: TaskIndex,
+        part: f64,
+        batches: &mut Batches,
+    ) {
         let (agent, submission) = (&key.agent, &key.submission);
         let charged_us = self.totals.mean_run_us();
         let Some(job) = self.jobs.get_mut(submission) else {
@@ -206,6 +248,7 @@
         };
         job.pending.pop_front();
         let is_last = job.pending.is_empty();
+        let run_us = job.expected_run_us(charged_us);
         let Some(task) = job.task_mut(index) else {
             return;
         };
@@ -219,11 +262,12 @@
             body: task.body.clone(),
         };
         if let Some(view) = self.agents.get_mut(agent) {
-            view.outstanding.insert(TaskRef {
+            let task = TaskRef {
                 submission: submission.clone(),
                 task: index,
                 attempt: placed.attempt,
-            });
+            };
+            view.hold(task, Weight { part, run_us });
         }
         self.shares.charge(&lane.group, charged_us);
         self.queue.uncount(&lane.group, 1);
@@ -248,6 +292,7 @@
                 age_ms: now.since(job.submitted_at),
                 left: job.left,
                 if_full: key.if_full,
+                terms: job.terms,
                 tasks,
             };
             by_agent
@@ -284,3 +329,14 @@
         }
     }
 }
+
+impl Constraints {
+    /// Whether a target may take another task; `placed` counts those that it has.
+    fn allow(&self, offer: &Offer, placed: impl FnOnce() -> u32) -> bool {
+        let has_label = self
+            .label
+            .as_ref()
+            .is_none_or(|label| offer.labels.contains(label));
+        has_label && self.max_per_target.is_none_or(|most| placed() < most)
+    }
+}
--- a/crates/policy/src/entry/event.rs
+++ b/crates/policy/src/entry/event.rs
@@ -6,7 +6,9 @@
 use dfs_ids::AgentId;
 use dfs_ids::ConfigVersion;
 use dfs_ids::GroupId;
+use dfs_ids::Label;
 use dfs_ids::Millis;
+use dfs_ids::QueueName;
 use dfs_ids::ServiceName;
 use dfs_ids::SubmissionId;
 use dfs_wire::api::Answer;
@@ -16,6 +18,7 @@
 use dfs_wire::session::EntryItem;
 use dfs_wire::session::Report;
 use dfs_wire::session::ReportError;
+use dfs_wire::session::Terms;
 use dfs_wire::session::ToAgent;
 use serde_json::value::RawValue;
 
@@ -80,10 +83,26 @@
     pub tasks: Vec<Arc<RawValue>>,
     /// Time in which the caller wants the answer.
     pub deadline_ms: Option<Millis>,
-    /// Run time that the caller expects of one task.
-    pub declared_ms: Option<Millis>,
-    /// Whether a task may run more than once.
-    pub repeatable: bool,
+    /// What each task needs, and how urgent it is.
+    pub terms: Terms,
+    /// Time in which the caller hopes for the answer; later ones go behind those that can still
+    /// make it.
+    pub objective_ms: Option<Millis>,
+    /// Runs of one task that may end in a failure before the submission fails; at least one.
+    pub max_failures: u32,
+    /// Where its tasks may run.
+    pub constraints: Constraints,
+    /// The queue that it was handed in to, if any.
+    pub queue: Option<QueueName>,
+}
+
+/// Where the tasks of a submission may run.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Constraints {
+    /// Label that a target must have.
+    pub label: Option<Label>,
+    /// Most tasks of the submission that may be open on one target.
+    pub max_per_target: Option<u32>,
 }
 
 /// What an entry does.
--- /dev/null
+++ b/crates/policy/src/entry/hopeless.rs
@@ -0,0 +1,80 @@
+//! Queued submissions whose time is running out.
+
+use dfs_ids::Millis;
+use dfs_ids::Moment;
+use dfs_ids::SubmissionId;
+use dfs_wire::api::FailureReason;
+
+use super::Entry;
+use super::EntryAction;
+use super::job::Job;
+use crate::order::rank;
+
+/// What becomes of the first submission of a lane.
+enum Verdict {
+    /// It can be answered in time.
+    Keep,
+    /// It goes behind all that can be answered in time.
+    Demote,
+    /// It can't be answered before its deadline; nothing of it has run.
+    Refuse,
+}
+
+impl Entry {
+    /// Puts submissions that are late behind the others, and refuses at once those that certainly
+    /// can't be answered any more.
+    pub(super) fn review_queue(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
+        let lanes: Vec<_> = self.queue.lanes().cloned().collect();
+        for lane in lanes {
+            while let Some(name) = self.queue.first(&lane).cloned() {
+                let Some(job) = self.jobs.get(&name) else {
+                    break;
+                };
+                match self.verdict(now, job) {
+                    Verdict::Keep => break,
+                    Verdict::Demote => self.demote(&name),
+                    Verdict::Refuse => {
+                        let message = "no room came free in time to run it: try later";
+                        let reason = FailureReason::DeadlineUnreachable;
+                        self.fail(&name, reason, message.to_owned(), Vec::new(), out);
+                    }
+                }
+            }
+        }
+    }
+
+    fn verdict(&self, now: Moment, job: &Job) -> Verdict {
+        let run = micros(job.expected_run_us(self.totals.mean_run_us()));
+        let earliest_end = now + run;
+        let is_declared = job.terms.declared_ms > Millis::default();
+        if is_declared && earliest_end > job.deadline && job.may_have_run().is_empty() {
+            return Verdict::Refuse;
+        }
+        match job.due {
+            Some(due) if !job.is_late && earliest_end > due => Verdict::Demote,
+            _ => Verdict::Keep,
+        }
+    }
+
+    fn demote(&mut self, name: &SubmissionId) {
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(name) else {
+            return;
+        };
+        self.queue.take(&job.lane(), name);
+        job.is_late = true;
+        let rank = rank(&config.rules.placement, job.submitted_at, job.left);
+        self.queue.put(job.lane(), name, rank);
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a positive number of milliseconds; a larger one saturates"
+)]
+fn micros(us: f64) -> Millis {
+    Millis::new((us / 1_000.0) as u64)
+}
--- a/crates/policy/src/entry/job.rs
+++ b/crates/policy/src/entry/job.rs
@@ -7,15 +7,35 @@
 use dfs_ids::Attempt;
 use dfs_ids::GroupId;
 use dfs_ids::Moment;
+use dfs_ids::Priority;
+use dfs_ids::QueueName;
 use dfs_ids::ServiceName;
 use dfs_ids::SubmissionId;
 use dfs_ids::TaskIndex;
 use dfs_wire::session::TaskRef;
+use dfs_wire::session::Terms;
 use serde_json::value::RawValue;
 
+use super::Constraints;
 use super::Submission;
 use super::queue::Lane;
 
+/// Distance in priority of submissions that are late, so that they go behind all that are not.
+const LATE_PRIORITIES: u8 = 128;
+const MICROS_PER_MILLI: f64 = 1_000.0;
+
+/// Run time to reckon with for one task, in microseconds: the declared one, else the mean.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "run times stay far below 2^52 ms"
+)]
+pub(super) fn expected_run_us(terms: &Terms, mean_us: f64) -> f64 {
+    match terms.declared_ms.get() {
+        0 => mean_us,
+        declared_ms => declared_ms as f64 * MICROS_PER_MILLI,
+    }
+}
+
 /// An open submission.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -23,7 +43,15 @@
     pub service: ServiceName,
     pub submitted_at: Moment,
     pub deadline: Moment,
-    pub repeatable: bool,
+    pub terms: Terms,
+    /// When the answer should be there; none: any time before the deadline.
+    pub due: Option<Moment>,
+    /// Whether it can no longer be answered when it is due; it then goes behind all others.
+    pub is_late: bool,
+    /// Runs of one task that may end in a failure; the last one fails the submission.
+    pub max_failures: u32,
+    pub constraints: Constraints,
+    pub queue: Option<QueueName>,
     pub tasks: Vec<Task>,
     /// Tasks to place, in order; exactly those in [`TaskState::Queued`].
     pub pending: VecDeque<TaskIndex>,
@@ -42,6 +70,8 @@
 pub(super) struct Task {
     pub body: Arc<RawValue>,
     pub attempt: Attempt,
+    /// Runs that ended in a failure.
+    pub failed_runs: u32,
     /// Attempts that ended in a refusal or, for a repeatable one, in an unknown outcome.
     pub failures: u32,
     /// Times that an agent without a free slot handed it back.
@@ -71,6 +101,7 @@
         let task = |body| Task {
             body,
             attempt: Attempt::default(),
+            failed_runs: 0,
             failures: 0,
             hand_backs: 0,
             avoid: None,
@@ -82,7 +113,12 @@
             service: submission.service,
             submitted_at: now,
             deadline,
-            repeatable: submission.repeatable,
+            terms: submission.terms,
+            due: submission.objective_ms.map(|objective| now + objective),
+            is_late: false,
+            max_failures: submission.max_failures.max(1),
+            constraints: submission.constraints,
+            queue: submission.queue,
             tasks: submission.tasks.into_iter().map(task).collect(),
             pending: (0..count).map(TaskIndex::new).collect(),
             left: count,
@@ -103,12 +139,26 @@
 
     /// Where its tasks are queued.
     pub fn lane(&self) -> Lane {
+        let late = if self.is_late { LATE_PRIORITIES } else { 0 };
         Lane {
+            priority: Priority::new(self.terms.priority.get().saturating_add(late)),
             group: self.group.clone(),
             service: self.service.clone(),
         }
     }
 
+    /// Run time to reckon with for one task, in microseconds.
+    pub fn expected_run_us(&self, mean_us: f64) -> f64 {
+        expected_run_us(&self.terms, mean_us)
+    }
+
+    /// Tasks that an agent holds.
+    pub fn placed_at(&self, at: &AgentId) -> u32 {
+        let here =
+            |task: &&Task| matches!(&task.state, TaskState::Placed { agent, .. } if agent == at);
+        u32::try_from(self.tasks.iter().filter(here).count()).unwrap_or(u32::MAX)
+    }
+
     pub fn task(&self, index: TaskIndex) -> Option<&Task> {
         self.tasks.get(index.get() as usize)
     }
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod event;
 mod evict;
+mod hopeless;
 mod job;
 mod queue;
 mod report;
@@ -30,9 +31,11 @@
 use dfs_ids::SubmissionId;
 use dfs_wire::session::EntryAddress;
 use dfs_wire::session::EntryItem;
+use dfs_wire::session::TaskRef;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+pub use event::Constraints;
 pub use event::EntryAction;
 pub use event::EntryEvent;
 pub use event::Observation;
@@ -82,6 +85,8 @@
     retries: RetryBudget,
     ejection: Ejection,
     speeds: Speeds,
+    /// Tasks of lost agents whose runs may go on until the given moment.
+    unsettled: BTreeSet<(Moment, AgentId, TaskRef)>,
     /// Since when an agent holds a higher version.
     behind_since: Option<Moment>,
     /// When an agent was last asked for its configuration.
@@ -112,6 +117,7 @@
             retries: RetryBudget::default(),
             ejection: Ejection::default(),
             speeds: Speeds::default(),
+            unsettled: BTreeSet::new(),
             behind_since: None,
             asked_at: None,
             next_session: SessionNumber::default(),
@@ -154,6 +160,7 @@
     pub fn flush(&mut self, now: Moment) -> Vec<EntryAction> {
         let mut out = Vec::new();
         self.ask_config(now, &mut out);
+        self.review_queue(now, &mut out);
         self.dispatch(now, &mut out);
         if self.stopping && self.jobs.is_empty() && !self.stopped {
             self.stopped = true;
--- a/crates/policy/src/entry/queue.rs
+++ b/crates/policy/src/entry/queue.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use dfs_ids::GroupId;
+use dfs_ids::Priority;
 use dfs_ids::ServiceName;
 use dfs_ids::SubmissionId;
 
@@ -18,9 +19,10 @@
     tasks: u32,
 }
 
-/// Submissions of one group for one service.
+/// Submissions of one priority and group for one service.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Lane {
+    pub priority: Priority,
     pub group: GroupId,
     pub service: ServiceName,
 }
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -112,10 +112,19 @@
             return;
         };
         let jobs = &self.jobs;
-        view.outstanding.retain(|task| {
+        let is_answered = |task: &&TaskRef| {
             let job = jobs.get(&task.submission);
-            job.is_some_and(|job| job.is_placed(task, agent))
-        });
+            !job.is_some_and(|job| job.is_placed(task, agent))
+        };
+        let answered: Vec<_> = view
+            .outstanding
+            .keys()
+            .filter(is_answered)
+            .cloned()
+            .collect();
+        for task in answered {
+            view.release(&task);
+        }
     }
 
     /// A task that is outstanding and not listed never starts, unless the agent has forgotten tasks.
@@ -123,7 +132,7 @@
         let Some(view) = self.agents.get(agent) else {
             return;
         };
-        let missing = view.outstanding.iter();
+        let missing = view.outstanding.keys();
         let missing: Vec<_> = missing
             .filter(|task| !held.tasks.contains(task))
             .cloned()
@@ -144,7 +153,7 @@
         };
         let unwanted = held.tasks.iter();
         unwanted
-            .filter(|task| !view.outstanding.contains(task))
+            .filter(|task| !view.outstanding.contains_key(task))
             .cloned()
             .collect()
     }
@@ -178,7 +187,7 @@
         };
         view.hint = hint;
         view.hint_seq = seq;
-        view.open_at_hint = view.open_tasks();
+        view.load_at_hint = view.own_load;
     }
 
     fn on_version(
--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -1,6 +1,6 @@
 //! Sessions: attaching, losing, lapsing, and numbering messages.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use dfs_conf::Config;
@@ -13,6 +13,7 @@
 use dfs_wire::session::LoadHint;
 use dfs_wire::session::Open;
 use dfs_wire::session::TargetState;
+use dfs_wire::session::TaskRef;
 use dfs_wire::session::ToAgent;
 
 use super::Entry;
@@ -25,6 +26,7 @@
 const RENEWAL_BYTES: u64 = 360;
 /// Bytes a second that the renewals of idle sessions may take at one entry.
 const RENEWAL_BYTES_PER_S: u64 = 2_048;
+const LOST_AGENT: &str = "the agent was lost";
 const MILLIS_PER_SECOND: u64 = 1_000;
 /// Agents renew after half to all of the interval, so after three quarters of it on average.
 const MEAN_OF_INTERVAL: (u64, u64) = (3, 4);
@@ -40,7 +42,11 @@
         let replaced = self.agents.get(&attach.agent).map(|old| old.incarnation);
         let resumed = replaced == Some(attach.incarnation);
         if replaced.is_some() && !resumed {
-            self.lose_agent(&attach.agent, out);
+            self.lose_agent(now, &attach.agent, out);
+        }
+        if !resumed {
+            // A new life of the agent has ended the runs of the one before.
+            self.settle_lost(&attach.agent, out);
         }
         self.close_connection(&attach.agent, out);
         self.next_session = self.next_session.next();
@@ -88,9 +94,9 @@
     ) {
         let old = self.agents.remove(&attach.agent);
         // Until the agent reports, the target is taken to be as it was.
-        let (outstanding, target) = match old {
-            Some(old) => (old.outstanding, old.target),
-            None => (BTreeSet::new(), TargetState::Absent),
+        let (outstanding, own_load, target) = match old {
+            Some(old) => (old.outstanding, old.own_load, old.target),
+            None => (BTreeMap::new(), 0.0, TargetState::Absent),
         };
         let view = AgentView {
             incarnation: attach.incarnation,
@@ -105,8 +111,9 @@
             target_seq: 0,
             hint: LoadHint::default(),
             hint_seq: 0,
-            open_at_hint: 0,
+            load_at_hint: 0.0,
             outstanding,
+            own_load,
             version: None,
             version_seq: 0,
             takes_config: false,
@@ -159,12 +166,14 @@
             .map(|(agent, _)| agent.clone())
             .collect();
         for agent in lapsed {
-            self.lose_agent(&agent, out);
+            self.lose_agent(now, &agent, out);
         }
+        self.settle_overdue(now, out);
     }
 
-    /// Removes an agent incarnation; what it held has an unknown outcome from now on.
-    fn lose_agent(&mut self, agent: &AgentId, out: &mut Vec<EntryAction>) {
+    /// Removes an agent incarnation; what it held has an unknown outcome from now on. A repeatable
+    /// task is not placed anew before its runs have certainly ended.
+    fn lose_agent(&mut self, now: Moment, agent: &AgentId, out: &mut Vec<EntryAction>) {
         self.close_connection(agent, out);
         self.roster.retain(|name| name != agent);
         self.ejection.forget(agent);
@@ -178,8 +187,33 @@
             unknown,
         };
         out.push(EntryAction::Observe(lost));
-        for task in view.outstanding {
-            self.on_unknown(agent, &task, "the agent was lost", out);
+        let settled_at = now + self.identity.lease.settle_ms;
+        for (task, _) in view.outstanding {
+            let job = self.jobs.get(&task.submission);
+            if settled_at > now && job.is_some_and(|job| job.terms.repeatable) {
+                self.unsettled.insert((settled_at, agent.clone(), task));
+            } else {
+                self.on_unknown(agent, &task, LOST_AGENT, out);
+            }
+        }
+    }
+
+    /// Settles the tasks of lost agents whose runs have ended by now.
+    fn settle_overdue(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
+        while let Some((at, agent, task)) = self.unsettled.first().cloned()
+            && at <= now
+        {
+            self.unsettled.pop_first();
+            self.on_unknown(&agent, &task, LOST_AGENT, out);
+        }
+    }
+
+    /// Settles the tasks of an agent that was lost, all of whose runs have ended.
+    fn settle_lost(&mut self, agent: &AgentId, out: &mut Vec<EntryAction>) {
+        let of_agent = |entry: &(Moment, AgentId, TaskRef)| entry.1 == *agent;
+        let settled: Vec<_> = self.unsettled.extract_if(.., of_agent).collect();
+        for (_, agent, task) in settled {
+            self.on_unknown(&agent, &task, LOST_AGENT, out);
         }
     }
 
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -32,7 +32,9 @@
             return;
         }
         self.totals.ran(result.run_us);
-        self.note_run(now, agent, result.run_us);
+        if matches!(result.outcome, TaskOutcome::Done(_)) {
+            self.note_run(now, agent, &result);
+        }
         self.settle_charge(agent, &result);
         match result.outcome {
             TaskOutcome::Done(body) => {
@@ -44,7 +46,7 @@
                 if self.is_placed(agent, &result.task) {
                     self.note_failure(now, agent, out);
                 }
-                self.on_failed(agent, &result.task, message, out);
+                self.on_failed(agent, &result.task, message, result.run_us, out);
             }
             TaskOutcome::Unknown(message) => {
                 self.note_failure(now, agent, out);
@@ -55,22 +57,21 @@
 
     /// Removes a task from what the agent holds; false if it was not there.
     pub(super) fn forget_outstanding(&mut self, agent: &AgentId, task: &TaskRef) -> bool {
-        self.agents.get_mut(agent).is_some_and(|view| {
-            let held = view.outstanding.remove(task);
-            if held {
-                view.open_at_hint = view.open_at_hint.saturating_sub(1);
-            }
-            held
-        })
+        self.agents
+            .get_mut(agent)
+            .is_some_and(|view| view.release(task))
     }
 
     #[expect(
         clippy::cast_precision_loss,
         reason = "run times stay far below 2^52 µs"
     )]
-    fn note_run(&mut self, now: Moment, agent: &AgentId, run_us: u64) {
+    fn note_run(&mut self, now: Moment, agent: &AgentId, result: &TaskResult) {
         let mean_us = self.totals.mean_run_us();
-        self.speeds.ran(agent, run_us as f64, mean_us, now);
+        let job = self.jobs.get(&result.task.submission);
+        let expected_us = job.map_or(mean_us, |job| job.expected_run_us(mean_us));
+        let stretch = result.run_us as f64 / expected_us.max(1.0);
+        self.speeds.ran(agent, stretch, now);
     }
 
     /// Replaces the estimate that was charged at placement by the measured run time.
@@ -146,11 +147,16 @@
         agent: &AgentId,
         task: &TaskRef,
         message: String,
+        run_us: u64,
         out: &mut Vec<EntryAction>,
     ) {
         if !self.is_placed(agent, task) {
             return;
         }
+        if self.may_run_again(task, run_us) {
+            self.requeue(agent, task);
+            return;
+        }
         let faults = vec![TaskFault {
             task: task.task,
             message,
@@ -165,6 +171,21 @@
         );
     }
 
+    /// Counts a failed run; whether the task may have another one.
+    fn may_run_again(&mut self, task: &TaskRef, run_us: u64) -> bool {
+        let Some(job) = self.jobs.get_mut(&task.submission) else {
+            return false;
+        };
+        job.longest_run_us = job.longest_run_us.max(run_us);
+        let max_failures = job.max_failures;
+        let Some(failed) = job.task_mut(task.task) else {
+            return false;
+        };
+        failed.may_have_run = true;
+        failed.failed_runs += 1;
+        failed.failed_runs < max_failures
+    }
+
     /// A task whose outcome nobody will ever know.
     pub(super) fn on_unknown(
         &mut self,
@@ -179,7 +200,7 @@
         let Some(job) = self.jobs.get_mut(&task.submission) else {
             return;
         };
-        let repeatable = job.repeatable;
+        let repeatable = job.terms.repeatable;
         if let Some(task) = job.task_mut(task.task) {
             task.may_have_run = true;
         }
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -1,6 +1,6 @@
 //! What an entry knows of one agent incarnation.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use dfs_ids::ConfigVersion;
 use dfs_ids::FailureDomain;
@@ -16,6 +16,10 @@
 
 use crate::ConnectionId;
 
+/// Load of a target without room; a little above one for rounding in hints.
+const FULL: f64 = 1.001;
+const PERMILLE: f64 = 1_000.0;
+
 /// One agent incarnation.
 #[derive(Debug)]
 pub(super) struct AgentView {
@@ -36,10 +40,12 @@
     pub hint: LoadHint,
     /// Report that brought the hint.
     pub hint_seq: u64,
-    /// Tasks of this entry running or queued there when the hint was made.
-    pub open_at_hint: u32,
+    /// Part of this entry's load there when the hint was made that is not settled yet.
+    pub load_at_hint: f64,
     /// Tasks handed to the agent and not settled, also those of answered submissions.
-    pub outstanding: BTreeSet<TaskRef>,
+    pub outstanding: BTreeMap<TaskRef, Weight>,
+    /// Sum of the parts of the outstanding tasks.
+    pub own_load: f64,
     pub version: Option<ConfigVersion>,
     /// Report that brought the version.
     pub version_seq: u64,
@@ -47,6 +53,15 @@
     pub probed_at: Option<Moment>,
 }
 
+/// What one outstanding task weighs.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Weight {
+    /// Part of the target that it takes.
+    pub part: f64,
+    /// Run time that was expected at placement, in microseconds.
+    pub run_us: f64,
+}
+
 impl AgentView {
     pub fn offer(&self) -> Option<&Offer> {
         match &self.target {
@@ -69,26 +84,43 @@
         self.open_tasks() < self.hint.window
     }
 
-    /// Whether a slot is free, as far as is known.
-    pub fn has_free_slot(&self) -> bool {
-        self.load() < 1.0
+    /// Whether a task of this part finds room at once, as far as is known.
+    pub fn has_free_room(&self, part: f64) -> bool {
+        self.load() + part <= FULL
     }
 
-    /// Known open tasks for each slot: those of the hint, corrected by what this entry has placed
-    /// and settled since.
+    /// Known load: that of the hint, corrected by what this entry has placed and settled since.
     pub fn load(&self) -> f64 {
-        self.load_with(0)
+        self.load_of_others() + self.own_load
+    }
+
+    /// Known load that other entries have placed.
+    pub fn load_of_others(&self) -> f64 {
+        (f64::from(self.hint.load_permille) / PERMILLE - self.load_at_hint).max(0.0)
+    }
+
+    /// Time that the outstanding tasks of this entry would take the whole target, in microseconds.
+    pub fn own_work_us(&self) -> f64 {
+        let work = |weight: &Weight| weight.part * weight.run_us;
+        self.outstanding.values().map(work).sum()
     }
 
-    /// [`Self::load`] if so many tasks are added.
-    pub fn load_with(&self, added: u32) -> f64 {
-        let slots = self.offer().map_or(1, |offer| offer.slots.get().max(1));
-        f64::from(self.open_of_others() + self.open_tasks() + added) / f64::from(slots)
+    pub fn hold(&mut self, task: TaskRef, weight: Weight) {
+        self.own_load += weight.part;
+        self.outstanding.insert(task, weight);
     }
 
-    /// Known open tasks of other entries.
-    pub fn open_of_others(&self) -> u32 {
-        let hinted = self.hint.running + self.hint.queued;
-        hinted.saturating_sub(self.open_at_hint)
+    /// Removes a task from what the agent holds; false if it was not there.
+    pub fn release(&mut self, task: &TaskRef) -> bool {
+        let Some(weight) = self.outstanding.remove(task) else {
+            return false;
+        };
+        self.load_at_hint = (self.load_at_hint - weight.part).max(0.0);
+        self.own_load -= weight.part;
+        if self.outstanding.is_empty() {
+            // Rounding errors do not add up.
+            self.own_load = 0.0;
+        }
+        true
     }
 }
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -1,4 +1,4 @@
-//! Targets that take far longer than the others.
+//! Targets that take far longer than expected.
 
 use std::collections::BTreeMap;
 
@@ -6,43 +6,62 @@
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 
-/// Mean run times of the targets of one entry.
-#[derive(Debug, Clone, Default)]
+/// Mean ratios of run times to expected ones, by target.
+#[derive(Debug, Clone)]
 pub struct Speeds {
     records: BTreeMap<AgentId, Record>,
+    /// Estimate of the median ratio over all targets, which a few slow ones do not move.
+    median: f64,
+}
+
+impl Default for Speeds {
+    fn default() -> Self {
+        Self {
+            records: BTreeMap::new(),
+            median: 1.0,
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Record {
-    mean_run_us: f64,
+    ratio: f64,
     last_result: Moment,
 }
 
-/// Weight of the newest run time in the mean of a target.
-const RUN_WEIGHT: f64 = 0.1;
-/// Ratio to the mean of all targets from which a target counts as slow; run times of one service
+/// Weight of the newest run in the ratio of a target.
+const TARGET_WEIGHT: f64 = 0.1;
+/// Step of the median towards each run.
+const MEDIAN_STEP: f64 = 1.02;
+/// Ratio to the median of all targets from which a target counts as slow; run times of one service
 /// differ too much for a smaller one.
 const SLOW_RATIO: f64 = 3.0;
-/// Time without a result after which an idle target is given another task.
-const FORGET_MS: Millis = Millis::new(60_000);
+/// Time without a result after which an idle slow target is given another task; recovered targets
+/// are missed for this long.
+const FORGET_MS: Millis = Millis::new(3_000);
 
 impl Speeds {
-    /// Records a run time; `mean_us` is the mean of all targets.
-    pub fn ran(&mut self, agent: &AgentId, run_us: f64, mean_us: f64, now: Moment) {
+    /// Records the ratio of a run time to the expected one.
+    pub fn ran(&mut self, agent: &AgentId, ratio: f64, now: Moment) {
+        if ratio > self.median {
+            self.median *= MEDIAN_STEP;
+        } else {
+            self.median /= MEDIAN_STEP;
+        }
         let record = self.records.entry(agent.clone()).or_insert(Record {
-            mean_run_us: mean_us,
+            ratio: self.median,
             last_result: now,
         });
-        record.mean_run_us += RUN_WEIGHT * (run_us - record.mean_run_us);
+        record.ratio += TARGET_WEIGHT * (ratio - record.ratio);
         record.last_result = now;
     }
 
     /// Whether tasks take far longer there than on all targets.
     #[must_use]
-    pub fn is_slow(&self, agent: &AgentId, mean_us: f64, open_tasks: u32, now: Moment) -> bool {
+    pub fn is_slow(&self, agent: &AgentId, open_tasks: u32, now: Moment) -> bool {
         self.records.get(agent).is_some_and(|record| {
             let is_due = open_tasks == 0 && now.since(record.last_result) >= FORGET_MS;
-            record.mean_run_us >= SLOW_RATIO * mean_us && !is_due
+            record.ratio >= SLOW_RATIO * self.median && !is_due
         })
     }
 
--- a/crates/policy/tests/matrix/node.rs
+++ b/crates/policy/tests/matrix/node.rs
@@ -16,11 +16,13 @@
 use dfs_ids::SubmissionId;
 use dfs_policy::agent::Agent;
 use dfs_policy::agent::AgentEvent;
+use dfs_policy::entry::Constraints;
 use dfs_policy::entry::Entry;
 use dfs_policy::entry::EntryEvent;
 use dfs_policy::entry::Identity;
 use dfs_policy::entry::Submission;
 use dfs_wire::api::Answer;
+use dfs_wire::session::Terms;
 use dfs_wire::target::Announcement;
 use dfs_wire::target::Offer;
 use dfs_wire::target::Resources;
@@ -107,8 +109,14 @@
             service: SERVICE.parse().unwrap(),
             tasks: self.bodies.iter().map(|body| raw(body)).collect(),
             deadline_ms: Some(Millis::new(self.deadline_ms)),
-            declared_ms: None,
-            repeatable: self.repeatable,
+            terms: Terms {
+                repeatable: self.repeatable,
+                ..Terms::default()
+            },
+            objective_ms: None,
+            max_failures: 1,
+            constraints: Constraints::default(),
+            queue: None,
         }
     }
 }
@@ -171,6 +179,7 @@
             slots: Slots::new(1),
             connections: 8,
             resources: Resources::default(),
+            labels: Vec::new(),
         },
     }
 }
--- a/crates/policy/tests/policy_admission.rs
+++ b/crates/policy/tests/policy_admission.rs
@@ -17,6 +17,7 @@
 use dfs_ids::Slots;
 use dfs_ids::SubmissionId;
 use dfs_policy::ConnectionId;
+use dfs_policy::entry::Constraints;
 use dfs_policy::entry::Entry;
 use dfs_policy::entry::EntryAction;
 use dfs_policy::entry::EntryEvent;
@@ -34,6 +35,7 @@
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::Report;
 use dfs_wire::session::TargetState;
+use dfs_wire::session::Terms;
 use dfs_wire::session::TaskRef;
 use dfs_wire::target::Offer;
 use dfs_wire::target::Resources;
@@ -126,6 +128,7 @@
                 slots: Slots::new(SLOTS),
                 connections: 64,
                 resources: Resources::default(),
+                labels: Vec::new(),
             };
             let held = Held {
                 tasks: Vec::new(),
@@ -177,8 +180,11 @@
             service: service.parse().unwrap(),
             tasks: (0..tasks).map(|_| body()).collect(),
             deadline_ms: Some(Millis::new(deadline_ms)),
-            declared_ms: None,
-            repeatable: false,
+            terms: Terms::default(),
+            objective_ms: None,
+            max_failures: 1,
+            constraints: Constraints::default(),
+            queue: None,
         };
         self.handle(EntryEvent::Submit(submission));
     }
@@ -241,6 +247,7 @@
     bench.submit("s", "aba", 1, 60_000);
     let (agent, task, _) = bench.placed[0].clone();
     let full = LoadHint {
+        load_permille: 1_000,
         window: 64,
         running: SLOTS,
         queued: 0,
--- a/crates/policy/tests/policy_agent_queue.rs
+++ b/crates/policy/tests/policy_agent_queue.rs
@@ -24,6 +24,7 @@
 use dfs_wire::session::Placement;
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
+use dfs_wire::session::Terms;
 use dfs_wire::session::ToAgent;
 use dfs_wire::target::Announcement;
 use dfs_wire::target::Offer;
@@ -64,6 +65,7 @@
                 slots: Slots::new(1),
                 connections: 8,
                 resources: Resources::default(),
+                labels: Vec::new(),
             },
         }));
         bench.message(EntryItem::Open(Open {
@@ -107,6 +109,7 @@
             age_ms: Millis::new(age_ms),
             left,
             if_full,
+            terms: Terms::default(),
             tasks: vec![PlacedTask {
                 task: TaskIndex::new(0),
                 attempt: Attempt::new(0),
--- a/crates/policy/tests/policy_ejection.rs
+++ b/crates/policy/tests/policy_ejection.rs
@@ -100,14 +100,13 @@
 #[googletest::test]
 fn a_target_ten_times_slower_counts_as_slow_until_it_is_forgotten() {
     let (agents, mut speeds) = (agents(), Speeds::default());
-    let mean_us = 500_000.0;
     for _ in 0..20 {
-        speeds.ran(&agents[0], 10.0 * mean_us, mean_us, at(0));
-        speeds.ran(&agents[1], 1.5 * mean_us, mean_us, at(0));
+        speeds.ran(&agents[0], 10.0, at(0));
+        speeds.ran(&agents[1], 1.5, at(0));
     }
-    expect_that!(speeds.is_slow(&agents[0], mean_us, 0, at(1)), eq(true));
-    expect_that!(speeds.is_slow(&agents[1], mean_us, 0, at(1)), eq(false));
+    expect_that!(speeds.is_slow(&agents[0], 0, at(1)), eq(true));
+    expect_that!(speeds.is_slow(&agents[1], 0, at(1)), eq(false));
     let later = at(120_000);
-    expect_that!(speeds.is_slow(&agents[0], mean_us, 0, later), eq(false));
-    expect_that!(speeds.is_slow(&agents[0], mean_us, 1, later), eq(true));
+    expect_that!(speeds.is_slow(&agents[0], 0, later), eq(false));
+    expect_that!(speeds.is_slow(&agents[0], 1, later), eq(true));
 }
--- a/crates/slopes/src/measure/cluster.rs
+++ b/crates/slopes/src/measure/cluster.rs
@@ -242,6 +242,7 @@
         slots: parse(json!(slots))?,
         connections: 64,
         resources: Resources::default(),
+        labels: Vec::new(),
     })
 }
 
@@ -262,7 +263,7 @@
         json!({
             "target": format!("target-{n}"), "domain": DOMAIN, "rack": format!("rack-{}", n / 3),
             "services": [SERVICE], "slots": 8, "connections": 64,
-            "resources": { "cores": 16, "memory_mib": 65_536, "accelerators": 1 },
+            "resources": { "cpu_millis": 16000, "memory_mib": 65_536, "accelerators": 1 },
         })
     };
     json!({
--- a/crates/slopes/tests/renewals.rs
+++ b/crates/slopes/tests/renewals.rs
@@ -43,7 +43,7 @@
         json!({
             "target": format!("target-{n}"), "domain": "domain", "rack": "rack",
             "services": ["desk"], "slots": 8, "connections": 64,
-            "resources": { "cores": 1, "memory_mib": 1, "accelerators": 0 },
+            "resources": { "cpu_millis": 1000, "memory_mib": 1, "accelerators": 0 },
         })
     };
     let inventory = json!({
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -66,9 +66,9 @@
     /// Lease of its announcements.
     #[arg(long, default_value_t = 3_000)]
     lease_ms: u64,
-    /// Processor cores.
-    #[arg(long, default_value_t = 16)]
-    cores: u32,
+    /// Processor time, in thousandths of a core.
+    #[arg(long, default_value_t = 16_000)]
+    cpu_millis: u32,
     /// Memory in mebibytes.
     #[arg(long, default_value_t = 65_536)]
     memory_mib: u64,
@@ -85,10 +85,11 @@
             slots: self.slots,
             connections: self.connections,
             resources: Resources {
-                cores: self.cores,
+                cpu_millis: self.cpu_millis,
                 memory_mib: self.memory_mib,
                 accelerators: self.accelerators,
             },
+            labels: Vec::new(),
         };
         TargetOptions {
             listen: self.listen,
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -39,6 +39,7 @@
         slots: Slots::new(8),
         connections: 64,
         resources: Resources::default(),
+        labels: Vec::new(),
     };
     TargetOptions {
         lease_ms: Millis::new(60),
--- a/crates/wire/src/session/mod.rs
+++ b/crates/wire/src/session/mod.rs
@@ -7,6 +7,7 @@
 mod placement;
 mod report;
 mod result;
+mod terms;
 
 pub use attach::Attach;
 pub use attach::EntryAddress;
@@ -28,6 +29,7 @@
 pub use report::TargetState;
 pub use result::TaskOutcome;
 pub use result::TaskResult;
+pub use terms::Terms;
 
 /// Name of the subscription that opens a session.
 pub const ATTACH_METHOD: &str = "attach";
--- a/crates/wire/src/session/placement.rs
+++ b/crates/wire/src/session/placement.rs
@@ -22,6 +22,8 @@
 use serde::ser::SerializeTuple;
 use serde_json::value::RawValue;
 
+use super::Terms;
+
 /// One attempt to run one task.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
 #[display("{submission}/{task}#{attempt}")]
@@ -37,7 +39,7 @@
 /// Tasks of one submission for one agent.
 ///
 /// On the wire:
-/// `[submission, group, service, time_left_ms, age_ms, left, if_full, index, attempt, body, …]`.
+/// `[submission, group, service, time_left_ms, age_ms, left, if_full, terms, index, attempt, body, …]`.
 #[derive(Debug, Clone)]
 pub struct Placement {
     /// The submission.
@@ -54,6 +56,8 @@
     pub left: u32,
     /// What becomes of tasks that find no free slot.
     pub if_full: IfFull,
+    /// What each task needs.
+    pub terms: Terms,
     /// The tasks; never empty.
     pub tasks: Vec<PlacedTask>,
 }
@@ -79,7 +83,7 @@
 }
 
 const TASK_REF_FIELDS: usize = 3;
-const PLACEMENT_HEAD_FIELDS: usize = 7;
+const PLACEMENT_HEAD_FIELDS: usize = 8;
 const PLACED_TASK_FIELDS: usize = 3;
 const IF_FULL_QUEUE: u8 = 0;
 const IF_FULL_HAND_BACK: u8 = 1;
@@ -151,6 +155,7 @@
         seq.serialize_element(&self.age_ms)?;
         seq.serialize_element(&self.left)?;
         seq.serialize_element(&self.if_full)?;
+        seq.serialize_element(&self.terms)?;
         for task in &self.tasks {
             seq.serialize_element(&task.task)?;
             seq.serialize_element(&task.attempt)?;
@@ -167,7 +172,7 @@
 
     fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str(
-            "[submission, group, service, time_left_ms, age_ms, left, if_full, index, attempt, body, …]",
+            "[submission, group, service, time_left_ms, age_ms, left, if_full, terms, index, attempt, body, …]",
         )
     }
 
@@ -180,6 +185,7 @@
             age_ms: required(&mut seq, "age_ms")?,
             left: required(&mut seq, "left")?,
             if_full: required(&mut seq, "if_full")?,
+            terms: required(&mut seq, "terms")?,
             tasks: Vec::new(),
         };
         while let Some(task) = seq.next_element()? {
--- a/crates/wire/src/session/report.rs
+++ b/crates/wire/src/session/report.rs
@@ -83,6 +83,9 @@
     pub running: u32,
     /// Tasks queued, of all entries.
     pub queued: u32,
+    /// Parts of the target that running and queued tasks take, of all entries, in thousandths.
+    #[serde(default)]
+    pub load_permille: u32,
 }
 
 /// A task that did not start and never will.
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -11,6 +11,7 @@
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
 use dfs_wire::session::TaskResult;
+use dfs_wire::session::Terms;
 use googletest::prelude::*;
 use serde_json::value::RawValue;
 
@@ -32,6 +33,7 @@
         age_ms: Millis::new(40),
         left: 2,
         if_full: IfFull::HandBack,
+        terms: Terms::default(),
         tasks: vec![task(0), task(7)],
     }
 }
@@ -39,7 +41,7 @@
 #[googletest::test]
 fn a_placement_is_one_flat_array() {
     let json = serde_json::to_string(&placement()).unwrap();
-    let expected = r#"["s-1","aba","member-desk",900,40,2,1,0,1,{"a":1},7,1,{"a":1}]"#;
+    let expected = r#"["s-1","aba","member-desk",900,40,2,1,{},0,1,{"a":1},7,1,{"a":1}]"#;
     expect_that!(json, eq(expected));
     let back: Placement = serde_json::from_str(&json).unwrap();
     expect_that!(serde_json::to_string(&back).unwrap(), eq(expected));
@@ -47,13 +49,13 @@
 
 #[googletest::test]
 fn a_placement_without_tasks_is_refused() {
-    let fault = serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,40,2,0]"#);
+    let fault = serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,40,2,0,{}]"#);
     expect_that!(fault.unwrap_err().to_string(), contains_substring("index"));
 }
 
 #[googletest::test]
 fn a_placement_cut_short_is_refused() {
-    let fault = serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,40,2,0,0,1]"#);
+    let fault = serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,40,2,0,{},0,1]"#);
     expect_that!(fault.unwrap_err().to_string(), contains_substring("body"));
 }
 
