--- /dev/null
+++ b/crates/agent/src/fenced.rs
@@ -0,0 +1,257 @@
+//! Drives a target that checks fencing tokens and leases.
+
+use std::collections::HashMap;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use dfs_ids::Clock;
+use dfs_ids::TargetId;
+use dfs_log::ErrorText;
+use dfs_log::TargetEvent;
+use dfs_policy::agent::RunEnd;
+use dfs_policy::runs::FencingToken;
+use dfs_policy::runs::Heartbeat;
+use dfs_policy::runs::Look;
+use dfs_policy::runs::LookOutcome;
+use dfs_policy::runs::OrderOutcome;
+use dfs_policy::runs::Runs;
+use dfs_policy::runs::RunsAction;
+use dfs_policy::runs::RunsEvent;
+use dfs_policy::runs::RunsOptions;
+use dfs_policy::runs::StartOrder;
+use dfs_policy::runs::StopOrder;
+use dfs_policy::runs::Work;
+use dfs_store::Presence;
+use dfs_wire::session::NotRunReason;
+use dfs_wire::session::TaskOutcome;
+use dfs_wire::session::TaskRef;
+use serde_json::value::RawValue;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::edge::AgentEdge;
+use crate::edge::Run;
+use crate::edge::TargetDriver;
+use crate::edge::TargetEvents;
+use crate::request::Start;
+
+/// Time between two looks at leases and waits; orders themselves wait for nothing.
+const TICK: Duration = Duration::from_millis(50);
+
+/// A future of a channel.
+pub type Answer<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// Carries orders to a target; never repeats one by itself.
+pub trait OrderChannel: Send + Sync {
+    /// Orders a start.
+    fn start(&self, order: &StartOrder) -> Answer<OrderOutcome>;
+
+    /// Orders a stop; its end shows in a later look.
+    fn stop(&self, order: StopOrder) -> Answer<()>;
+
+    /// Looks at the runs.
+    fn look(&self, look: &Look) -> Answer<LookOutcome>;
+
+    /// What a task is given, with its name on the target; none if the body is not of that form.
+    fn work(&self, body: &RawValue) -> Option<Work>;
+}
+
+enum Command {
+    Start {
+        task: TaskRef,
+        work: Work,
+        ended: oneshot::Sender<(u64, RunEnd)>,
+    },
+    Event(RunsEvent),
+}
+
+/// Passes on what the target says of itself.
+#[derive(Clone)]
+pub struct Heartbeats {
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+impl Heartbeats {
+    /// The target sent a heartbeat.
+    pub fn heard(&self, heartbeat: Heartbeat) {
+        self.send(RunsEvent::Heartbeat(heartbeat));
+    }
+
+    /// The target is about to end.
+    pub fn deregistered(&self, target: TargetId) {
+        self.send(RunsEvent::Deregistered { target });
+    }
+
+    fn send(&self, event: RunsEvent) {
+        // The receiver ends only with the process.
+        let _ = self.commands.send(Command::Event(event));
+    }
+}
+
+/// A target behind an order channel.
+pub struct FencedTarget {
+    runs: Runs,
+    clock: Clock,
+    channel: Arc<dyn OrderChannel>,
+    commands: mpsc::UnboundedReceiver<Command>,
+    sender: mpsc::UnboundedSender<Command>,
+    ended: HashMap<TaskRef, oneshot::Sender<(u64, RunEnd)>>,
+    taken_over: watch::Sender<bool>,
+}
+
+impl FencedTarget {
+    /// A target of which nothing is known yet; `token` should be higher than those of earlier lives.
+    #[must_use]
+    pub fn new(options: RunsOptions, token: FencingToken, channel: Arc<dyn OrderChannel>) -> Self {
+        let clock = Clock::start();
+        let (sender, commands) = mpsc::unbounded_channel();
+        Self {
+            runs: Runs::new(options, token, clock.now()),
+            clock,
+            channel,
+            commands,
+            sender,
+            ended: HashMap::new(),
+            taken_over: watch::Sender::new(false),
+        }
+    }
+
+    /// The edge of an agent beside this target; `router` makes the paths of heartbeats.
+    pub fn into_edge(
+        self,
+        router: impl FnOnce(Heartbeats) -> Router + Send + 'static,
+        presence: Option<Presence>,
+    ) -> AgentEdge {
+        let heartbeats = Heartbeats {
+            commands: self.sender.clone(),
+        };
+        let driver = Driver {
+            channel: Arc::clone(&self.channel),
+            commands: self.sender.clone(),
+        };
+        let mut taken_over = self.taken_over.subscribe();
+        AgentEdge {
+            driver: Arc::new(driver),
+            announcements: Box::new(move |events| {
+                tokio::spawn(self.run(events));
+                router(heartbeats)
+            }),
+            taken_over: Box::pin(async move {
+                // The sender ends only with the process.
+                let _ = taken_over.wait_for(|taken_over| *taken_over).await;
+            }),
+            presence,
+        }
+    }
+
+    async fn run(mut self, events: TargetEvents) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            let event = tokio::select! {
+                command = self.commands.recv() => match command {
+                    Some(Command::Start { task, work, ended }) => {
+                        self.ended.insert(task.clone(), ended);
+                        RunsEvent::Start { task, work }
+                    }
+                    Some(Command::Event(event)) => event,
+                    None => return,
+                },
+                _ = tick.tick() => RunsEvent::Tick,
+            };
+            for action in self.runs.handle(self.clock.now(), event) {
+                self.perform(action, &events);
+            }
+        }
+    }
+
+    fn perform(&mut self, action: RunsAction, events: &TargetEvents) {
+        match action {
+            RunsAction::SendStart(order) => {
+                let (channel, sender) = (Arc::clone(&self.channel), self.sender.clone());
+                tokio::spawn(async move {
+                    let outcome = channel.start(&order).await;
+                    let event = RunsEvent::Started { order, outcome };
+                    // The receiver ends only with the process.
+                    let _ = sender.send(Command::Event(event));
+                });
+            }
+            RunsAction::SendStop(order) => drop(tokio::spawn(self.channel.stop(order))),
+            RunsAction::SendLook(look) => {
+                let (channel, sender) = (Arc::clone(&self.channel), self.sender.clone());
+                tokio::spawn(async move {
+                    let outcome = channel.look(&look).await;
+                    let event = RunsEvent::Looked { look, outcome };
+                    // The receiver ends only with the process.
+                    let _ = sender.send(Command::Event(event));
+                });
+            }
+            RunsAction::Ended { task, run_us, end } => {
+                if let Some(ended) = self.ended.remove(&task) {
+                    // A run that nobody waits for needs no report.
+                    let _ = ended.send((run_us, end));
+                }
+            }
+            RunsAction::Announce(announcement) => events.announced(announcement),
+            RunsAction::Goodbye => events.goodbye(),
+            RunsAction::TakenOver {
+                token,
+                stopped_runs,
+            } => {
+                self.taken_over.send_replace(true);
+                dfs_log::emit(TargetEvent::TakenOver {
+                    token: token.0,
+                    stopped_runs,
+                });
+            }
+            RunsAction::Unreachable {
+                running_tasks,
+                message,
+            } => dfs_log::emit(TargetEvent::Unreachable {
+                running_tasks,
+                error: ErrorText::from(message.as_str()),
+            }),
+            RunsAction::Unanswered {
+                name,
+                token,
+                message,
+            } => dfs_log::emit(TargetEvent::OrderUnanswered {
+                task: name.to_string(),
+                token: token.0,
+                error: ErrorText::from(message.as_str()),
+            }),
+        }
+    }
+}
+
+struct Driver {
+    channel: Arc<dyn OrderChannel>,
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+impl TargetDriver for Driver {
+    fn start(&self, start: Start) -> Run {
+        let Some(work) = self.channel.work(&start.body) else {
+            let message = "the body is not a task of this target".to_owned();
+            let end = RunEnd::Started(TaskOutcome::Failed(message));
+            return Box::pin(std::future::ready((0, end)));
+        };
+        let (ended, end) = oneshot::channel();
+        let task = start.task;
+        // The receiver ends only with the process.
+        let _ = self.commands.send(Command::Start { task, work, ended });
+        Box::pin(async move {
+            end.await
+                .unwrap_or((0, RunEnd::NotStarted(NotRunReason::Leaving)))
+        })
+    }
+
+    fn stop(&self, task: &TaskRef) {
+        let event = RunsEvent::Stop { task: task.clone() };
+        // The receiver ends only with the process.
+        let _ = self.commands.send(Command::Event(event));
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,9 +1,20 @@
 //! The agent process: runs the tasks of entries on the target beside it.
 
 mod connection;
+mod edge;
+mod fenced;
 mod process;
 mod request;
 
+pub use edge::AgentEdge;
+pub use edge::Run;
+pub use edge::TargetDriver;
+pub use edge::TargetEvents;
+pub use fenced::Answer;
+pub use fenced::FencedTarget;
+pub use fenced::Heartbeats;
+pub use fenced::OrderChannel;
 pub use process::Agent;
 pub use process::StartError;
 pub use process::StopKind;
+pub use request::Start;
--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -1,6 +1,7 @@
 //! The one task that owns the decisions; it only carries events and actions.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use derive_more::From;
 use dfs_ids::Clock;
@@ -17,7 +18,6 @@
 use dfs_policy::agent as policy;
 use dfs_policy::agent::AgentAction;
 use dfs_policy::agent::AgentEvent;
-use dfs_policy::agent::RunEnd;
 use dfs_wire::session::Report;
 use dfs_wire::target::Announcement;
 use fail::fail_point;
@@ -25,7 +25,7 @@
 
 use super::roster::RosterEvent;
 use super::version::Versions;
-use crate::request::Runner;
+use crate::edge::TargetDriver;
 use crate::request::Start;
 
 /// Something for the core to do.
@@ -51,7 +51,7 @@
     inbox: Inbox<Command>,
     handle: CoreHandle,
     connections: HashMap<ConnectionId, mpsc::UnboundedSender<Report>>,
-    runner: Runner,
+    driver: Arc<dyn TargetDriver>,
     versions: Versions,
     roster: mpsc::UnboundedSender<RosterEvent>,
     /// What the target announced last, until it is gone.
@@ -64,7 +64,7 @@
         decisions: policy::Agent,
         clock: Clock,
         metrics: Metrics,
-        runner: Runner,
+        driver: Arc<dyn TargetDriver>,
         versions: Versions,
         roster: mpsc::UnboundedSender<RosterEvent>,
     ) -> (Self, CoreHandle, tokio::sync::watch::Receiver<bool>) {
@@ -77,7 +77,7 @@
             inbox,
             handle: handle.clone(),
             connections: HashMap::new(),
-            runner,
+            driver,
             versions,
             roster,
             announced: None,
@@ -188,6 +188,7 @@
             AgentAction::Start {
                 task,
                 service,
+                declared_ms,
                 address,
                 time_left_ms,
                 body,
@@ -195,18 +196,21 @@
             } => {
                 fail_point!("agent-start");
                 let handle = self.handle.clone();
-                let run = self.runner.run(Start {
+                let run = self.driver.start(Start {
+                    task: task.clone(),
                     service,
+                    declared_ms,
                     address,
                     time_left: time_left_ms.into(),
                     body,
                 });
                 tokio::spawn(async move {
-                    let (run_us, end): (u64, RunEnd) = run.await;
+                    let (run_us, end) = run.await;
                     handle.event(AgentEvent::Ended { task, run_us, end });
                 });
                 fail_point!("agent-started");
             }
+            AgentAction::Stop { task } => self.driver.stop(&task),
             AgentAction::Opened { connection, open } => {
                 let peer = ProcessName::Entry(open.entry.clone());
                 dfs_log::emit(SessionEvent::Opened { peer });
--- a/crates/agent/src/process/roster.rs
+++ b/crates/agent/src/process/roster.rs
@@ -8,11 +8,16 @@
 use std::time::Instant;
 
 use dfs_conf::AgentSettings;
+use dfs_ids::Clock;
 use dfs_ids::EntryId;
 use dfs_ids::Incarnation;
 use dfs_policy::ConnectionId;
 use dfs_policy::membership::Candidate;
 use dfs_policy::membership::choose;
+use dfs_store::Presence;
+use dfs_store::PresenceView;
+use dfs_store::Row;
+use dfs_store::StoreError;
 use dfs_wire::session::EntryAddress;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -27,6 +32,11 @@
 /// Time between two looks at parked addresses.
 const LOOK: Duration = Duration::from_secs(1);
 
+/// Time between two reads of the presence rows without any session.
+const FIND_FIRST: Duration = Duration::from_millis(300);
+/// Time between two reads of the presence rows beside sessions; a new entry is found this soon.
+const FIND_AGAIN: Duration = Duration::from_secs(5);
+
 /// What the roster learns.
 #[derive(Debug, Clone)]
 pub(crate) enum RosterEvent {
@@ -58,6 +68,9 @@
     /// Chosen entries by address.
     chosen: BTreeMap<SocketAddr, EntryId>,
     parked: BTreeMap<SocketAddr, Instant>,
+    presence: Option<Presence>,
+    view: PresenceView,
+    clock: Clock,
 }
 
 impl Roster {
@@ -67,6 +80,7 @@
         core: CoreHandle,
         sender: mpsc::UnboundedSender<RosterEvent>,
         events: mpsc::UnboundedReceiver<RosterEvent>,
+        presence: Option<Presence>,
     ) -> Self {
         Self {
             settings,
@@ -78,18 +92,26 @@
             connected: BTreeMap::new(),
             chosen: BTreeMap::new(),
             parked: BTreeMap::new(),
+            presence,
+            view: PresenceView::default(),
+            clock: Clock::start(),
         }
     }
 
     /// Starts with the addresses of the settings and follows what entries say.
     pub async fn run(mut self) {
         let mut look = tokio::time::interval(LOOK);
+        let mut find = Box::pin(find_after(self.presence.clone(), Duration::ZERO));
         loop {
             tokio::select! {
                 event = self.events.recv() => {
                     let Some(event) = event else { return };
                     self.take(event);
                 }
+                rows = &mut find => {
+                    self.observe(rows);
+                    find = Box::pin(find_after(self.presence.clone(), self.find_interval()));
+                }
                 _ = look.tick() => {}
             }
             self.unpark();
@@ -97,6 +119,28 @@
         }
     }
 
+    /// Takes the presence rows of one read; a failed one changes nothing.
+    fn observe(&mut self, rows: Result<Vec<Row>, StoreError>) {
+        let Ok(rows) = rows else { return };
+        self.view.observe(&rows, self.clock.now());
+        let live = self.view.live().map(|row| EntryAddress {
+            entry: row.entry.clone(),
+            domain: row.domain.clone(),
+            address: row.address,
+        });
+        let live: Vec<_> = live.collect();
+        self.choose(&live);
+    }
+
+    /// Entries tell of each other in sessions, so the rows are read often only without one.
+    fn find_interval(&self) -> Duration {
+        if self.connected.is_empty() {
+            FIND_FIRST
+        } else {
+            FIND_AGAIN
+        }
+    }
+
     fn take(&mut self, event: RosterEvent) {
         match event {
             RosterEvent::Connected {
@@ -180,3 +224,12 @@
         }
     }
 }
+
+/// Reads the presence rows after a while; without a table service it never ends.
+async fn find_after(presence: Option<Presence>, wait: Duration) -> Result<Vec<Row>, StoreError> {
+    let Some(presence) = presence else {
+        return std::future::pending().await;
+    };
+    tokio::time::sleep(wait).await;
+    presence.list().await
+}
--- a/crates/agent/src/process/start.rs
+++ b/crates/agent/src/process/start.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use dfs_conf::AgentSettings;
+use dfs_conf::StoreSettings;
 use dfs_ids::Clock;
 use dfs_ids::Incarnation;
 use dfs_ids::Millis;
@@ -14,6 +15,9 @@
 use dfs_log::ProcessName;
 use dfs_policy::agent as policy;
 use dfs_policy::agent::AgentEvent;
+use dfs_store::HttpTable;
+use dfs_store::Presence;
+use dfs_store::WriteBudget;
 use rand::Rng;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
@@ -26,6 +30,8 @@
 use super::error::ListenSnafu;
 use super::roster::Roster;
 use super::version::Versions;
+use crate::edge::AgentEdge;
+use crate::edge::TargetEvents;
 use crate::request;
 use crate::request::Runner;
 
@@ -40,6 +46,12 @@
     background: Vec<JoinHandle<()>>,
 }
 
+fn native_presence(store: &StoreSettings) -> Presence {
+    let table = HttpTable::new(store.table_address, store.timeout_ms);
+    let budget = WriteBudget::per_second(store.max_writes_per_s);
+    Presence::new(Arc::new(table), Arc::new(budget))
+}
+
 /// How a planned stop ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StopKind {
@@ -58,6 +70,25 @@
     ///
     /// The address cannot be bound.
     pub async fn start(settings: AgentSettings, metrics: Metrics) -> Result<Self, StartError> {
+        let edge = AgentEdge {
+            driver: Arc::new(Runner::new(&settings)),
+            announcements: Box::new(|events| request::router(events)),
+            taken_over: Box::pin(std::future::ready(())),
+            presence: settings.store.as_ref().map(native_presence),
+        };
+        Self::start_hosted(settings, metrics, edge).await
+    }
+
+    /// Starts an agent from checked settings beside a target of another host.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub async fn start_hosted(
+        settings: AgentSettings,
+        metrics: Metrics,
+        edge: AgentEdge,
+    ) -> Result<Self, StartError> {
         let settings = Arc::new(settings);
         let incarnation = Incarnation::new(rand::rng().random());
         dfs_log::emit(ProcessEvent::Starting {
@@ -75,21 +106,27 @@
             policy::Agent::new(incarnation, settings.keep_results_ms),
             Clock::start(),
             metrics,
-            Runner::new(&settings),
+            edge.driver,
             Versions::new(settings.domain.clone()),
             roster_sender.clone(),
         );
-        let announcements = request::router(handle.clone());
+        let announcements = (edge.announcements)(TargetEvents {
+            core: handle.clone(),
+        });
         let roster = Roster::new(
             Arc::clone(&settings),
             incarnation,
             handle.clone(),
             roster_sender,
             roster_events,
+            edge.presence,
         );
         let background = vec![
             tokio::spawn(core.run()),
-            tokio::spawn(roster.run()),
+            tokio::spawn(async move {
+                edge.taken_over.await;
+                roster.run().await;
+            }),
             tokio::spawn(async move {
                 // The server ends only with the process.
                 let _ = axum::serve(listener, announcements).await;
--- a/crates/agent/src/request/announce.rs
+++ b/crates/agent/src/request/announce.rs
@@ -6,36 +6,35 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use axum::routing::post;
-use dfs_policy::agent::AgentEvent;
 use dfs_wire::target::Announcement;
 
-use crate::process::CoreHandle;
+use crate::edge::TargetEvents;
 
 /// Largest announcement.
 const MAX_BODY_BYTES: usize = 64 << 10;
 
-pub(crate) fn router(core: CoreHandle) -> Router {
+pub(crate) fn router(events: TargetEvents) -> Router {
     Router::new()
         .route("/v1/target/announce", post(announce))
         .route("/v1/target/goodbye", post(goodbye))
         .route("/healthz", get(|| async { StatusCode::OK }))
         .layer(axum::extract::DefaultBodyLimit::max(MAX_BODY_BYTES))
-        .with_state(core)
+        .with_state(events)
 }
 
 async fn announce(
-    State(core): State<CoreHandle>,
+    State(events): State<TargetEvents>,
     Json(announcement): Json<Announcement>,
 ) -> StatusCode {
     let offer = &announcement.offer;
     if offer.slots.get() == 0 || offer.connections == 0 || offer.services.is_empty() {
         return StatusCode::UNPROCESSABLE_ENTITY;
     }
-    core.event(AgentEvent::Announced(announcement));
+    events.announced(announcement);
     StatusCode::NO_CONTENT
 }
 
-async fn goodbye(State(core): State<CoreHandle>) -> StatusCode {
-    core.event(AgentEvent::Goodbye);
+async fn goodbye(State(events): State<TargetEvents>) -> StatusCode {
+    events.goodbye();
     StatusCode::NO_CONTENT
 }
--- a/crates/agent/src/request/mod.rs
+++ b/crates/agent/src/request/mod.rs
@@ -5,4 +5,4 @@
 
 pub(crate) use announce::router;
 pub(crate) use run::Runner;
-pub(crate) use run::Start;
+pub use run::Start;
--- a/crates/agent/src/request/run.rs
+++ b/crates/agent/src/request/run.rs
@@ -7,9 +7,12 @@
 
 use axum::body::Bytes;
 use dfs_conf::AgentSettings;
+use dfs_ids::Millis;
 use dfs_ids::ServiceName;
 use dfs_policy::agent::RunEnd;
+use dfs_wire::session::NotRunReason;
 use dfs_wire::session::TaskOutcome;
+use dfs_wire::session::TaskRef;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -25,6 +28,9 @@
 use hyper_util::rt::TokioTimer;
 use serde_json::value::RawValue;
 
+use crate::edge::Run;
+use crate::edge::TargetDriver;
+
 /// Idle connections are closed before a target is likely to close them, since a request that was
 /// written to a connection in closing has an unknown outcome.
 const MAX_IDLE: Duration = Duration::from_secs(2);
@@ -37,11 +43,18 @@
 
 /// A task to start.
 #[derive(Debug)]
-pub(crate) struct Start {
+pub struct Start {
+    /// The attempt.
+    pub task: TaskRef,
+    /// Name of the service.
     pub service: ServiceName,
+    /// Address of the target.
     pub address: SocketAddr,
+    /// Run time that the caller expects; zero: unknown.
+    pub declared_ms: Millis,
     /// Time until the submission is answered, with or without the task.
     pub time_left: Duration,
+    /// What the task is given.
     pub body: Arc<RawValue>,
 }
 
@@ -70,19 +83,15 @@
         }
     }
 
-    /// Runs one task; resolves to its run time in microseconds and its end.
-    pub fn run(&self, start: Start) -> impl Future<Output = (u64, RunEnd)> + Send + use<> {
-        let runner = self.clone();
-        async move {
-            let started = Instant::now();
-            let longest = runner.run_timeout.min(start.time_left + DEADLINE_GRACE);
-            let end = match tokio::time::timeout(longest, runner.call(&start)).await {
-                Ok(end) => end,
-                Err(_) => unknown(format!("no answer within {longest:?}")),
-            };
-            let run_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
-            (run_us, end)
-        }
+    async fn run(self, start: Start) -> (u64, RunEnd) {
+        let started = Instant::now();
+        let longest = self.run_timeout.min(start.time_left + DEADLINE_GRACE);
+        let end = match tokio::time::timeout(longest, self.call(&start)).await {
+            Ok(end) => end,
+            Err(_) => unknown(format!("no answer within {longest:?}")),
+        };
+        let run_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        (run_us, end)
     }
 
     async fn call(&self, start: &Start) -> RunEnd {
@@ -100,7 +109,7 @@
         };
         match self.client.request(request).await {
             Ok(response) => RunEnd::Started(self.read(response).await),
-            Err(error) if error.is_connect() => RunEnd::Refused,
+            Err(error) if error.is_connect() => RunEnd::NotStarted(NotRunReason::ConnectionRefused),
             Err(error) => unknown(describe(&error)),
         }
     }
@@ -126,6 +135,15 @@
     }
 }
 
+impl TargetDriver for Runner {
+    fn start(&self, start: Start) -> Run {
+        Box::pin(self.clone().run(start))
+    }
+
+    /// The protocol has no stop: the run ends by itself.
+    fn stop(&self, _: &TaskRef) {}
+}
+
 fn unknown(message: String) -> RunEnd {
     RunEnd::Started(TaskOutcome::Unknown(message))
 }
--- a/crates/conf/src/diff/mod.rs
+++ b/crates/conf/src/diff/mod.rs
@@ -15,6 +15,7 @@
 use crate::Group;
 use crate::Inventory;
 use crate::Operator;
+use crate::Queue;
 use crate::Rules;
 use crate::Service;
 use crate::Target;
@@ -39,6 +40,9 @@
     /// Groups that differ.
     #[serde(default, skip_serializing_if = "SectionDiff::is_same")]
     pub groups: SectionDiff<Group>,
+    /// Queues that differ.
+    #[serde(default, skip_serializing_if = "SectionDiff::is_same")]
+    pub queues: SectionDiff<Queue>,
     /// Targets that differ.
     #[serde(default, skip_serializing_if = "SectionDiff::is_same")]
     pub targets: SectionDiff<Target>,
@@ -79,6 +83,7 @@
             operators: changed(&from.operators, &to.operators),
             services: SectionDiff::between(&from.services, &to.services),
             groups: SectionDiff::between(&from.groups, &to.groups),
+            queues: SectionDiff::between(&from.queues, &to.queues),
             targets: SectionDiff::between(&from.targets, &to.targets),
             rules: changed(&old.rules, &new.rules),
         }
@@ -105,6 +110,7 @@
                 .unwrap_or_else(|| from.operators.clone()),
             services: self.services.apply(&from.services),
             groups: self.groups.apply(&from.groups),
+            queues: self.queues.apply(&from.queues),
             targets: self.targets.apply(&from.targets),
         };
         Ok(Config {
--- a/crates/conf/src/diff/section.rs
+++ b/crates/conf/src/diff/section.rs
@@ -4,12 +4,14 @@
 use std::hash::Hash;
 
 use dfs_ids::GroupId;
+use dfs_ids::QueueName;
 use dfs_ids::ServiceName;
 use dfs_ids::TargetId;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::Group;
+use crate::Queue;
 use crate::Service;
 use crate::Target;
 
@@ -38,6 +40,14 @@
     }
 }
 
+impl Keyed for Queue {
+    type Key = QueueName;
+
+    fn key(&self) -> &QueueName {
+        &self.queue
+    }
+}
+
 impl Keyed for Target {
     type Key = TargetId;
 
--- a/crates/conf/src/inventory/check.rs
+++ b/crates/conf/src/inventory/check.rs
@@ -3,7 +3,10 @@
 use std::ops::RangeInclusive;
 
 use dfs_ids::FailureDomain;
+use dfs_ids::GroupId;
 use dfs_ids::IdError;
+use dfs_ids::Millis;
+use dfs_ids::Priority;
 use dfs_ids::ServiceName;
 use dfs_ids::Slots;
 use dfs_ids::TargetId;
@@ -13,6 +16,7 @@
 use super::Group;
 use super::Inventory;
 use super::Operator;
+use super::Queue;
 use super::Service;
 use super::Target;
 use crate::Faults;
@@ -30,6 +34,8 @@
 const SHARE: RangeInclusive<f64> = 1e-6..=1e6;
 const SLOTS: RangeInclusive<Slots> = Slots::new(1)..=Slots::new(100_000);
 const CONNECTIONS: RangeInclusive<u32> = 1..=1_000_000;
+const FAILURES: RangeInclusive<u32> = 1..=1_000;
+const STRETCH: RangeInclusive<f64> = 1.0..=1e6;
 const PLACED: RangeInclusive<u32> = 1..=10_000_000;
 
 /// Reads an inventory and checks it whole.
@@ -62,6 +68,7 @@
         for (path, group) in indexed(&FieldPath::new("groups"), &self.groups) {
             check_group(&mut checker, &path, group, &names);
         }
+        self.check_queues(&mut checker, &names);
         for (path, target) in indexed(&FieldPath::new("targets"), &self.targets) {
             check_target(&mut checker, &path, target, &names);
         }
@@ -95,6 +102,16 @@
         }
     }
 
+    fn check_queues(&self, checker: &mut Checker, names: &Names) {
+        let queues = FieldPath::new("queues");
+        checker.unique(indexed(&queues, &self.queues).map(|(p, q)| (p.field("queue"), &q.queue)));
+        let place = |queue: &Queue| format!("{}{}", queue.host, queue.prefix);
+        checker.unique(indexed(&queues, &self.queues).map(|(p, q)| (p.field("prefix"), place(q))));
+        for (path, queue) in indexed(&queues, &self.queues) {
+            check_queue(checker, &path, queue, names);
+        }
+    }
+
     /// No two groups or operators share a token.
     fn check_tokens(&self, checker: &mut Checker) {
         let operators = FieldPath::new("operators");
@@ -116,6 +133,7 @@
 struct Names<'a> {
     domains: Known<'a, FailureDomain>,
     services: Known<'a, ServiceName>,
+    groups: Known<'a, GroupId>,
     /// Empty if the inventory lists no targets, so that any may announce itself.
     targets: Known<'a, TargetId>,
 }
@@ -123,10 +141,12 @@
 impl<'a> Names<'a> {
     fn of(inventory: &'a Inventory) -> Self {
         let services = inventory.services.iter().map(|s| &s.service);
+        let groups = inventory.groups.iter().map(|g| &g.group);
         let targets = inventory.targets.iter().map(|t| &t.target);
         Self {
             domains: Known::new(Kind::Domain, &inventory.domains),
             services: Known::new(Kind::Service, services),
+            groups: Known::new(Kind::Group, groups),
             targets: Known::new(Kind::Target, targets),
         }
     }
@@ -145,6 +165,19 @@
     }
 }
 
+fn check_queue(checker: &mut Checker, path: &FieldPath, queue: &Queue, names: &Names) {
+    checker.not_empty(path.field("host"), queue.host.is_empty(), Kind::Character);
+    checker.not_empty(
+        path.field("prefix"),
+        queue.prefix.is_empty(),
+        Kind::Character,
+    );
+    checker.is_known(path.field("group"), &queue.group, &names.groups);
+    checker.is_known(path.field("service"), &queue.service, &names.services);
+    checker.range(path.field("max_failures"), queue.max_failures, &FAILURES);
+    checker.range(path.field("stretch"), queue.stretch, &STRETCH);
+}
+
 fn check_target(checker: &mut Checker, path: &FieldPath, target: &Target, names: &Names) {
     checker.is_known(path.field("domain"), &target.domain, &names.domains);
     checker.not_empty(path.field("rack"), target.rack.is_empty(), Kind::Character);
@@ -182,6 +215,17 @@
         targets: vec![target.clone()],
         max_placed: Some(1),
     };
+    let queue = Queue {
+        queue: "queue".parse()?,
+        host: "host".to_owned(),
+        prefix: "/queue/".to_owned(),
+        group: group.group.clone(),
+        service: service.clone(),
+        priority: Priority::new(1),
+        max_failures: 1,
+        stretch: 1.0,
+        objective_ms: Millis::new(1),
+    };
     let target = Target {
         target,
         domain: domain.clone(),
@@ -202,6 +246,7 @@
             requires: Resources::default(),
         }],
         groups: vec![group],
+        queues: vec![queue],
         targets: vec![target],
     })
 }
--- a/crates/conf/src/inventory/mod.rs
+++ b/crates/conf/src/inventory/mod.rs
@@ -1,6 +1,7 @@
 //! The inventory, drawn from the operators' asset register.
 
 mod check;
+mod queue;
 mod warning;
 
 use dfs_ids::FailureDomain;
@@ -13,6 +14,8 @@
 use serde::Serialize;
 
 pub use check::check_inventory;
+pub use queue::Queue;
+pub use queue::QueueIndex;
 pub use warning::Warning;
 
 use crate::TokenDigest;
@@ -29,6 +32,9 @@
     pub services: Vec<Service>,
     /// Groups; names and token digests are unique.
     pub groups: Vec<Group>,
+    /// Queues; names and pairs of host and prefix are unique.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub queues: Vec<Queue>,
     /// Targets of the asset register. Empty: every target that announces itself may serve.
     #[serde(default)]
     pub targets: Vec<Target>,
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -31,6 +31,8 @@
 pub use inventory::Group;
 pub use inventory::Inventory;
 pub use inventory::Operator;
+pub use inventory::Queue;
+pub use inventory::QueueIndex;
 pub use inventory::Service;
 pub use inventory::Target;
 pub use inventory::Warning;
--- a/crates/conf/src/settings/agent.rs
+++ b/crates/conf/src/settings/agent.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::LogSettings;
+use crate::StoreSettings;
 
 /// Settings file of `dragonflyshedd agent`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +23,9 @@
     pub listen_address: SocketAddr,
     /// Session addresses to dial first: the balancer's, or some entries'.
     pub entry_addresses: Vec<SocketAddr>,
+    /// The platform, whose presence rows name the entries; absent: `entry_addresses` name some.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub store: Option<StoreSettings>,
     /// Secret that all processes share; at least 16 bytes.
     pub session_secret: String,
     /// Most entries to keep a session with.
@@ -71,6 +75,7 @@
             domain,
             listen_address,
             entry_addresses,
+            store: None,
             session_secret,
             max_sessions: default_max_sessions(),
             redial_ms: default_redial_ms(),
--- a/crates/conf/src/settings/agent_check.rs
+++ b/crates/conf/src/settings/agent_check.rs
@@ -10,6 +10,7 @@
 use super::read::read;
 use crate::Faults;
 use crate::LogSettings;
+use crate::StoreSettings;
 use crate::check::Checker;
 use crate::check::indexed;
 use crate::fault::Fault;
@@ -49,6 +50,10 @@
     #[must_use]
     pub fn example() -> Self {
         Self {
+            store: Some(StoreSettings::new(
+                common::example_address(9_000),
+                common::example_address(9_001),
+            )),
             log: LogSettings {
                 statsd_address: Some(common::example_address(8_125)),
                 ..LogSettings::default()
@@ -76,7 +81,11 @@
     fn check_entry_addresses(&self, checker: &mut Checker) {
         let path = FieldPath::new("entry_addresses");
         let list = &self.entry_addresses;
-        checker.not_empty(path.clone(), list.is_empty(), Kind::EntryAddress);
+        let finds_none = list.is_empty() && self.store.is_none();
+        checker.not_empty(path.clone(), finds_none, Kind::EntryAddress);
+        if let Some(store) = &self.store {
+            common::check_store(checker, store);
+        }
         checker.unique_list(&path, list);
         for (path, address) in indexed(&path, list) {
             checker.dialable(path.clone(), *address);
--- a/crates/conf/tests/examples.rs
+++ b/crates/conf/tests/examples.rs
@@ -38,7 +38,11 @@
         expect_that!(targets, len(eq(11)));
         expect_true!(targets.iter().all(|t| t.slots.get() == 8));
         expect_true!(targets.iter().all(|t| t.connections == 64));
-        expect_true!(targets.iter().all(|t| t.resources.cpu_millis == cores * 1000));
+        expect_true!(
+            targets
+                .iter()
+                .all(|t| t.resources.cpu_millis == cores * 1000)
+        );
         expect_true!(targets.iter().all(|t| t.resources.memory_mib == 64 << 10));
     }
 }
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -28,6 +28,21 @@
     Entry(Options),
     /// Runs tasks on the target beside it.
     Agent(Options),
+    /// Runs a role on the users' platform, with the settings file that the platform names.
+    Platform {
+        /// Role of the process.
+        #[command(subcommand)]
+        role: PlatformRole,
+    },
+}
+
+/// Roles on the users' platform.
+#[derive(Debug, Clone, Copy, Subcommand)]
+pub enum PlatformRole {
+    /// Takes jobs of clients and places their tasks on agents.
+    Entry,
+    /// Runs tasks on the worker of its machine.
+    Agent,
 }
 
 /// Options of every role.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -17,6 +17,7 @@
 
 use crate::cli::Cli;
 use crate::cli::Options;
+use crate::cli::PlatformRole;
 use crate::cli::Role;
 use crate::signal::StopSignals;
 
@@ -74,6 +75,12 @@
         /// What failed.
         source: dfs_entry::StartError,
     },
+    /// A role could not be started on the platform.
+    #[snafu(transparent)]
+    Platform {
+        /// What failed.
+        source: dfs_platform::StartError,
+    },
     /// The agent could not be started.
     #[snafu(transparent)]
     Agent {
@@ -93,6 +100,7 @@
             Some(settings) => runtime()?.block_on(run_agent(settings)),
             None => Ok(ExitCode::SUCCESS),
         },
+        Role::Platform { role } => lean_runtime()?.block_on(run_hosted(role)),
     }
 }
 
@@ -147,10 +155,35 @@
         .context(RuntimeSnafu)
 }
 
+/// One thread: the platform gives a process a part of one core.
+fn lean_runtime() -> Result<tokio::runtime::Runtime, RunError> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)
+}
+
+async fn run_hosted(role: PlatformRole) -> Result<ExitCode, RunError> {
+    let signals = StopSignals::listen().context(SignalsSnafu)?;
+    match role {
+        PlatformRole::Entry => stop_entry(dfs_platform::start_entry().await?, signals).await,
+        PlatformRole::Agent => stop_agent(dfs_platform::start_agent().await?, signals).await,
+    }
+}
+
 async fn run_entry(settings: EntrySettings) -> Result<ExitCode, RunError> {
-    let mut signals = StopSignals::listen().context(SignalsSnafu)?;
+    let signals = StopSignals::listen().context(SignalsSnafu)?;
     let metrics = dfs_log::init(&settings.log, &ProcessName::Entry(settings.entry.clone()))?;
-    let entry = Entry::start(settings, metrics).await?;
+    stop_entry(Entry::start(settings, metrics).await?, signals).await
+}
+
+async fn run_agent(settings: AgentSettings) -> Result<ExitCode, RunError> {
+    let signals = StopSignals::listen().context(SignalsSnafu)?;
+    let metrics = dfs_log::init(&settings.log, &ProcessName::Agent(settings.agent.clone()))?;
+    stop_agent(Agent::start(settings, metrics).await?, signals).await
+}
+
+async fn stop_entry(entry: Entry, mut signals: StopSignals) -> Result<ExitCode, RunError> {
     signals.next().await;
     Ok(match entry.stop(signals.next()).await {
         dfs_entry::StopKind::Drained => ExitCode::SUCCESS,
@@ -160,10 +193,7 @@
     })
 }
 
-async fn run_agent(settings: AgentSettings) -> Result<ExitCode, RunError> {
-    let mut signals = StopSignals::listen().context(SignalsSnafu)?;
-    let metrics = dfs_log::init(&settings.log, &ProcessName::Agent(settings.agent.clone()))?;
-    let agent = Agent::start(settings, metrics).await?;
+async fn stop_agent(agent: Agent, mut signals: StopSignals) -> Result<ExitCode, RunError> {
     signals.next().await;
     Ok(match agent.stop(signals.next()).await {
         dfs_agent::StopKind::Drained => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/entry/src/edge.rs
@@ -0,0 +1,122 @@
+//! What an entry of another host uses in place of the product's own interface and store.
+
+use std::sync::Arc;
+
+use axum::Router;
+use dfs_conf::Config;
+use dfs_conf::ConfigUpdate;
+use dfs_conf::Queue;
+use dfs_ids::ConfigVersion;
+use dfs_ids::QueueName;
+use dfs_ids::SubmissionId;
+use dfs_log::ConfigSource;
+use dfs_policy::entry::Readiness;
+use dfs_policy::entry::Submission;
+use dfs_store::Pending;
+use dfs_store::StoreError;
+use dfs_store::TableService;
+use dfs_wire::api::Answer;
+use tokio::sync::oneshot;
+
+use crate::process::Command;
+use crate::request::Open;
+use crate::request::State;
+use crate::version::Holder;
+
+/// Parts of an entry that depend on its host.
+pub struct EntryEdge {
+    /// Where presence rows are kept.
+    pub table: Arc<dyn TableService>,
+    /// Makes the paths for callers.
+    pub router: Box<dyn FnOnce(Ingress) -> Router + Send>,
+    /// Follows the configuration for as long as the process lives.
+    pub follow_config: Box<dyn FnOnce(ConfigSink) -> Pending<'static, (), StoreError> + Send>,
+}
+
+/// Takes versions of the configuration.
+#[derive(Debug, Clone)]
+pub struct ConfigSink {
+    pub(crate) holder: Holder,
+}
+
+impl ConfigSink {
+    /// Puts a version in force if it is higher than the one held.
+    pub fn offer(&self, config: Config) {
+        let update = ConfigUpdate::Whole(Box::new(config));
+        self.holder.adopt(update, ConfigSource::Store);
+    }
+
+    /// The version in force, none before the first.
+    #[must_use]
+    pub fn version(&self) -> Option<ConfigVersion> {
+        self.holder.held().map(|config| config.version)
+    }
+
+    /// Records that the store has just been read, so that the version held is known to be the latest.
+    pub fn confirm(&self) {
+        self.holder.confirm();
+    }
+}
+
+/// Hands submissions in.
+#[derive(Clone)]
+pub struct Ingress {
+    pub(crate) state: Arc<State>,
+}
+
+impl Ingress {
+    /// Runs a submission; dropping the future cancels it. The submission's name must be one of
+    /// [`Self::next_submission`].
+    pub async fn submit(&self, submission: Submission) -> Answer {
+        match Open::register(Arc::clone(&self.state), None, &submission) {
+            Ok(open) => open.run(submission).await,
+            Err(refusal) => refusal.into_answer(),
+        }
+    }
+
+    /// A name that no other submission has.
+    #[must_use]
+    pub fn next_submission(&self) -> SubmissionId {
+        self.state.next_submission()
+    }
+
+    /// The configuration in force, none before the first.
+    #[must_use]
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.state.holder.held()
+    }
+
+    /// The queue that a caller means; an error before the first configuration.
+    ///
+    /// # Errors
+    ///
+    /// No configuration is held.
+    pub fn queue(&self, host: &str, path: &str) -> Result<Option<Queue>, NoConfig> {
+        let queues = self.state.holder.queues().ok_or(NoConfig)?;
+        Ok(queues.find(host, path).cloned())
+    }
+
+    /// Submissions of a queue of which no task was placed at this entry.
+    pub async fn waiting(&self, queue: QueueName) -> u64 {
+        let (reply, waiting) = oneshot::channel();
+        self.state.core.send(Command::Waiting { queue, reply });
+        // The core outlives every request; after it nothing waits.
+        waiting.await.unwrap_or_default()
+    }
+
+    /// Whether the balancer should open connections to this entry.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_serving() && *self.state.readiness.borrow() == Readiness::Ready
+    }
+
+    /// Whether no planned stop has begun.
+    #[must_use]
+    pub fn is_serving(&self) -> bool {
+        self.state.gate.is_serving()
+    }
+}
+
+/// No configuration is held yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoConfig;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,10 +1,15 @@
 //! The entry process: takes submissions, places tasks on agents, answers callers.
 
 mod connection;
+mod edge;
 mod process;
 mod request;
 mod version;
 
+pub use edge::ConfigSink;
+pub use edge::EntryEdge;
+pub use edge::Ingress;
+pub use edge::NoConfig;
 pub use process::Entry;
 pub use process::StartError;
 pub use process::StopKind;
--- a/crates/entry/src/process/core.rs
+++ b/crates/entry/src/process/core.rs
@@ -6,6 +6,7 @@
 use dfs_ids::AgentId;
 use dfs_ids::Clock;
 use dfs_ids::ConfigVersion;
+use dfs_ids::QueueName;
 use dfs_ids::SubmissionId;
 use dfs_inbox::Handle;
 use dfs_inbox::Inbox;
@@ -59,6 +60,12 @@
         event: EntryEvent,
         reply: oneshot::Sender<Result<Ack, ReportError>>,
     },
+    /// Submissions of a queue of which no task was placed.
+    #[from(ignore)]
+    Waiting {
+        queue: QueueName,
+        reply: oneshot::Sender<u64>,
+    },
     /// The status page.
     #[from(ignore)]
     Status(oneshot::Sender<EntryStatus>),
@@ -192,6 +199,10 @@
                 self.replies.insert((connection, seq), reply);
                 self.handle(event);
             }
+            Command::Waiting { queue, reply } => {
+                // A caller that has gone needs no reply.
+                let _ = reply.send(self.decisions.waiting(&queue));
+            }
             Command::Status(reply) => {
                 let status = self.decisions.status(self.clock.now());
                 // A caller that has gone needs no status.
--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use axum::Router;
 use dfs_conf::EntryLimits;
 use dfs_conf::EntrySettings;
 use dfs_conf::TokenDigest;
@@ -49,6 +50,9 @@
 use super::presence;
 use crate::connection::SessionServer;
 use crate::connection::serve_callers;
+use crate::edge::ConfigSink;
+use crate::edge::EntryEdge;
+use crate::edge::Ingress;
 use crate::request;
 use crate::version::Holder;
 use crate::version::poll;
@@ -90,6 +94,28 @@
     ///
     /// An address cannot be bound.
     pub async fn start(settings: EntrySettings, metrics: Metrics) -> Result<Self, StartError> {
+        let edge = Edge::Native(Platform::new(&settings));
+        Self::start_at(settings, metrics, edge).await
+    }
+
+    /// Starts an entry from checked settings with the interface and store of another host.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be bound.
+    pub async fn start_hosted(
+        settings: EntrySettings,
+        metrics: Metrics,
+        edge: EntryEdge,
+    ) -> Result<Self, StartError> {
+        Self::start_at(settings, metrics, Edge::Hosted(edge)).await
+    }
+
+    async fn start_at(
+        settings: EntrySettings,
+        metrics: Metrics,
+        edge: Edge,
+    ) -> Result<Self, StartError> {
         let clock = Clock::start();
         let incarnation = Incarnation::new(rand::rng().random());
         dfs_log::emit(ProcessEvent::Starting {
@@ -119,21 +145,17 @@
             .context(ListenSnafu { address })?;
         let address = listener.local_addr().context(ListenSnafu { address })?;
 
-        let platform = Platform::new(&settings);
         let gate = Gate::new();
         let state = Arc::new(request::State {
             core: handle.clone(),
             holder: holder.clone(),
             gate: gate.clone(),
             readiness: core.readiness(),
-            store: platform.config.clone(),
-            claimer: platform.claimer,
             limits: settings.limits.clone(),
             metrics,
             incarnation,
             serial: AtomicU64::new(0),
             names: Mutex::new(HashMap::new()),
-            bootstrap: TokenDigest::of(&settings.session_secret),
         });
         let row = PresenceRow {
             entry: settings.entry.clone(),
@@ -143,18 +165,14 @@
             lease_ms: presence::PRESENCE_LEASE_MS,
         };
         let (stop, stopped) = tokio::sync::watch::channel(false);
-        let background = vec![
+        let budget = Arc::new(WriteBudget::per_second(settings.store.max_writes_per_s));
+        let presence = Presence::new(edge.table(), budget);
+        let mut background = vec![
             tokio::spawn(core.run()),
             tokio::spawn(pass_on(incoming, holder.clone(), handle.clone(), stop)),
-            tokio::spawn(poll(settings.store.clone(), platform.config, holder)),
-            tokio::spawn(presence::keep(
-                platform.presence,
-                row,
-                clock,
-                handle.clone(),
-            )),
+            tokio::spawn(presence::keep(presence, row, clock, handle.clone())),
         ];
-        let router = request::router(state);
+        let router = edge.serve(&settings, state, holder, &mut background);
         let callers = tokio::spawn(serve_callers(
             listener,
             router,
@@ -233,9 +251,9 @@
 
 /// Clients of the platform.
 struct Platform {
+    table: Arc<dyn TableService>,
     config: ConfigStore,
     claimer: Claimer,
-    presence: Presence,
 }
 
 impl Platform {
@@ -247,12 +265,53 @@
         let budget = Arc::new(WriteBudget::per_second(store.max_writes_per_s));
         Self {
             config: ConfigStore::new(Arc::clone(&table), objects, Arc::clone(&budget)),
-            claimer: Claimer::spawn(
-                Arc::clone(&table),
-                Arc::clone(&budget),
-                ClaimSettings::default(),
-            ),
-            presence: Presence::new(table, budget),
+            claimer: Claimer::spawn(Arc::clone(&table), budget, ClaimSettings::default()),
+            table,
+        }
+    }
+}
+
+/// The product's own interface and store, or those of another host.
+enum Edge {
+    Native(Platform),
+    Hosted(EntryEdge),
+}
+
+impl Edge {
+    fn table(&self) -> Arc<dyn TableService> {
+        match self {
+            Self::Native(platform) => Arc::clone(&platform.table),
+            Self::Hosted(edge) => Arc::clone(&edge.table),
+        }
+    }
+
+    /// The paths for callers; starts what follows the configuration.
+    fn serve(
+        self,
+        settings: &EntrySettings,
+        state: Arc<request::State>,
+        holder: Holder,
+        background: &mut Vec<JoinHandle<()>>,
+    ) -> Router {
+        match self {
+            Self::Native(platform) => {
+                let store = platform.config.clone();
+                background.push(tokio::spawn(poll(settings.store.clone(), store, holder)));
+                request::router(Arc::new(request::Native {
+                    state,
+                    store: platform.config,
+                    claimer: platform.claimer,
+                    bootstrap: TokenDigest::of(&settings.session_secret),
+                }))
+            }
+            Self::Hosted(edge) => {
+                let follow = (edge.follow_config)(ConfigSink { holder });
+                background.push(tokio::spawn(async move {
+                    // It ends only with the process.
+                    let _ = follow.await;
+                }));
+                (edge.router)(Ingress { state })
+            }
         }
     }
 }
--- a/crates/entry/src/request/key.rs
+++ b/crates/entry/src/request/key.rs
@@ -13,11 +13,11 @@
 use dfs_wire::api::FailureReason;
 
 use super::refuse::Refusal;
-use super::routes::State;
+use super::routes::Native;
 
 /// The key of a submission, claimed for it alone.
 pub(super) struct KeyClaim {
-    state: Arc<State>,
+    state: Arc<Native>,
     group: GroupId,
     key: RequestKey,
     holder: SubmissionId,
@@ -26,7 +26,7 @@
 impl KeyClaim {
     /// Claims the key, or says why the submission may not run.
     pub async fn make(
-        state: &Arc<State>,
+        state: &Arc<Native>,
         submission: &Submission,
         key: RequestKey,
     ) -> Result<Self, Refusal> {
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -8,6 +8,8 @@
 mod routes;
 mod submit;
 
+pub(crate) use open::Open;
 pub(crate) use refuse::Refusal;
+pub(crate) use routes::Native;
 pub(crate) use routes::State;
 pub(crate) use routes::router;
--- a/crates/entry/src/request/open.rs
+++ b/crates/entry/src/request/open.rs
@@ -23,8 +23,8 @@
 use crate::process::Command;
 
 /// An open submission; dropping it cancels what is not answered, since its caller has gone.
-pub(super) struct Open {
-    pub state: Arc<State>,
+pub(crate) struct Open {
+    state: Arc<State>,
     group: GroupId,
     name: Option<SubmissionId>,
     submission: SubmissionId,
--- a/crates/entry/src/request/operate.rs
+++ b/crates/entry/src/request/operate.rs
@@ -19,7 +19,7 @@
 
 use super::body;
 use super::refuse::Refusal;
-use super::routes::State;
+use super::routes::Native;
 use crate::process::Command;
 use crate::version::apply;
 
@@ -28,7 +28,7 @@
 
 /// `GET /v1/config`.
 pub(super) async fn show_config(
-    Shared(state): Shared<Arc<State>>,
+    Shared(state): Shared<Arc<Native>>,
     headers: HeaderMap,
 ) -> Result<Response, Refusal> {
     operator(&state, &headers)?;
@@ -45,7 +45,7 @@
 
 /// `POST /v1/config`.
 pub(super) async fn apply_config(
-    Shared(state): Shared<Arc<State>>,
+    Shared(state): Shared<Arc<Native>>,
     headers: HeaderMap,
     body: Body,
 ) -> Result<Response, Refusal> {
@@ -70,7 +70,7 @@
 
 /// `GET /v1/status`.
 pub(super) async fn status(
-    Shared(state): Shared<Arc<State>>,
+    Shared(state): Shared<Arc<Native>>,
     headers: HeaderMap,
 ) -> Result<Response, Refusal> {
     operator(&state, &headers)?;
@@ -89,7 +89,7 @@
 
 /// Name of the operator. Before the first configuration nobody is known, and whoever has the session
 /// secret may apply one.
-fn operator(state: &State, headers: &HeaderMap) -> Result<String, Refusal> {
+fn operator(state: &Native, headers: &HeaderMap) -> Result<String, Refusal> {
     let token = body::token(headers)?;
     if state.holder.held().is_none() {
         if state.is_bootstrap(token) {
--- a/crates/entry/src/request/refuse.rs
+++ b/crates/entry/src/request/refuse.rs
@@ -46,7 +46,7 @@
         }
     }
 
-    fn into_answer(self) -> Answer {
+    pub fn into_answer(self) -> Answer {
         Answer {
             submission: None,
             outcome: Outcome::Failed,
--- a/crates/entry/src/request/routes.rs
+++ b/crates/entry/src/request/routes.rs
@@ -11,6 +11,7 @@
 use axum::routing::delete;
 use axum::routing::get;
 use axum::routing::post;
+use derive_more::Deref;
 use dfs_conf::EntryLimits;
 use dfs_conf::TokenDigest;
 use dfs_ids::GroupId;
@@ -34,19 +35,26 @@
     pub holder: Holder,
     pub gate: Gate,
     pub readiness: watch::Receiver<Readiness>,
-    pub store: ConfigStore,
-    pub claimer: Claimer,
     pub limits: EntryLimits,
     pub metrics: Metrics,
     pub incarnation: Incarnation,
-    /// Digest of the token that may apply the first configuration.
-    pub bootstrap: TokenDigest,
     pub serial: AtomicU64,
     /// Open submissions by the name that their caller gave them.
     pub names: Mutex<HashMap<(GroupId, SubmissionId), SubmissionId>>,
 }
 
-pub(crate) fn router(state: Arc<State>) -> Router {
+/// What requests of the product's own interface may use besides.
+#[derive(Deref)]
+pub(crate) struct Native {
+    #[deref]
+    pub state: Arc<State>,
+    pub store: ConfigStore,
+    pub claimer: Claimer,
+    /// Digest of the token that may apply the first configuration.
+    pub bootstrap: TokenDigest,
+}
+
+pub(crate) fn router(state: Arc<Native>) -> Router {
     Router::new()
         .route("/v1/jobs", post(submit::job))
         .route("/v1/requests", post(submit::request))
@@ -61,14 +69,14 @@
         .with_state(state)
 }
 
-impl State {
+impl Native {
     /// Whether the token is the session secret, which may apply the first configuration.
     pub fn is_bootstrap(&self, token: &str) -> bool {
         self.bootstrap.matches(&TokenDigest::of(token))
     }
 }
 
-async fn ready(Shared(state): Shared<Arc<State>>) -> StatusCode {
+async fn ready(Shared(state): Shared<Arc<Native>>) -> StatusCode {
     if state.gate.is_serving() && *state.readiness.borrow() == Readiness::Ready {
         StatusCode::OK
     } else {
--- a/crates/entry/src/request/submit.rs
+++ b/crates/entry/src/request/submit.rs
@@ -28,6 +28,7 @@
 use super::open::Open;
 use super::refuse::Refusal;
 use super::refuse::respond;
+use super::routes::Native;
 use super::routes::State;
 
 /// Header with the name that the caller gives its submission.
@@ -35,7 +36,7 @@
 
 /// `POST /v1/jobs`.
 pub(super) async fn job(
-    Shared(state): Shared<Arc<State>>,
+    Shared(state): Shared<Arc<Native>>,
     headers: HeaderMap,
     body: Body,
 ) -> Result<Response, Refusal> {
@@ -62,7 +63,7 @@
 
 /// `POST /v1/requests`.
 pub(super) async fn request(
-    Shared(state): Shared<Arc<State>>,
+    Shared(state): Shared<Arc<Native>>,
     headers: HeaderMap,
     body: Body,
 ) -> Result<Response, Refusal> {
@@ -89,7 +90,7 @@
 
 /// `DELETE /v1/jobs/{submission}`.
 pub(super) async fn cancel(
-    Shared(state): Shared<Arc<State>>,
+    Shared(state): Shared<Arc<Native>>,
     Path(name): Path<String>,
     headers: HeaderMap,
 ) -> Result<StatusCode, Refusal> {
@@ -127,15 +128,15 @@
 const SHORTEST_DEADLINE_MS: Millis = Millis::new(1);
 
 async fn submit(
-    state: Arc<State>,
+    native: Arc<Native>,
     headers: &HeaderMap,
     mut submission: Submission,
     key: Option<RequestKey>,
 ) -> Result<Response, Refusal> {
     let name = name(headers)?;
-    let open = Open::register(state, name, &submission)?;
+    let open = Open::register(Arc::clone(&native.state), name, &submission)?;
     let claim = match key {
-        Some(key) => Some(KeyClaim::make(&open.state, &submission, key).await?),
+        Some(key) => Some(KeyClaim::make(&native, &submission, key).await?),
         None => None,
     };
     if let Some(deadline) = &mut submission.deadline_ms {
@@ -167,7 +168,7 @@
 }
 
 impl State {
-    fn next_submission(&self) -> SubmissionId {
+    pub fn next_submission(&self) -> SubmissionId {
         SubmissionId::numbered(
             self.incarnation,
             self.serial.fetch_add(1, Ordering::Relaxed),
--- a/crates/entry/src/version/holder.rs
+++ b/crates/entry/src/version/holder.rs
@@ -13,6 +13,7 @@
 use dfs_conf::ConfigHolder;
 use dfs_conf::ConfigUpdate;
 use dfs_conf::Identity;
+use dfs_conf::QueueIndex;
 use dfs_conf::TokenIndex;
 use dfs_ids::Clock;
 use dfs_ids::ConfigVersion;
@@ -46,6 +47,7 @@
 struct State {
     holder: ConfigHolder,
     tokens: TokenIndex,
+    queues: Arc<QueueIndex>,
     /// Steps between the versions that were in force, the newest last; each is based on the version
     /// that the one before results in.
     diffs: VecDeque<ConfigDiff>,
@@ -125,6 +127,13 @@
         confirmed_at.map(|at| self.clock.now().since(at))
     }
 
+    /// The queues in force, none before the first version.
+    pub fn queues(&self) -> Option<Arc<QueueIndex>> {
+        let state = self.state();
+        state.holder.current()?;
+        Some(Arc::clone(&state.queues))
+    }
+
     /// The owner of a token.
     pub fn owner(&self, token: &str) -> Option<Identity> {
         self.state().tokens.owner(token).cloned()
@@ -150,6 +159,7 @@
         }
         let config = self.holder.current()?.clone();
         self.tokens = TokenIndex::new(&config.inventory);
+        self.queues = Arc::new(QueueIndex::new(&config.inventory.queues));
         self.made.clear();
         if let Some(before) = before {
             self.keep_diffs(&before, &config, known);
--- a/crates/log/src/event/config.rs
+++ b/crates/log/src/event/config.rs
@@ -81,5 +81,12 @@
             /// The version.
             version: ConfigVersion,
         }
+        /// A version in the store can't be read; the process goes on with the version it holds.
+        508 Error "config_unreadable" Unreadable {
+            /// Revision of the row.
+            revision: u64,
+            /// What is wrong with it.
+            error: ErrorText,
+        }
     }
 }
--- a/crates/log/src/event/target.rs
+++ b/crates/log/src/event/target.rs
@@ -77,5 +77,33 @@
             /// The group.
             group: GroupId,
         }
+        /// The target does not answer its agent; it gets no new work.
+        409 Warn "target_unreachable" Unreachable {
+            /// Tasks that run there until their lease lapses.
+            running_tasks: usize,
+            /// Why.
+            error: ErrorText,
+        }
+        /// The target answers its agent, and no run of an earlier life of the agent goes on there.
+        410 Info "target_taken_over" TakenOver {
+            /// Fencing token of all orders from now on.
+            token: u64,
+            /// Runs that were stopped for it.
+            stopped_runs: usize,
+        }
+        /// What a target says of itself can't be read.
+        411 Warn "heartbeat_unreadable" HeartbeatUnreadable {
+            /// What is wrong with it.
+            error: ErrorText,
+        }
+        /// An order to the target was not answered; later ones carry a higher fencing token.
+        412 Warn "order_unanswered" OrderUnanswered {
+            /// Task on the target.
+            task: String,
+            /// Fencing token of the later orders.
+            token: u64,
+            /// Why.
+            error: ErrorText,
+        }
     }
 }
--- a/crates/policy/src/agent/event.rs
+++ b/crates/policy/src/agent/event.rs
@@ -11,13 +11,13 @@
 use dfs_ids::ServiceName;
 use dfs_wire::session::Ack;
 use dfs_wire::session::EntryAddress;
+use dfs_wire::session::NotRunReason;
 use dfs_wire::session::Open;
 use dfs_wire::session::Report;
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
 use dfs_wire::session::ToAgent;
 use dfs_wire::target::Announcement;
-use dfs_wire::target::Resources;
 use serde_json::value::RawValue;
 
 use crate::ConnectionId;
@@ -77,8 +77,8 @@
 /// How an attempt to run a task ended.
 #[derive(Debug, Clone)]
 pub enum RunEnd {
-    /// The connection was refused before the first byte was sent.
-    Refused,
+    /// It certainly did not start and never will.
+    NotStarted(NotRunReason),
     /// The task started.
     Started(TaskOutcome),
 }
@@ -106,8 +106,8 @@
         group: GroupId,
         /// The service to call.
         service: ServiceName,
-        /// What the task takes.
-        demand: Resources,
+        /// Run time that the caller expects; zero: unknown.
+        declared_ms: Millis,
         /// The target's address.
         address: SocketAddr,
         /// Time until the submission is answered, with or without the task.
--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -196,7 +196,9 @@
         self.running_elsewhere = u32::try_from(elsewhere).unwrap_or(u32::MAX);
         let is_here = |record: &&Record| matches!(record.stage, Stage::Running { address: at, .. } if at == address);
         let here = self.records.values().filter(is_here);
-        self.used = here.fold(Resources::default(), |used, record| used.plus(&record.terms.demand));
+        self.used = here.fold(Resources::default(), |used, record| {
+            used.plus(&record.terms.demand)
+        });
     }
 
     /// Slots of the latest target that are taken.
--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -214,7 +214,7 @@
             task: task.clone(),
             group: record.group.clone(),
             service: record.service.clone(),
-            demand: record.terms.demand,
+            declared_ms: record.terms.declared_ms,
             address,
             time_left_ms: record.start_by.since(now),
             body,
@@ -250,10 +250,10 @@
             return;
         }
         match end {
-            RunEnd::Refused => {
+            RunEnd::NotStarted(reason) => {
                 let entry = record.entry;
                 self.records.remove(task);
-                self.tell_not_run(entry, task.clone(), NotRunReason::ConnectionRefused);
+                self.tell_not_run(entry, task.clone(), reason);
             }
             RunEnd::Started(outcome) => {
                 let wait_us = started_at.micros_since(record.accepted_at);
--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -64,9 +64,10 @@
         let mut closed = BTreeSet::new();
         while let Some((_, lane)) = lanes.pop_first() {
             let is_demanding = self.demands_resources(&lane);
-            let draws_on_all = !is_demanding && config
-                .group(&lane.group)
-                .is_some_and(|group| group.targets.is_empty());
+            let draws_on_all = !is_demanding
+                && config
+                    .group(&lane.group)
+                    .is_some_and(|group| group.targets.is_empty());
             if draws_on_all && closed.contains(&lane.service) {
                 continue;
             }
--- a/crates/policy/src/entry/status.rs
+++ b/crates/policy/src/entry/status.rs
@@ -7,12 +7,14 @@
 use dfs_ids::GroupId;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
+use dfs_ids::QueueName;
 use dfs_wire::api::DomainStatus;
 use dfs_wire::api::EntryStatus;
 use dfs_wire::api::GroupStatus;
 use dfs_wire::api::TargetStatus;
 
 use super::Entry;
+use super::job::Job;
 use super::job::TaskState;
 
 /// Whether an entry is ready, or why not.
@@ -101,6 +103,14 @@
         }
     }
 
+    /// Submissions of a queue of which no task was placed.
+    #[must_use]
+    pub fn waiting(&self, queue: &QueueName) -> u64 {
+        let waits =
+            |job: &&Job| job.queue.as_ref() == Some(queue) && job.pending.len() == job.tasks.len();
+        self.jobs.values().filter(waits).count() as u64
+    }
+
     /// What this entry sees; `config_age_ms` is known to the process only.
     #[must_use]
     pub fn status(&self, now: Moment) -> EntryStatus {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod order;
 pub mod placement;
 pub mod retry;
+pub mod runs;
 pub mod share;
 pub mod speed;
 
--- /dev/null
+++ b/crates/policy/src/runs/look.rs
@@ -0,0 +1,235 @@
+//! Looks at the runs of a target.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use dfs_ids::Moment;
+use dfs_wire::session::NotRunReason;
+use dfs_wire::session::TaskOutcome;
+
+use super::Ended;
+use super::FencingToken;
+use super::How;
+use super::KEEP_NUMBERS_MS;
+use super::LOOK_AGAIN_MS;
+use super::Look;
+use super::LookOutcome;
+use super::RunNumber;
+use super::Runs;
+use super::RunsAction;
+use super::Sight;
+use super::StopOrder;
+use super::UNREACHABLE_MS;
+use super::active::Active;
+use super::active::Phase;
+use super::active::interrupted;
+use crate::agent::RunEnd;
+
+/// Step by which the token climbs over one that the target has seen; it doubles with each look.
+const FIRST_CLIMB: u64 = 1;
+/// Highest exponent of the step.
+const MAX_CLIMB_BITS: u32 = 40;
+
+impl Runs {
+    pub(super) fn look(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
+        if self.is_looking || now < self.next_look_at {
+            return;
+        }
+        self.is_looking = true;
+        let is_leasing = !self.active.is_empty();
+        let lease_until = self.lease_end(now).filter(|_| is_leasing);
+        if lease_until.is_some() {
+            self.note_lease(now);
+        }
+        // The first look only takes the clock and the runs of an earlier life of the agent.
+        let wait_ms = if self.taken_over {
+            self.options.look_ms
+        } else {
+            dfs_ids::Millis::default()
+        };
+        out.push(RunsAction::SendLook(Look {
+            target: self.target(),
+            lease_until,
+            token: self.token,
+            seen: self.seen,
+            wait_ms,
+            sent_at: now,
+        }));
+    }
+
+    pub(super) fn on_looked(
+        &mut self,
+        now: Moment,
+        look: &Look,
+        outcome: LookOutcome,
+        out: &mut Vec<RunsAction>,
+    ) {
+        self.is_looking = false;
+        match outcome {
+            LookOutcome::Seen(sight) => self.on_seen(now, look, &sight, out),
+            LookOutcome::Fenced => self.climb(look.token),
+            LookOutcome::OtherLife => {
+                self.lose_life(now, out);
+                self.next_look_at = now + LOOK_AGAIN_MS;
+            }
+            LookOutcome::Failed { message } => {
+                self.next_look_at = now + LOOK_AGAIN_MS;
+                self.on_look_failed(now, message, out);
+            }
+        }
+    }
+
+    /// The token of an earlier life of the agent may be higher by an unknown amount.
+    fn climb(&mut self, above: FencingToken) {
+        let step = FIRST_CLIMB << self.climbs.min(MAX_CLIMB_BITS);
+        self.climbs += 1;
+        self.token = self.token.max(FencingToken(above.0 + step));
+    }
+
+    fn on_look_failed(&mut self, now: Moment, message: String, out: &mut Vec<RunsAction>) {
+        let since = *self.failing_since.get_or_insert(now);
+        if now.since(since) < UNREACHABLE_MS || !self.is_announced {
+            return;
+        }
+        self.say_goodbye(out);
+        out.push(RunsAction::Unreachable {
+            running_tasks: self.active.len(),
+            message,
+        });
+    }
+
+    fn on_seen(&mut self, now: Moment, look: &Look, sight: &Sight, out: &mut Vec<RunsAction>) {
+        if self.birth.is_some() && sight.birth.is_some() && sight.birth != self.birth {
+            self.on_new_life(now, out);
+        }
+        self.birth = sight.birth.or(self.birth);
+        self.climbs = 0;
+        self.note_clock(now, Some(sight.clock));
+        for ended in &sight.ended {
+            self.on_ended(now, ended, out);
+        }
+        let running: HashSet<_> = sight.running.iter().cloned().collect();
+        self.settle_unknown(now, look, &running, out);
+        self.settle_missing(now, look, &running, out);
+        self.stop_orphans(&running, out);
+        self.repeat_stops(now, out);
+        self.numbers
+            .retain(|_, (_, at)| now < *at + KEEP_NUMBERS_MS);
+        let was_failing = self.failing_since.take().is_some();
+        if !self.taken_over && self.orphans(&running).next().is_none() {
+            self.take_over(out);
+            self.announce(now, out);
+        } else if was_failing {
+            self.announce(now, out);
+        }
+    }
+
+    fn on_ended(&mut self, now: Moment, ended: &Ended, out: &mut Vec<RunsAction>) {
+        if ended.number <= self.seen {
+            return;
+        }
+        self.seen = ended.number;
+        if !self.is_active(&ended.name, ended.run) {
+            return;
+        }
+        let end = match &ended.how {
+            How::Done => RunEnd::Started(TaskOutcome::Done(nothing())),
+            How::Failed => {
+                let message = "the task failed on its target".to_owned();
+                RunEnd::Started(TaskOutcome::Failed(message))
+            }
+            How::Interrupted(how) => interrupted(format!("the run ended as {how}")),
+        };
+        self.end(now, &ended.name, end, out);
+    }
+
+    fn is_active(&self, name: &Arc<str>, run: RunNumber) -> bool {
+        self.active.get(name).is_some_and(|a| a.run == run)
+    }
+
+    /// Orders without an answer that a look with a higher token does not show never take effect.
+    fn settle_unknown(
+        &mut self,
+        now: Moment,
+        look: &Look,
+        running: &HashSet<(Arc<str>, RunNumber)>,
+        out: &mut Vec<RunsAction>,
+    ) {
+        let is_settled = |active: &Active| match active.phase {
+            Phase::Unknown { settled_by } => look.token >= settled_by,
+            Phase::Ordered | Phase::Running { .. } => false,
+        };
+        let settled = self.active.iter().filter(|(_, a)| is_settled(a));
+        let settled: Vec<_> = settled.map(|(name, a)| (name.clone(), a.run)).collect();
+        for (name, run) in settled {
+            if running.contains(&(name.clone(), run)) {
+                if let Some(active) = self.active.get_mut(&name) {
+                    active.phase = Phase::Running { since: now };
+                }
+            } else {
+                let reason = NotRunReason::ConnectionRefused;
+                self.end(now, &name, RunEnd::NotStarted(reason), out);
+            }
+        }
+    }
+
+    /// A run that started before the look was sent and is neither running nor ended is lost.
+    fn settle_missing(
+        &mut self,
+        now: Moment,
+        look: &Look,
+        running: &HashSet<(Arc<str>, RunNumber)>,
+        out: &mut Vec<RunsAction>,
+    ) {
+        let is_missing = |(name, active): &(&Arc<str>, &Active)| {
+            let is_listed = running.contains(&(Arc::clone(name), active.run));
+            matches!(active.phase, Phase::Running { since } if since < look.sent_at) && !is_listed
+        };
+        let missing = self.active.iter().filter(is_missing);
+        let missing: Vec<_> = missing.map(|(name, _)| name.clone()).collect();
+        for name in missing {
+            let end = interrupted("the target does not know the run any more".to_owned());
+            self.end(now, &name, end, out);
+        }
+    }
+
+    /// Runs that nobody here has ordered: those of an earlier life of the agent.
+    fn orphans<'a>(
+        &'a self,
+        running: &'a HashSet<(Arc<str>, RunNumber)>,
+    ) -> impl Iterator<Item = &'a (Arc<str>, RunNumber)> {
+        running
+            .iter()
+            .filter(|(name, run)| !self.is_active(name, *run))
+    }
+
+    fn stop_orphans(
+        &mut self,
+        running: &HashSet<(Arc<str>, RunNumber)>,
+        out: &mut Vec<RunsAction>,
+    ) {
+        let orphans: Vec<_> = self.orphans(running).cloned().collect();
+        self.stopped_runs += orphans.len();
+        for (name, run) in orphans {
+            out.push(RunsAction::SendStop(StopOrder {
+                target: self.target(),
+                name,
+                run,
+                token: self.token,
+            }));
+        }
+    }
+
+    fn repeat_stops(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
+        let to_stop = self.active.iter().filter(|(_, a)| a.stop.is_some());
+        let to_stop: Vec<_> = to_stop.map(|(name, _)| name.clone()).collect();
+        for name in to_stop {
+            self.send_stop(now, &name, out);
+        }
+    }
+}
+
+/// The result of a task whose target gives none.
+fn nothing() -> Arc<serde_json::value::RawValue> {
+    Arc::from(serde_json::value::RawValue::NULL.to_owned())
+}
--- /dev/null
+++ b/crates/policy/src/runs/order.rs
@@ -0,0 +1,257 @@
+//! Orders to start and stop.
+
+use std::sync::Arc;
+
+use dfs_ids::Millis;
+use dfs_ids::Moment;
+use dfs_wire::session::NotRunReason;
+use dfs_wire::session::TaskOutcome;
+use dfs_wire::session::TaskRef;
+
+use super::FencingToken;
+use super::OrderOutcome;
+use super::Refusal;
+use super::RunNumber;
+use super::Runs;
+use super::RunsAction;
+use super::StartOrder;
+use super::StopOrder;
+use super::TargetTime;
+use super::Work;
+use super::active::Active;
+use super::active::Phase;
+use super::active::Stop;
+use crate::agent::RunEnd;
+
+/// Most refusals of one start that another order may mend: an old run number, token or clock.
+const MAX_REFUSALS: u32 = 8;
+/// Time after which a stop is sent again.
+const STOP_AGAIN_MS: Millis = Millis::new(150);
+
+impl Runs {
+    pub(super) fn on_start(
+        &mut self,
+        now: Moment,
+        task: TaskRef,
+        work: Work,
+        out: &mut Vec<RunsAction>,
+    ) {
+        if !self.active.contains_key(&work.name) {
+            self.order_start(now, task, work, out);
+            return;
+        }
+        // An earlier attempt of the same task runs here for an entry that has gone.
+        let name = work.name.clone();
+        self.ask_stop(now, &name, out);
+        self.successors
+            .entry(name)
+            .or_default()
+            .push_back((task, work));
+    }
+
+    pub(super) fn on_stop(&mut self, now: Moment, task: &TaskRef, out: &mut Vec<RunsAction>) {
+        if let Some(name) = self.names.get(task).cloned() {
+            self.ask_stop(now, &name, out);
+            return;
+        }
+        let waits = |(waiting, _): &(TaskRef, Work)| waiting == task;
+        for waiting in self.successors.values_mut() {
+            if let Some(at) = waiting.iter().position(waits) {
+                waiting.remove(at);
+                out.push(RunsAction::Ended {
+                    task: task.clone(),
+                    run_us: 0,
+                    end: RunEnd::NotStarted(NotRunReason::Withdrawn),
+                });
+            }
+        }
+        self.successors.retain(|_, waiting| !waiting.is_empty());
+    }
+
+    pub(super) fn order_start(
+        &mut self,
+        now: Moment,
+        task: TaskRef,
+        work: Work,
+        out: &mut Vec<RunsAction>,
+    ) {
+        let earlier = self.numbers.get(&work.name).map_or(0, |(run, _)| run.0);
+        let name = work.name.clone();
+        self.names.insert(task.clone(), name.clone());
+        self.active.insert(
+            name.clone(),
+            Active {
+                task,
+                work,
+                run: RunNumber(earlier + 1),
+                started_at: now,
+                phase: Phase::Ordered,
+                refusals: 0,
+                stop: None,
+            },
+        );
+        self.send_start(now, &name, out);
+    }
+
+    fn send_start(&mut self, now: Moment, name: &Arc<str>, out: &mut Vec<RunsAction>) {
+        let lease_until = self.lease_end(now).unwrap_or_default();
+        let target = self.target();
+        let Some(active) = self.active.get_mut(name) else {
+            return;
+        };
+        active.phase = Phase::Ordered;
+        out.push(RunsAction::SendStart(StartOrder {
+            target,
+            work: active.work.clone(),
+            run: active.run,
+            lease_until,
+            token: self.token,
+        }));
+        self.note_lease(now);
+    }
+
+    pub(super) fn target(&self) -> Option<dfs_ids::TargetId> {
+        self.heartbeat
+            .as_ref()
+            .map(|(heartbeat, _)| heartbeat.target.clone())
+    }
+
+    pub(super) fn ask_stop(&mut self, now: Moment, name: &Arc<str>, out: &mut Vec<RunsAction>) {
+        if let Some(active) = self.active.get_mut(name)
+            && active.stop.is_none()
+        {
+            active.stop = Some(Stop { sent_at: None });
+        }
+        self.send_stop(now, name, out);
+    }
+
+    /// Sends a stop that is asked for, unless it was sent lately or the start is not answered: a stop
+    /// that overtook its start would leave the start without an end.
+    pub(super) fn send_stop(&mut self, now: Moment, name: &Arc<str>, out: &mut Vec<RunsAction>) {
+        let (target, token) = (self.target(), self.token);
+        let Some(active) = self.active.get_mut(name) else {
+            return;
+        };
+        let is_running = matches!(active.phase, Phase::Running { .. });
+        let Some(stop) = active.stop.as_mut().filter(|_| is_running) else {
+            return;
+        };
+        if stop.sent_at.is_some_and(|at| now < at + STOP_AGAIN_MS) {
+            return;
+        }
+        stop.sent_at = Some(now);
+        out.push(RunsAction::SendStop(StopOrder {
+            target,
+            name: name.clone(),
+            run: active.run,
+            token,
+        }));
+    }
+
+    pub(super) fn on_started(
+        &mut self,
+        now: Moment,
+        order: &StartOrder,
+        outcome: OrderOutcome,
+        out: &mut Vec<RunsAction>,
+    ) {
+        let name = &order.work.name;
+        let is_current =
+            |active: &Active| active.run == order.run && active.phase == Phase::Ordered;
+        if !self.active.get(name).is_some_and(is_current) {
+            return;
+        }
+        match outcome {
+            OrderOutcome::Done { clock } => {
+                self.note_clock(now, clock);
+                if let Some(active) = self.active.get_mut(name) {
+                    active.phase = Phase::Running { since: now };
+                }
+                self.send_stop(now, name, out);
+            }
+            OrderOutcome::Refused { refusal, clock } => {
+                self.note_clock(now, clock);
+                self.on_refused(now, order, refusal, out);
+            }
+            OrderOutcome::Unknown { message } => {
+                self.raise_token(order.token);
+                let settled_by = self.token;
+                if let Some(active) = self.active.get_mut(name) {
+                    active.phase = Phase::Unknown { settled_by };
+                }
+                out.push(RunsAction::Unanswered {
+                    name: name.clone(),
+                    token: settled_by,
+                    message,
+                });
+            }
+        }
+    }
+
+    fn on_refused(
+        &mut self,
+        now: Moment,
+        order: &StartOrder,
+        refusal: Refusal,
+        out: &mut Vec<RunsAction>,
+    ) {
+        let name = &order.work.name;
+        let Some(active) = self.active.get_mut(name) else {
+            return;
+        };
+        active.refusals += 1;
+        let may_mend = active.refusals <= MAX_REFUSALS && active.stop.is_none();
+        match refusal {
+            Refusal::Fenced if may_mend => {
+                self.raise_token(order.token);
+                self.send_start(now, name, out);
+            }
+            Refusal::OldRun if may_mend => {
+                active.run = RunNumber(active.run.0 + 1);
+                self.send_start(now, name, out);
+            }
+            Refusal::LeaseOver if may_mend => self.send_start(now, name, out),
+            Refusal::NoRoom => self.end_not_started(now, name, NotRunReason::Busy, out),
+            Refusal::Malformed => {
+                let message = "the target does not accept the task".to_owned();
+                let end = RunEnd::Started(TaskOutcome::Failed(message));
+                self.end(now, name, end, out);
+            }
+            Refusal::Fenced | Refusal::OldRun | Refusal::LeaseOver | Refusal::Unhealthy => {
+                self.end_not_started(now, name, NotRunReason::ConnectionRefused, out);
+            }
+            Refusal::OtherLife => {
+                self.end_not_started(now, name, NotRunReason::Leaving, out);
+                self.lose_life(now, out);
+            }
+        }
+    }
+
+    fn end_not_started(
+        &mut self,
+        now: Moment,
+        name: &Arc<str>,
+        reason: NotRunReason,
+        out: &mut Vec<RunsAction>,
+    ) {
+        self.end(now, name, RunEnd::NotStarted(reason), out);
+    }
+
+    /// Another life of the target is there; nothing is known of it until its heartbeat.
+    pub(super) fn lose_life(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
+        self.heartbeat = None;
+        self.on_new_life(now, out);
+        self.say_goodbye(out);
+    }
+
+    /// Makes the token of later orders higher than a given one.
+    pub(super) fn raise_token(&mut self, above: FencingToken) {
+        self.token = self.token.max(FencingToken(above.0 + 1));
+    }
+
+    pub(super) fn note_clock(&mut self, now: Moment, clock: Option<TargetTime>) {
+        if let Some(clock) = clock {
+            self.clock = Some((clock, now));
+        }
+    }
+}
--- a/crates/policy/tests/matrix/node.rs
+++ b/crates/policy/tests/matrix/node.rs
@@ -145,6 +145,7 @@
                 targets: Vec::new(),
                 max_placed: None,
             }],
+            queues: Vec::new(),
             targets: Vec::new(),
         },
         rules,
--- a/crates/policy/tests/matrix/world.rs
+++ b/crates/policy/tests/matrix/world.rs
@@ -16,6 +16,7 @@
 use dfs_policy::entry::EntryAction;
 use dfs_policy::entry::EntryEvent;
 use dfs_wire::session::Attach;
+use dfs_wire::session::NotRunReason;
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
 use serde_json::value::RawValue;
@@ -270,7 +271,7 @@
             self.starts.push(task.clone());
             self.push_after(RUN_US, done);
         } else {
-            self.push(ended(RunEnd::Refused));
+            self.push(ended(RunEnd::NotStarted(NotRunReason::ConnectionRefused)));
         }
     }
 
--- a/crates/policy/tests/policy_admission.rs
+++ b/crates/policy/tests/policy_admission.rs
@@ -35,8 +35,8 @@
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::Report;
 use dfs_wire::session::TargetState;
-use dfs_wire::session::Terms;
 use dfs_wire::session::TaskRef;
+use dfs_wire::session::Terms;
 use dfs_wire::target::Offer;
 use dfs_wire::target::Resources;
 use googletest::prelude::*;
@@ -85,6 +85,7 @@
                 },
             ],
             groups: vec![group("aba"), group("lagos")],
+            queues: Vec::new(),
             targets: Vec::new(),
         },
         rules,
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -55,7 +55,8 @@
 
 #[googletest::test]
 fn a_placement_cut_short_is_refused() {
-    let fault = serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,40,2,0,{},0,1]"#);
+    let fault =
+        serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,40,2,0,{},0,1]"#);
     expect_that!(fault.unwrap_err().to_string(), contains_substring("body"));
 }
 
