--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,7 @@
 //! `dragonflyshedd`: the daemon with a subcommand for each role.
 
 mod cli;
+mod reload;
 mod run;
 mod signal;
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -19,7 +19,8 @@
 use crate::cli::Options;
 use crate::cli::PlatformRole;
 use crate::cli::Role;
-use crate::signal::StopSignals;
+use crate::reload::SettingsFile;
+use crate::signal::Signals;
 
 /// Exit code of a process that failed or could not start.
 pub const EXIT_FAILED: u8 = 1;
@@ -93,11 +94,11 @@
 pub fn run(cli: Cli) -> Result<ExitCode, RunError> {
     match cli.role {
         Role::Entry(options) => match load::<EntrySettings>(&options)? {
-            Some(settings) => runtime()?.block_on(run_entry(settings)),
+            Some((settings, path)) => runtime()?.block_on(run_entry(settings, path)),
             None => Ok(ExitCode::SUCCESS),
         },
         Role::Agent(options) => match load::<AgentSettings>(&options)? {
-            Some(settings) => runtime()?.block_on(run_agent(settings)),
+            Some((settings, path)) => runtime()?.block_on(run_agent(settings, path)),
             None => Ok(ExitCode::SUCCESS),
         },
         Role::Platform { role } => lean_runtime()?.block_on(run_hosted(role)),
@@ -130,8 +131,8 @@
     }
 }
 
-/// The settings to run with, or none if there is nothing to run.
-fn load<S: Settings>(options: &Options) -> Result<Option<S>, RunError> {
+/// The settings to run with and their file, or none if there is nothing to run.
+fn load<S: Settings>(options: &Options) -> Result<Option<(S, PathBuf)>, RunError> {
     let Some(path) = &options.settings else {
         println!(
             "{}",
@@ -145,7 +146,8 @@
         let error = ErrorText::new(error);
         dfs_log::emit(ProcessEvent::SettingsRejected { error });
     }
-    Ok((!options.check_settings).then_some(settings?))
+    let settings = settings?;
+    Ok((!options.check_settings).then(|| (settings, path.clone())))
 }
 
 fn runtime() -> Result<tokio::runtime::Runtime, RunError> {
@@ -164,28 +166,47 @@
 }
 
 async fn run_hosted(role: PlatformRole) -> Result<ExitCode, RunError> {
-    let signals = StopSignals::listen().context(SignalsSnafu)?;
+    let signals = Signals::listen().context(SignalsSnafu)?;
+    let path = dfs_platform::settings_path()?;
     match role {
-        PlatformRole::Entry => stop_entry(dfs_platform::start_entry().await?, signals).await,
-        PlatformRole::Agent => stop_agent(dfs_platform::start_agent().await?, signals).await,
+        PlatformRole::Entry => {
+            let file = SettingsFile::new(path, dfs_platform::check_entry);
+            stop_entry(dfs_platform::start_entry().await?, file, signals).await
+        }
+        PlatformRole::Agent => {
+            let file = SettingsFile::new(path, dfs_platform::check_agent);
+            stop_agent(dfs_platform::start_agent().await?, file, signals).await
+        }
     }
 }
 
-async fn run_entry(settings: EntrySettings) -> Result<ExitCode, RunError> {
-    let signals = StopSignals::listen().context(SignalsSnafu)?;
+async fn run_entry(settings: EntrySettings, path: PathBuf) -> Result<ExitCode, RunError> {
+    let signals = Signals::listen().context(SignalsSnafu)?;
     let metrics = dfs_log::init(&settings.log, &ProcessName::Entry(settings.entry.clone()))?;
-    stop_entry(Entry::start(settings, metrics).await?, signals).await
+    let file = SettingsFile::new(path, |text| {
+        let settings = EntrySettings::from_json(text).map_err(|error| error.to_string())?;
+        Ok(settings.log.level)
+    });
+    stop_entry(Entry::start(settings, metrics).await?, file, signals).await
 }
 
-async fn run_agent(settings: AgentSettings) -> Result<ExitCode, RunError> {
-    let signals = StopSignals::listen().context(SignalsSnafu)?;
+async fn run_agent(settings: AgentSettings, path: PathBuf) -> Result<ExitCode, RunError> {
+    let signals = Signals::listen().context(SignalsSnafu)?;
     let metrics = dfs_log::init(&settings.log, &ProcessName::Agent(settings.agent.clone()))?;
-    stop_agent(Agent::start(settings, metrics).await?, signals).await
+    let file = SettingsFile::new(path, |text| {
+        let settings = AgentSettings::from_json(text).map_err(|error| error.to_string())?;
+        Ok(settings.log.level)
+    });
+    stop_agent(Agent::start(settings, metrics).await?, file, signals).await
 }
 
-async fn stop_entry(entry: Entry, mut signals: StopSignals) -> Result<ExitCode, RunError> {
-    signals.next().await;
-    Ok(match entry.stop(signals.next()).await {
+async fn stop_entry(
+    entry: Entry,
+    mut file: SettingsFile,
+    mut signals: Signals,
+) -> Result<ExitCode, RunError> {
+    signals.stop_or(|| file.reload()).await;
+    Ok(match entry.stop(signals.stop()).await {
         dfs_entry::StopKind::Drained => ExitCode::SUCCESS,
         dfs_entry::StopKind::BoundPassed | dfs_entry::StopKind::AskedAgain => {
             ExitCode::from(EXIT_CUT)
@@ -193,9 +214,13 @@
     })
 }
 
-async fn stop_agent(agent: Agent, mut signals: StopSignals) -> Result<ExitCode, RunError> {
-    signals.next().await;
-    Ok(match agent.stop(signals.next()).await {
+async fn stop_agent(
+    agent: Agent,
+    mut file: SettingsFile,
+    mut signals: Signals,
+) -> Result<ExitCode, RunError> {
+    signals.stop_or(|| file.reload()).await;
+    Ok(match agent.stop(signals.stop()).await {
         dfs_agent::StopKind::Drained => ExitCode::SUCCESS,
         dfs_agent::StopKind::BoundPassed | dfs_agent::StopKind::AskedAgain => {
             ExitCode::from(EXIT_CUT)
--- a/crates/log/src/event/process.rs
+++ b/crates/log/src/event/process.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Display;
 use derive_more::From;
+use dfs_conf::LogLevel;
 use dfs_ids::AgentId;
 use dfs_ids::EntryId;
 use dfs_ids::FailureDomain;
@@ -110,5 +111,10 @@
             /// Why.
             error: ErrorText,
         }
+        /// The settings file has changed; its log level is in force, the rest from the next start on.
+        111 Info "settings_reloaded" SettingsReloaded {
+            /// Least severe events that are written.
+            level: LogLevel,
+        }
     }
 }
--- a/crates/log/src/event/value.rs
+++ b/crates/log/src/event/value.rs
@@ -98,6 +98,7 @@
     Incarnation,
     ServiceName,
     SessionNumber,
+    dfs_conf::LogLevel,
     Slots,
     SubmissionId,
     TargetId,
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -21,6 +21,7 @@
 pub use logger::emit_to;
 pub use logger::init;
 pub use logger::logger;
+pub use logger::set_level;
 pub use metrics::Counter;
 pub use metrics::FLUSH_BYTES;
 pub use metrics::FLUSH_INTERVAL;
--- a/crates/log/src/logger.rs
+++ b/crates/log/src/logger.rs
@@ -124,3 +124,9 @@
         LogLevel::Debug => Level::Debug,
     }
 }
+
+/// Changes the least severe events that are written by this process.
+pub fn set_level(level: LogLevel) {
+    let filter = LevelFilter::MoreSevereEqual(severity(level));
+    spdlog::default_logger().set_level_filter(filter);
+}
