--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -36,7 +36,9 @@
             return;
         }
         self.is_looking = true;
-        let is_leasing = !self.active.is_empty();
+        // A look that is not answered may renew the lease all the same, so that runs of a target that
+        // can't be reached would never be known to have ended.
+        let is_leasing = !self.active.is_empty() && self.failing_since.is_none();
         let lease_until = self.lease_end(now).filter(|_| is_leasing);
         if lease_until.is_some() {
             self.note_lease(now);
--- /dev/null
+++ b/crates/policy/tests/runs/bench.rs
@@ -0,0 +1,185 @@
+//! One set of runs, driven by hand.
+
+use std::sync::Arc;
+
+use dfs_ids::Attempt;
+use dfs_ids::Millis;
+use dfs_ids::Moment;
+use dfs_ids::Slots;
+use dfs_ids::TaskIndex;
+use dfs_policy::agent::RunEnd;
+use dfs_policy::runs::Birth;
+use dfs_policy::runs::Ended;
+use dfs_policy::runs::FencingToken;
+use dfs_policy::runs::Heartbeat;
+use dfs_policy::runs::How;
+use dfs_policy::runs::Look;
+use dfs_policy::runs::LookOutcome;
+use dfs_policy::runs::OrderOutcome;
+use dfs_policy::runs::RunNumber;
+use dfs_policy::runs::Runs;
+use dfs_policy::runs::RunsAction;
+use dfs_policy::runs::RunsEvent;
+use dfs_policy::runs::RunsOptions;
+use dfs_policy::runs::Sight;
+use dfs_policy::runs::StartOrder;
+use dfs_policy::runs::StopOrder;
+use dfs_policy::runs::TargetTime;
+use dfs_policy::runs::Work;
+use dfs_wire::session::TaskRef;
+use dfs_wire::target::Offer;
+use dfs_wire::target::Resources;
+
+pub const RUN_LEASE_MS: u64 = 800;
+pub const MAX_LEASE_MS: u64 = 1_000;
+pub const STOP_MS: u64 = 50;
+pub const FIRST_TOKEN: u64 = 100;
+
+pub fn options() -> RunsOptions {
+    RunsOptions {
+        run_lease_ms: Millis::new(RUN_LEASE_MS),
+        max_lease_ms: Millis::new(MAX_LEASE_MS),
+        stop_ms: Millis::new(STOP_MS),
+        look_ms: Millis::new(250),
+        heartbeat_lease_ms: Millis::new(4_500),
+    }
+}
+
+pub fn task(submission: &str) -> TaskRef {
+    TaskRef {
+        submission: submission.parse().unwrap(),
+        task: TaskIndex::new(0),
+        attempt: Attempt::new(0),
+    }
+}
+
+pub fn work(name: &str) -> Work {
+    Work {
+        name: Arc::from(name),
+        payload: Arc::from("payload"),
+    }
+}
+
+pub fn heartbeat(target: &str, birth: u64, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        target: target.parse().unwrap(),
+        birth: Some(Birth(birth)),
+        sequence,
+        address: ([127, 0, 0, 1], 1).into(),
+        is_leaving: false,
+        offer: Offer {
+            target: target.parse().unwrap(),
+            services: vec!["desk".parse().unwrap()],
+            slots: Slots::new(8),
+            connections: 8,
+            resources: Resources::default(),
+            labels: Vec::new(),
+        },
+    }
+}
+
+/// Runs with the orders that they sent.
+pub struct Bench {
+    pub runs: Runs,
+    pub now: Moment,
+    pub starts: Vec<StartOrder>,
+    pub stops: Vec<StopOrder>,
+    pub looks: Vec<Look>,
+    pub ended: Vec<(TaskRef, RunEnd)>,
+    pub announced: usize,
+    pub goodbyes: usize,
+}
+
+impl Bench {
+    pub fn new() -> Self {
+        let now = Moment::from_millis(1_000);
+        let mut bench = Self {
+            runs: Runs::new(options(), FencingToken(FIRST_TOKEN), now),
+            now,
+            starts: Vec::new(),
+            stops: Vec::new(),
+            looks: Vec::new(),
+            ended: Vec::new(),
+            announced: 0,
+            goodbyes: 0,
+        };
+        bench.handle(RunsEvent::Tick);
+        bench
+    }
+
+    /// Runs whose target has answered and sent a heartbeat.
+    pub fn commanded() -> Self {
+        let mut bench = Self::new();
+        bench.handle(RunsEvent::Heartbeat(heartbeat("t-1", 1, 1)));
+        bench.see(&[], &[]);
+        bench
+    }
+
+    pub fn handle(&mut self, event: RunsEvent) {
+        for action in self.runs.handle(self.now, event) {
+            match action {
+                RunsAction::SendStart(order) => self.starts.push(order),
+                RunsAction::SendStop(order) => self.stops.push(order),
+                RunsAction::SendLook(look) => self.looks.push(look),
+                RunsAction::Ended { task, end, .. } => self.ended.push((task, end)),
+                RunsAction::Announce(_) => self.announced += 1,
+                RunsAction::Goodbye => self.goodbyes += 1,
+                RunsAction::TakenOver { .. }
+                | RunsAction::Unreachable { .. }
+                | RunsAction::Unanswered { .. } => {}
+            }
+        }
+    }
+
+    pub fn after(&mut self, ms: u64) {
+        self.now = self.now + Millis::new(ms);
+        self.handle(RunsEvent::Tick);
+    }
+
+    pub fn start(&mut self, submission: &str, name: &str) {
+        let (task, work) = (task(submission), work(name));
+        self.handle(RunsEvent::Start { task, work });
+    }
+
+    /// Answers the latest start.
+    pub fn answer_start(&mut self, outcome: OrderOutcome) {
+        let order = self.starts.last().unwrap().clone();
+        self.handle(RunsEvent::Started { order, outcome });
+    }
+
+    pub fn accept_start(&mut self) {
+        self.answer_start(OrderOutcome::Done { clock: None });
+    }
+
+    /// Answers the latest look with these runs and ends.
+    pub fn see(&mut self, running: &[(&str, u32)], ended: &[(u64, &str, u32, How)]) {
+        let running = running.iter();
+        let ended = ended.iter();
+        let sight = Sight {
+            clock: TargetTime(self.now.as_micros() / 1_000),
+            birth: Some(Birth(1)),
+            running: running
+                .map(|(name, run)| (Arc::from(*name), RunNumber(*run)))
+                .collect(),
+            ended: ended
+                .map(|(number, name, run, how)| Ended {
+                    number: *number,
+                    name: Arc::from(*name),
+                    run: RunNumber(*run),
+                    how: how.clone(),
+                })
+                .collect(),
+        };
+        self.look_with(LookOutcome::Seen(sight));
+    }
+
+    pub fn look_with(&mut self, outcome: LookOutcome) {
+        let look = self.looks.last().unwrap().clone();
+        self.handle(RunsEvent::Looked { look, outcome });
+    }
+
+    pub fn fail_look(&mut self) {
+        let message = "no answer".to_owned();
+        self.look_with(LookOutcome::Failed { message });
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/runs/target.rs
@@ -0,0 +1,148 @@
+//! A target that loses answers and carries orders out late, as the users' platform says it may.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dfs_policy::runs::Birth;
+use dfs_policy::runs::Ended;
+use dfs_policy::runs::FencingToken;
+use dfs_policy::runs::How;
+use dfs_policy::runs::Look;
+use dfs_policy::runs::LookOutcome;
+use dfs_policy::runs::OrderOutcome;
+use dfs_policy::runs::Refusal;
+use dfs_policy::runs::RunNumber;
+use dfs_policy::runs::Sight;
+use dfs_policy::runs::StartOrder;
+use dfs_policy::runs::StopOrder;
+use dfs_policy::runs::TargetTime;
+
+/// Time that a run takes.
+const WORK_MS: u64 = 120;
+
+/// The target, at a time in milliseconds.
+#[derive(Default)]
+pub struct Target {
+    token: FencingToken,
+    /// End of the lease.
+    leased_until_ms: u64,
+    running: BTreeMap<Arc<str>, (RunNumber, u64)>,
+    /// Highest run that was stopped or has ended, by task.
+    barred: BTreeMap<Arc<str>, RunNumber>,
+    ended: Vec<Ended>,
+    /// Every start, with its time.
+    pub starts: Vec<(Arc<str>, RunNumber, u64)>,
+}
+
+impl Target {
+    pub fn tick(&mut self, now_ms: u64) {
+        if now_ms >= self.leased_until_ms {
+            let names: Vec<_> = self.running.keys().cloned().collect();
+            for name in names {
+                self.end(&name, How::Interrupted("lapsed".to_owned()));
+            }
+        }
+        let done = |(_, (_, since)): &(&Arc<str>, &(RunNumber, u64))| now_ms >= since + WORK_MS;
+        let done: Vec<_> = self
+            .running
+            .iter()
+            .filter(done)
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in done {
+            self.end(&name, How::Done);
+        }
+    }
+
+    fn end(&mut self, name: &Arc<str>, how: How) {
+        let Some((run, _)) = self.running.remove(name) else {
+            return;
+        };
+        let barred = self.barred.entry(name.clone()).or_insert(run);
+        *barred = (*barred).max(run);
+        self.ended.push(Ended {
+            number: self.ended.len() as u64 + 1,
+            name: name.clone(),
+            run,
+            how,
+        });
+    }
+
+    fn refuse(refusal: Refusal, now_ms: u64) -> OrderOutcome {
+        OrderOutcome::Refused {
+            refusal,
+            clock: Some(TargetTime(now_ms)),
+        }
+    }
+
+    pub fn start(&mut self, now_ms: u64, order: &StartOrder) -> OrderOutcome {
+        self.tick(now_ms);
+        if order.token < self.token {
+            return Self::refuse(Refusal::Fenced, now_ms);
+        }
+        self.token = order.token;
+        let name = &order.work.name;
+        if let Some((run, _)) = self.running.get(name) {
+            return if *run == order.run {
+                let clock = Some(TargetTime(now_ms));
+                OrderOutcome::Done { clock }
+            } else {
+                Self::refuse(Refusal::NoRoom, now_ms)
+            };
+        }
+        if self
+            .barred
+            .get(name)
+            .is_some_and(|barred| order.run <= *barred)
+        {
+            return Self::refuse(Refusal::OldRun, now_ms);
+        }
+        if order.lease_until.0 <= now_ms {
+            return Self::refuse(Refusal::LeaseOver, now_ms);
+        }
+        self.leased_until_ms = self.leased_until_ms.max(order.lease_until.0);
+        self.running.insert(name.clone(), (order.run, now_ms));
+        self.starts.push((name.clone(), order.run, now_ms));
+        let clock = Some(TargetTime(now_ms));
+        OrderOutcome::Done { clock }
+    }
+
+    pub fn stop(&mut self, now_ms: u64, order: &StopOrder) {
+        self.tick(now_ms);
+        if order.token < self.token {
+            return;
+        }
+        self.token = order.token;
+        let is_run = |(run, _): &(RunNumber, u64)| *run <= order.run;
+        if self.running.get(&order.name).is_some_and(is_run) {
+            self.end(&order.name, How::Interrupted("stopped".to_owned()));
+        }
+        let barred = self.barred.entry(order.name.clone()).or_insert(order.run);
+        *barred = (*barred).max(order.run);
+    }
+
+    pub fn look(&mut self, now_ms: u64, look: &Look) -> LookOutcome {
+        self.tick(now_ms);
+        if look.token < self.token {
+            return LookOutcome::Fenced;
+        }
+        self.token = look.token;
+        if let Some(until) = look.lease_until {
+            self.leased_until_ms = self.leased_until_ms.max(until.0);
+        }
+        let running = self.running.iter();
+        let unseen = |ended: &&Ended| ended.number > look.seen;
+        LookOutcome::Seen(Sight {
+            clock: TargetTime(now_ms),
+            birth: Some(Birth(1)),
+            running: running
+                .map(|(name, (run, _))| (name.clone(), *run))
+                .collect(),
+            ended: self.ended.iter().filter(unseen).cloned().collect(),
+        })
+    }
+
+    pub fn is_running(&self, name: &str) -> bool {
+        self.running.contains_key(name)
+    }
+}
