Admission reckons with the room that comes free

Cause: the wait of a submission was all known work over all targets, so half of a full pool's running work counted as a queue. Change: a wait only for what does not fit now, at the rate at which tasks end, shared with other entries by load; jobs with an objective are refused when they would miss it. Tests of policy: all pass.

--- a/crates/policy/src/entry/admit.rs
+++ b/crates/policy/src/entry/admit.rs
@@ -110,14 +110,22 @@
         let deadline_ms = submission
             .deadline_ms
             .unwrap_or(config.rules.deadlines.default_ms);
-        let usable_ms = scaled(deadline_ms, config.rules.admission.deadline_part);
-        let wait_ms = self.expected_wait(now, config, submission, usable_ms);
+        let limits = &config.rules.admission;
+        let of_deadline_ms = scaled(deadline_ms, limits.deadline_part);
+        let usable_ms = match submission.objective_ms {
+            Some(objective_ms) => {
+                let longest_ms = scaled(objective_ms, limits.max_objectives);
+                of_deadline_ms.min(longest_ms.saturating_sub(submission.terms.declared_ms))
+            }
+            None => of_deadline_ms,
+        };
+        let wait_ms = self.expected_wait(now, config, submission);
         if wait_ms <= usable_ms {
             return Ok(());
         }
         let message = format!(
-            "the tasks before it need about {wait_ms}, the deadline is {deadline_ms}: \
-             try later or allow more time"
+            "the tasks before it need about {wait_ms}, it can wait for {usable_ms} of its deadline \
+             of {deadline_ms}: try later or allow more time"
         );
         let after = wait_ms
             .saturating_sub(usable_ms)
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -101,10 +101,10 @@
         (f64::from(self.hint.load_permille) / PERMILLE - self.load_at_hint).max(0.0)
     }
 
-    /// Time that the outstanding tasks of this entry would take the whole target, in microseconds.
-    pub fn own_work_us(&self) -> f64 {
-        let work = |weight: &Weight| weight.part * weight.run_us;
-        self.outstanding.values().map(work).sum()
+    /// Load that comes free for each microsecond through the ends of this entry's tasks.
+    pub fn own_rate(&self) -> f64 {
+        let rate = |weight: &Weight| weight.part / weight.run_us.max(1.0);
+        self.outstanding.values().map(rate).sum()
     }
 
     pub fn hold(&mut self, task: TaskRef, weight: Weight) {
