--- a/crates/conf/src/rules/mod.rs
+++ b/crates/conf/src/rules/mod.rs
@@ -58,6 +58,9 @@
     pub deadline_part: f64,
     /// Times its latency objective that a submission may be expected to take.
     pub max_objectives: f64,
+    /// Times its latency objective after which a queued submission of which nothing has run is given
+    /// up.
+    pub give_up_objectives: f64,
 }
 
 impl Default for Admission {
@@ -68,6 +71,7 @@
             max_queued_tasks_per_group: 20_000,
             deadline_part: 0.25,
             max_objectives: 3.0,
+            give_up_objectives: 3.0,
         }
     }
 }
--- a/crates/policy/src/entry/admit.rs
+++ b/crates/policy/src/entry/admit.rs
@@ -49,7 +49,10 @@
             + submission
                 .deadline_ms
                 .unwrap_or(config.rules.deadlines.default_ms);
-        let job = Job::new(submission, now, deadline);
+        let of_objective =
+            |objective_ms| now + scaled(objective_ms, config.rules.admission.give_up_objectives);
+        let give_up_at = submission.objective_ms.map_or(deadline, of_objective);
+        let job = Job::new(submission, now, deadline, give_up_at);
         let lane = job.lane();
         self.shares.activate(&job.group);
         for _ in &job.tasks {
--- a/crates/policy/src/entry/hopeless.rs
+++ b/crates/policy/src/entry/hopeless.rs
@@ -17,7 +17,7 @@
     Keep,
     /// It goes behind all that can be answered in time.
     Demote,
-    /// It can't be answered before its deadline; nothing of it has run.
+    /// It can't be answered while that is of use to its caller; nothing of it has run.
     Refuse,
 }
 
@@ -48,7 +48,8 @@
         let run = micros(job.expected_run_us(self.totals.mean_run_us()));
         let earliest_end = now + run;
         let is_declared = job.terms.declared_ms > Millis::default();
-        if is_declared && earliest_end > job.deadline && job.may_have_run().is_empty() {
+        let is_hopeless = earliest_end > job.give_up_at.min(job.deadline);
+        if is_declared && is_hopeless && job.may_have_run().is_empty() {
             return Verdict::Refuse;
         }
         match job.due {
--- a/crates/policy/src/entry/job.rs
+++ b/crates/policy/src/entry/job.rs
@@ -46,6 +46,8 @@
     pub terms: Terms,
     /// When the answer should be there; none: any time before the deadline.
     pub due: Option<Moment>,
+    /// When an answer is of no use any more, if nothing of it has run by then.
+    pub give_up_at: Moment,
     /// Whether it can no longer be answered when it is due; it then goes behind all others.
     pub is_late: bool,
     /// Runs of one task that may end in a failure; the last one fails the submission.
@@ -96,7 +98,7 @@
 }
 
 impl Job {
-    pub fn new(submission: Submission, now: Moment, deadline: Moment) -> Self {
+    pub fn new(submission: Submission, now: Moment, deadline: Moment, give_up_at: Moment) -> Self {
         let count = u32::try_from(submission.tasks.len()).unwrap_or(u32::MAX);
         let task = |body| Task {
             body,
@@ -115,6 +117,7 @@
             deadline,
             terms: submission.terms,
             due: submission.objective_ms.map(|objective| now + objective),
+            give_up_at,
             is_late: false,
             max_failures: submission.max_failures.max(1),
             constraints: submission.constraints,
