Slow targets and runs that stand still are seen while they run

Change: an agent reckons the stretch of its target from how far its runs have come, tells entries of a change at once, and stops a run without progress; entries fetch repeatable tasks back from a target that has become slow.

--- a/crates/agent/src/edge.rs
+++ b/crates/agent/src/edge.rs
@@ -49,6 +49,11 @@
         self.core.event(AgentEvent::Announced(announcement));
     }
 
+    /// How far runs have come, in hundredths of their work.
+    pub fn progress(&self, progress: Vec<(TaskRef, u8)>) {
+        self.core.event(AgentEvent::Progress(progress));
+    }
+
     /// The target takes no new tasks; those that run there go on.
     pub fn goodbye(&self) {
         self.core.event(AgentEvent::Goodbye);
--- a/crates/agent/src/fenced.rs
+++ b/crates/agent/src/fenced.rs
@@ -195,6 +195,7 @@
                     let _ = ended.send((run_us, end));
                 }
             }
+            RunsAction::Progress(progress) => events.progress(progress),
             RunsAction::Announce(announcement) => events.announced(announcement),
             RunsAction::Goodbye => events.goodbye(),
             RunsAction::TakenOver {
--- a/crates/entry/src/process/observe.rs
+++ b/crates/entry/src/process/observe.rs
@@ -48,6 +48,13 @@
                     settled_tasks,
                 });
             }
+            Observation::Slow {
+                agent,
+                stretch_permille,
+            } => dfs_log::emit(TargetEvent::Slow {
+                agent,
+                stretch_permille,
+            }),
             Observation::Ejected { agent } => {
                 self.metrics.count(Counter::Ejections, 1);
                 dfs_log::emit(TargetEvent::Ejected { agent });
--- a/crates/log/src/event/target.rs
+++ b/crates/log/src/event/target.rs
@@ -156,5 +156,12 @@
             /// Why.
             cause: ErrorText,
         }
+        /// Tasks take far longer on a target than elsewhere; they are fetched back.
+        417 Warn "target_slow" Slow {
+            /// The agent beside the target.
+            agent: AgentId,
+            /// Run time over the expected one, in thousandths.
+            stretch_permille: u32,
+        }
     }
 }
--- a/crates/policy/src/agent/event.rs
+++ b/crates/policy/src/agent/event.rs
@@ -60,6 +60,8 @@
         /// How it ended.
         end: RunEnd,
     },
+    /// How far runs have come, in hundredths of their work.
+    Progress(Vec<(TaskRef, u8)>),
     /// A higher version of the configuration was adopted.
     Configured(Arc<Config>),
     /// The configuration that an entry asked for.
--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod event;
 mod lease;
+mod progress;
 mod queue;
 mod record;
 mod report;
@@ -59,6 +60,8 @@
     stopping: bool,
     stopped: bool,
     was_full: bool,
+    /// Run time on the target over the expected one, by how far the runs have come; in thousandths.
+    stretch_permille: u32,
     /// What the log is still to be told.
     observed: Vec<Observation>,
 }
@@ -91,6 +94,7 @@
             stopping: false,
             stopped: false,
             was_full: false,
+            stretch_permille: progress::NORMAL_PERMILLE,
             observed: Vec::new(),
         }
     }
@@ -116,6 +120,7 @@
             AgentEvent::Ended { task, run_us, end } => {
                 self.on_ended(&task, run_us, end, &mut out);
             }
+            AgentEvent::Progress(progress) => self.on_progress(now, &progress, &mut out),
             AgentEvent::Configured(config) => self.on_configured(&config),
             AgentEvent::ConfigBody { connection, body } => self.on_config_body(connection, body),
             AgentEvent::Stop => self.on_stop(),
--- a/crates/policy/src/agent/record.rs
+++ b/crates/policy/src/agent/record.rs
@@ -30,6 +30,15 @@
     pub wanted: bool,
 }
 
+/// How far a run has come.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Progress {
+    /// Hundredths of its work.
+    pub percent: u8,
+    /// When it came that far.
+    pub since: Moment,
+}
+
 /// Stage of an accepted task; it only ever moves down this list.
 #[derive(Debug)]
 pub(super) enum Stage {
@@ -42,6 +51,8 @@
         address: SocketAddr,
         /// Whether the target was told to stop it.
         is_stopping: bool,
+        /// How far it has come, where the target tells.
+        progress: Option<Progress>,
     },
     Finished {
         result: TaskResult,
--- a/crates/policy/src/agent/report.rs
+++ b/crates/policy/src/agent/report.rs
@@ -120,7 +120,8 @@
         let hint = self.hint();
         let renewal_due = self.renewal_is_due(now, incarnation);
         let view = self.entries.get_mut(&incarnation)?;
-        let window_changed = hint.window != view.told_hint.window;
+        let told = &view.told_hint;
+        let has_news = hint.window != told.window || hint.stretch_permille != told.stretch_permille;
         let hint_due = match self.rules.hints {
             HintMode::OnResults => false,
             HintMode::OnEdge => edge,
@@ -132,7 +133,7 @@
         let tells_source = view.tell_version && view.is_config_source;
         let news = view.tell_target || tells_source || view.config_body.is_some();
         let answers = !results.is_empty() || !view.not_run.is_empty() || view.probed;
-        if !(renewal_due || window_changed || hint_due || news || answers) {
+        if !(renewal_due || has_news || hint_due || news || answers) {
             return None;
         }
         let mut items = self.changed_items(incarnation);
@@ -218,6 +219,7 @@
             .count();
         LoadHint {
             load_permille: permille(self.load()),
+            stretch_permille: self.stretch_permille,
             window: window(self.slots(), self.rules.open_tasks_per_slot, sessions),
             running: self.occupied(),
             queued: self.queued(),
--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -215,6 +215,7 @@
             started_at: now,
             address,
             is_stopping: false,
+            progress: None,
         };
         let Stage::Queued { body } = std::mem::replace(&mut record.stage, running) else {
             return;
--- a/crates/policy/src/entry/event.rs
+++ b/crates/policy/src/entry/event.rs
@@ -169,6 +169,13 @@
         /// Tasks settled as unknown.
         unknown: u64,
     },
+    /// Tasks take far longer on a target than elsewhere.
+    Slow {
+        /// The agent beside it.
+        agent: AgentId,
+        /// Run time over the expected one, in thousandths.
+        stretch_permille: u32,
+    },
     /// A target was set aside.
     Ejected {
         /// The agent beside it.
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod report;
 mod session;
 mod settle;
+mod slow;
 mod status;
 mod view;
 mod wait;
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -62,7 +62,7 @@
                 AgentItem::Target(state) => {
                     ack.sent_messages = self.on_target(&agent, report.seq, state);
                 }
-                AgentItem::Load(hint) => self.on_load(now, &agent, report.seq, hint),
+                AgentItem::Load(hint) => self.on_load(now, &agent, report.seq, hint, out),
                 AgentItem::Results(results) => {
                     for result in results {
                         if let Some(job) = self.jobs.get_mut(&result.task.submission) {
@@ -177,7 +177,14 @@
         }
     }
 
-    fn on_load(&mut self, now: Moment, agent: &AgentId, seq: u64, hint: LoadHint) {
+    fn on_load(
+        &mut self,
+        now: Moment,
+        agent: &AgentId,
+        seq: u64,
+        hint: LoadHint,
+        out: &mut Vec<EntryAction>,
+    ) {
         let Some(view) = self
             .agents
             .get_mut(agent)
@@ -189,6 +196,9 @@
         view.hint_seq = seq;
         view.hint_at = now;
         view.load_at_hint = view.own_load;
+        if hint.stretch_permille > 0 {
+            self.note_stretch(now, agent, hint.stretch_permille, out);
+        }
     }
 
     fn on_version(
--- /dev/null
+++ b/crates/policy/src/entry/slow.rs
@@ -0,0 +1,63 @@
+//! Targets on which tasks take far longer than elsewhere.
+
+use dfs_ids::AgentId;
+use dfs_ids::Moment;
+use dfs_wire::session::EntryItem;
+use dfs_wire::session::TaskRef;
+
+use super::Entry;
+use super::EntryAction;
+use super::Observation;
+
+const PERMILLE: f64 = 1_000.0;
+
+impl Entry {
+    /// Takes note of how fast a target is; repeatable tasks are fetched back from one that has become
+    /// slow, since they end sooner if they begin anew elsewhere.
+    pub(super) fn note_stretch(
+        &mut self,
+        now: Moment,
+        agent: &AgentId,
+        stretch_permille: u32,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let was_slow = self.is_slow(agent, now);
+        let stretch = f64::from(stretch_permille) / PERMILLE;
+        self.speeds.seen(agent, stretch, now);
+        if was_slow || !self.is_slow(agent, now) {
+            return;
+        }
+        let agent_id = agent.clone();
+        out.push(EntryAction::Observe(Observation::Slow {
+            agent: agent_id,
+            stretch_permille,
+        }));
+        self.fetch_back(agent, out);
+    }
+
+    fn is_slow(&self, agent: &AgentId, now: Moment) -> bool {
+        let open = self.agents.get(agent).map_or(0, |view| view.open_tasks());
+        self.speeds.is_slow(agent, open, now)
+    }
+
+    fn fetch_back(&mut self, agent: &AgentId, out: &mut Vec<EntryAction>) {
+        let Some(view) = self.agents.get(agent) else {
+            return;
+        };
+        let is_repeatable = |task: &&TaskRef| {
+            let job = self.jobs.get(&task.submission);
+            job.is_some_and(|job| job.terms.repeatable)
+        };
+        let tasks: Vec<_> = view
+            .outstanding
+            .keys()
+            .filter(is_repeatable)
+            .cloned()
+            .collect();
+        if let Some(connection) = view.connection
+            && !tasks.is_empty()
+        {
+            self.send_to(connection, vec![EntryItem::Withdraw(tasks)], out);
+        }
+    }
+}
--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -157,11 +157,22 @@
     /// Its life, where it tells.
     pub birth: Option<Birth>,
     /// Runs that go on.
-    pub running: Vec<(Arc<str>, RunNumber)>,
+    pub running: Vec<Running>,
     /// Ends above the number that was seen, in order.
     pub ended: Vec<Ended>,
 }
 
+/// A run that goes on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Running {
+    /// Name of the task.
+    pub name: Arc<str>,
+    /// The run.
+    pub run: RunNumber,
+    /// Part of its work that is done, in hundredths.
+    pub percent: u8,
+}
+
 /// The end of a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ended {
@@ -261,6 +272,8 @@
         /// How it ended.
         end: RunEnd,
     },
+    /// How far the runs have come, in hundredths of their work.
+    Progress(Vec<(TaskRef, u8)>),
     /// The target may be used.
     Announce(Announcement),
     /// The target takes no new tasks.
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -110,11 +110,13 @@
         for ended in &sight.ended {
             self.on_ended(now, ended, out);
         }
-        let running: HashSet<_> = sight.running.iter().cloned().collect();
+        let seen = sight.running.iter();
+        let running: HashSet<_> = seen.map(|seen| (seen.name.clone(), seen.run)).collect();
         self.settle_unknown(now, look, &running, out);
         self.settle_missing(now, look, &running, out);
         self.stop_orphans(&running, out);
         self.repeat_stops(now, out);
+        self.tell_progress(sight, out);
         self.numbers
             .retain(|_, (_, at)| now < *at + KEEP_NUMBERS_MS);
         let was_failing = self.failing_since.take().is_some();
@@ -222,6 +224,17 @@
         }
     }
 
+    fn tell_progress(&self, sight: &Sight, out: &mut Vec<RunsAction>) {
+        let progress = sight.running.iter().filter_map(|running| {
+            let active = self.active.get(&running.name)?;
+            (active.run == running.run).then(|| (active.task.clone(), running.percent))
+        });
+        let progress: Vec<_> = progress.collect();
+        if !progress.is_empty() {
+            out.push(RunsAction::Progress(progress));
+        }
+    }
+
     fn repeat_stops(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
         let to_stop = self.active.iter().filter(|(_, a)| a.stop.is_some());
         let to_stop: Vec<_> = to_stop.map(|(name, _)| name.clone()).collect();
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -30,6 +30,7 @@
 pub use event::OrderOutcome;
 pub use event::Refusal;
 pub use event::RunNumber;
+pub use event::Running;
 pub use event::RunsAction;
 pub use event::RunsEvent;
 pub use event::Sight;
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -56,6 +56,21 @@
         record.last_result = now;
     }
 
+    /// Records the ratio of several runs that go on.
+    pub fn seen(&mut self, agent: &AgentId, ratio: f64, now: Moment) {
+        let median = self.median;
+        let record = self.records.entry(agent.clone()).or_insert(Record {
+            ratio: median,
+            last_result: now,
+        });
+        if ratio >= SLOW_RATIO * median {
+            record.ratio = ratio;
+            record.last_result = now;
+        } else if record.ratio >= SLOW_RATIO * median {
+            record.ratio = ratio;
+        }
+    }
+
     /// Whether tasks take far longer there than on all targets.
     #[must_use]
     pub fn is_slow(&self, agent: &AgentId, open_tasks: u32, now: Moment) -> bool {
--- a/crates/policy/tests/policy_admission.rs
+++ b/crates/policy/tests/policy_admission.rs
@@ -249,6 +249,7 @@
     let (agent, task, _) = bench.placed[0].clone();
     let full = LoadHint {
         load_permille: 1_000,
+        stretch_permille: 0,
         window: 64,
         running: SLOTS,
         queued: 0,
--- a/crates/wire/src/session/report.rs
+++ b/crates/wire/src/session/report.rs
@@ -86,6 +86,10 @@
     /// Parts of the target that running and queued tasks take, of all entries, in thousandths.
     #[serde(default)]
     pub load_permille: u32,
+    /// Run time on the target over the expected one, by how far the runs have come, in thousandths;
+    /// zero: not known.
+    #[serde(default)]
+    pub stretch_permille: u32,
 }
 
 /// A task that did not start and never will.
