--- a/crates/policy/src/agent/progress.rs
+++ b/crates/policy/src/agent/progress.rs
@@ -1,5 +1,6 @@
 //! Runs that take far longer than expected, or stand still.
 
+use dfs_ids::Attempt;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_wire::session::TaskRef;
@@ -21,6 +22,9 @@
 const STILL_MS: Millis = Millis::new(400);
 /// Part of the expected run time, as its reciprocal.
 const STILL_PART: u64 = 10;
+/// From this attempt on a run that stands still is left alone, since the expected run time may be far
+/// too short.
+const LAST_ATTEMPT: Attempt = Attempt::new(2);
 const PERCENT: f64 = 100.0;
 
 impl Agent {
@@ -37,7 +41,7 @@
                 continue;
             };
             stretches.extend(stretch(now, record, *percent));
-            if note(now, record, *percent) {
+            if note(now, record, *percent) && task.attempt < LAST_ATTEMPT {
                 still.push(task.clone());
             }
         }
--- a/crates/policy/src/entry/admit.rs
+++ b/crates/policy/src/entry/admit.rs
@@ -163,6 +163,8 @@
             agent.offer().is_some_and(|offer| {
                 offer.services.contains(&submission.service)
                     && offer.resources.covers(&service.requires)
+                    && offer.part_of(&submission.terms.demand) <= 1.0
+                    && submission.constraints.allow(offer, || 0)
                     && allows(group, &offer.target)
             })
         });
@@ -170,7 +172,7 @@
             return Ok(());
         }
         let message = format!(
-            "no live target offers {} to group {}: try later",
+            "no live target that has what a task takes offers {} to group {}: try later",
             submission.service, submission.group
         );
         Err(failure(FailureReason::NoTarget, message, Some(SOON_MS)))
--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -352,7 +352,7 @@
 
 impl Constraints {
     /// Whether a target may take another task; `placed` counts those that it has.
-    fn allow(&self, offer: &Offer, placed: impl FnOnce() -> u32) -> bool {
+    pub(super) fn allow(&self, offer: &Offer, placed: impl FnOnce() -> u32) -> bool {
         let has_label = self
             .label
             .as_ref()
--- a/crates/policy/src/entry/slow.rs
+++ b/crates/policy/src/entry/slow.rs
@@ -1,6 +1,7 @@
 //! Targets on which tasks take far longer than elsewhere.
 
 use dfs_ids::AgentId;
+use dfs_ids::Attempt;
 use dfs_ids::Moment;
 use dfs_wire::session::EntryItem;
 use dfs_wire::session::TaskRef;
@@ -9,6 +10,8 @@
 use super::EntryAction;
 use super::Observation;
 
+/// From this attempt on a task stays where it is.
+const LAST_ATTEMPT: Attempt = Attempt::new(2);
 const PERMILLE: f64 = 1_000.0;
 
 impl Entry {
@@ -32,7 +35,21 @@
             agent: agent_id,
             stretch_permille,
         }));
-        self.fetch_back(agent, out);
+        if self.are_few_slow(now) {
+            self.fetch_back(agent, out);
+        }
+    }
+
+    /// Whether other targets are so much faster that beginning anew there pays. Where many seem slow,
+    /// the expected run times are too short.
+    fn are_few_slow(&self, now: Moment) -> bool {
+        let Some(config) = &self.config else {
+            return false;
+        };
+        let slow = self.agents.keys().filter(|agent| self.is_slow(agent, now));
+        let slow = f64::from(u32::try_from(slow.count()).unwrap_or(u32::MAX));
+        let all = f64::from(u32::try_from(self.agents.len()).unwrap_or(u32::MAX));
+        slow <= all * config.rules.ejection.max_part
     }
 
     fn is_slow(&self, agent: &AgentId, now: Moment) -> bool {
@@ -46,7 +63,7 @@
         };
         let is_repeatable = |task: &&TaskRef| {
             let job = self.jobs.get(&task.submission);
-            job.is_some_and(|job| job.terms.repeatable)
+            job.is_some_and(|job| job.terms.repeatable) && task.attempt < LAST_ATTEMPT
         };
         let tasks: Vec<_> = view
             .outstanding
