--- a/crates/daemon/tests/faults/stop.rs
+++ b/crates/daemon/tests/faults/stop.rs
@@ -149,3 +149,30 @@
     assert_that!(failure["not_run"], eq(&json!(false)));
     assert_that!(failure["may_have_run"], eq(&json!([0])));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hangup_reads_the_settings_again_and_cuts_nothing() {
+    let cluster = Cluster::start(FULL).await;
+    let entry = &cluster.entries[0].daemon;
+    let long = long_request(&cluster, 800).await;
+    let settings = entry.settings();
+    entry.change_settings("{");
+    entry.signal(Signal::Hangup);
+    until("the faulty file is refused", async || {
+        entry.log_text().contains(" 102 settings_rejected ")
+    })
+    .await;
+    let level = json!({ "level": "debug" });
+    let mut changed: serde_json::Value = serde_json::from_str(&settings).unwrap();
+    changed["log"] = level;
+    entry.change_settings(&changed.to_string());
+    entry.signal(Signal::Hangup);
+    until("the changed file is in force", async || {
+        entry
+            .log_text()
+            .contains(" 111 settings_reloaded level=debug")
+    })
+    .await;
+    let answer = long.await.unwrap().unwrap();
+    assert_that!(answer.body["results"][0]["echo"], eq(&json!("long")));
+}
--- a/crates/daemon/tests/faults/support/daemon.rs
+++ b/crates/daemon/tests/faults/support/daemon.rs
@@ -38,6 +38,7 @@
     Stop,
     Continue,
     Terminate,
+    Hangup,
 }
 
 impl Signal {
@@ -46,6 +47,7 @@
             Self::Stop => "-STOP",
             Self::Continue => "-CONT",
             Self::Terminate => "-TERM",
+            Self::Hangup => "-HUP",
         }
     }
 }
@@ -74,14 +76,15 @@
         let path = files.join(format!("{life}.json"));
         std::fs::write(&path, settings.to_string()).unwrap();
         let log = files.join(format!("{life}.log"));
+        let output = File::create(&log).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_dragonflyshedd"))
             .arg(role.name())
             .arg("--settings")
             .arg(&path)
             .env("FAILPOINTS", fail_points)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(File::create(&log).unwrap())
+            .stdout(output.try_clone().unwrap())
+            .stderr(output)
             .spawn()
             .unwrap();
         Self { child, log }
@@ -102,6 +105,16 @@
         address.unwrap()
     }
 
+    /// The settings file.
+    pub fn settings(&self) -> String {
+        std::fs::read_to_string(self.log.with_extension("json")).unwrap()
+    }
+
+    /// Writes other settings where the process reads its own.
+    pub fn change_settings(&self, settings: &str) {
+        std::fs::write(self.log.with_extension("json"), settings).unwrap();
+    }
+
     pub fn log_text(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap()
     }
