--- a/crates/agent/src/process/start.rs
+++ b/crates/agent/src/process/start.rs
@@ -72,7 +72,7 @@
     pub async fn start(settings: AgentSettings, metrics: Metrics) -> Result<Self, StartError> {
         let edge = AgentEdge {
             driver: Arc::new(Runner::new(&settings)),
-            announcements: Box::new(|events| request::router(events)),
+            announcements: Box::new(request::router),
             taken_over: Box::pin(std::future::ready(())),
             presence: settings.store.as_ref().map(native_presence),
         };
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -36,7 +36,7 @@
             Ok(text) => text,
             Err(error) => {
                 if self.text.take().is_some() {
-                    self.reject(error.to_string());
+                    self.reject(&error.to_string());
                 }
                 return;
             }
@@ -49,12 +49,12 @@
                 dfs_log::set_level(level);
                 dfs_log::emit(ProcessEvent::SettingsReloaded { level });
             }
-            Err(message) => self.reject(message),
+            Err(message) => self.reject(&message),
         }
         self.text = Some(text);
     }
 
-    fn reject(&self, message: String) {
+    fn reject(&self, message: &str) {
         let message = format!("{}: {message}", self.path.display());
         let error = ErrorText::new(&ReloadError { message });
         dfs_log::emit(ProcessEvent::SettingsRejected { error });
--- a/crates/policy/src/entry/slow.rs
+++ b/crates/policy/src/entry/slow.rs
@@ -9,6 +9,7 @@
 use super::Entry;
 use super::EntryAction;
 use super::Observation;
+use super::view::AgentView;
 
 /// From this attempt on a task stays where it is.
 const LAST_ATTEMPT: Attempt = Attempt::new(2);
@@ -53,7 +54,7 @@
     }
 
     fn is_slow(&self, agent: &AgentId, now: Moment) -> bool {
-        let open = self.agents.get(agent).map_or(0, |view| view.open_tasks());
+        let open = self.agents.get(agent).map_or(0, AgentView::open_tasks);
         self.speeds.is_slow(agent, open, now)
     }
 
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -213,7 +213,7 @@
         out: &mut Vec<RunsAction>,
     ) {
         let orphans: Vec<_> = self.orphans(running).cloned().collect();
-        self.stopped_runs += orphans.len();
+        self.orphans_stopped += orphans.len();
         for (name, run) in orphans {
             out.push(RunsAction::SendStop(StopOrder {
                 target: self.target(),
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -82,7 +82,7 @@
     next_look_at: Moment,
     taken_over: bool,
     /// Runs of an earlier life of the agent that were told to stop.
-    stopped_runs: usize,
+    orphans_stopped: usize,
     is_announced: bool,
     /// Looks in a row that a higher token fenced.
     climbs: u32,
@@ -119,7 +119,7 @@
             failing_since: None,
             next_look_at: now,
             taken_over: false,
-            stopped_runs: 0,
+            orphans_stopped: 0,
             is_announced: false,
             climbs: 0,
         }
@@ -231,7 +231,7 @@
         self.taken_over = true;
         out.push(RunsAction::TakenOver {
             token: self.token,
-            stopped_runs: self.stopped_runs,
+            stopped_runs: self.orphans_stopped,
         });
     }
 
