explain: the story of one request from the logs of all processes

Cause: after a complaint only logs are left, spread over entries and agents. Change: the tool reads logs of many processes, with or without a collector's prefix, merges the lines of a request, job or submission by time, adds what befell the processes that it touched within two seconds, and says how it ended and why. It asks no process.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -64,6 +64,11 @@
 
 The token is an operator's; it is needed for the count of messages per task only.";
 
+const EXPLAIN_EXAMPLES: &str = "Example:
+  dragonflyshed explain --log entry-1.log --log agent-*.log -- 52aa35ec032ef740
+
+The processes are not asked. docs/OPERATIONS.md tells how to read the story.";
+
 const COMPLETIONS_EXAMPLES: &str = "Example:
   dragonflyshed completions bash > dragonflyshed.bash";
 
@@ -100,6 +105,9 @@
     /// Send a described mix of submissions and report response times
     #[command(after_help = LOAD_EXAMPLES)]
     Load(LoadArgs),
+    /// Tell the story of one request from the logs of all processes
+    #[command(after_help = EXPLAIN_EXAMPLES)]
+    Explain(ExplainArgs),
     /// Run a whole pool in this process, with jobs for two groups
     Demo,
     /// Print a completion script for a shell
@@ -110,6 +118,17 @@
     },
 }
 
+/// Which request to explain, and from which logs.
+#[derive(Debug, Args)]
+pub struct ExplainArgs {
+    /// Log of one or more processes; may be repeated
+    #[arg(long = "log", value_name = "FILE", required = true, num_args = 1..)]
+    pub logs: Vec<PathBuf>,
+    /// Id of the request, the job or the submission
+    #[arg(value_name = "ID", last = true)]
+    pub id: String,
+}
+
 /// Which entries to call, and as whom.
 #[derive(Debug, Args)]
 pub struct EntryArgs {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -9,6 +9,7 @@
 use crate::config::ConfigFailure;
 use crate::demo::DemoError;
 use crate::exit::Exit;
+use crate::explain::ExplainError;
 use crate::input::InputError;
 use crate::load::MixError;
 use crate::options::OptionsError;
@@ -65,6 +66,12 @@
         /// The cause.
         source: DemoError,
     },
+    /// The request can't be explained.
+    #[snafu(transparent)]
+    Explain {
+        /// The cause.
+        source: ExplainError,
+    },
     /// The mix of a load is not valid.
     #[snafu(transparent)]
     Mix {
@@ -86,6 +93,7 @@
             Self::Input { source } => source.exit(),
             Self::Call { source } => source.exit(),
             Self::Config { source } => source.exit(),
+            Self::Explain { .. } => Exit::UnknownSubmission,
             Self::Mix { .. } => Exit::ConfigInvalid,
         }
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod error;
 mod exit;
+mod explain;
 mod input;
 mod load;
 mod options;
@@ -52,6 +53,7 @@
         Command::Rules(command) => config::run_rules(command).await,
         Command::Config(command) => config::run_config(command).await,
         Command::Status(args) => status::run(args).await,
+        Command::Explain(args) => explain::run(&args),
         Command::Load(args) => load::run(args).await,
         Command::Demo => demo::run().await,
         Command::Completions { shell } => completions::run(shell),
--- a/crates/cli/tests/tool/main.rs
+++ b/crates/cli/tests/tool/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod config;
+mod explain;
 mod fake;
 mod load;
 mod status;
