A version reaches agents whose entry of choice is cut off from the store

Each agent takes its configuration from one entry that it chooses by hashing; where all agents had chosen the entry that was cut off from the store, the other one, which had the version, offered it to nobody, and the cut one learnt it from nobody. The choice depends on random incarnations, so it shows by chance; ruled out: slowness, since no agent was ever offered the version. On the users' platform the same strikes a pool of one or two workers whose store refuses one entry. Change: an entry offers a version to agents that are behind a second after it was adopted, once a session, and asks an agent for a newer one after a second in place of three.

--- a/crates/policy/src/entry/config.rs
+++ b/crates/policy/src/entry/config.rs
@@ -11,12 +11,18 @@
 use super::EntryAction;
 use super::view::AgentView;
 
-/// Time in which the table service is expected to give a version that an agent holds already.
-const PATIENCE_MS: Millis = Millis::new(3_000);
+/// Time in which the table service is expected to give an entry a version that an agent holds already, and
+/// in which agents are expected to have a version from the entry of their choice.
+const PATIENCE_MS: Millis = Millis::new(1_000);
 
 impl Entry {
     /// Adopts only a higher version.
-    pub(super) fn on_configured(&mut self, config: Arc<Config>, out: &mut Vec<EntryAction>) {
+    pub(super) fn on_configured(
+        &mut self,
+        now: Moment,
+        config: Arc<Config>,
+        out: &mut Vec<EntryAction>,
+    ) {
         if self
             .config
             .as_ref()
@@ -41,6 +47,27 @@
         }
         self.config = Some(config);
         self.behind_since = None;
+        self.configured_at = now;
+    }
+
+    /// Gives the version in force to agents that have not got it from the entry of their choice, which
+    /// may itself be waiting for it from them.
+    pub(super) fn offer_late(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
+        let Some(version) = self.config.as_ref().map(|config| config.version) else {
+            return;
+        };
+        if now < self.configured_at + PATIENCE_MS {
+            return;
+        }
+        for view in self.agents.values_mut() {
+            let Some(have) = view.version.filter(|have| *have < version) else {
+                continue;
+            };
+            let is_offered = view.offered.replace(version) == Some(version);
+            if let Some(connection) = view.connection.filter(|_| view.is_open && !is_offered) {
+                out.push(EntryAction::OfferConfig { connection, have });
+            }
+        }
     }
 
     /// Asks one agent at a time for a version that the table service has not given in time.
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -88,6 +88,8 @@
     speeds: Speeds,
     /// Tasks of lost agents whose runs may go on until the given moment.
     unsettled: BTreeSet<(Moment, AgentId, TaskRef)>,
+    /// When the version in force was adopted.
+    configured_at: Moment,
     /// Since when an agent holds a higher version.
     behind_since: Option<Moment>,
     /// When an agent was last asked for its configuration.
@@ -119,6 +121,7 @@
             ejection: Ejection::default(),
             speeds: Speeds::default(),
             unsettled: BTreeSet::new(),
+            configured_at: Moment::default(),
             behind_since: None,
             asked_at: None,
             next_session: SessionNumber::default(),
@@ -145,7 +148,7 @@
                 self.on_report(now, connection, report, &mut out);
             }
             EntryEvent::ConnectionLost { connection } => self.on_lost(connection),
-            EntryEvent::Configured(config) => self.on_configured(config, &mut out),
+            EntryEvent::Configured(config) => self.on_configured(now, config, &mut out),
             EntryEvent::EntriesChanged(entries) => self.on_entries(&entries, &mut out),
             EntryEvent::SendItem { connection, item } => {
                 self.send_to(connection, vec![item], &mut out);
@@ -161,6 +164,7 @@
     pub fn flush(&mut self, now: Moment) -> Vec<EntryAction> {
         let mut out = Vec::new();
         self.ask_config(now, &mut out);
+        self.offer_late(now, &mut out);
         self.review_queue(now, &mut out);
         self.dispatch(now, &mut out);
         if self.stopping && self.jobs.is_empty() && !self.stopped {
--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -118,6 +118,7 @@
             version: None,
             version_seq: 0,
             takes_config: false,
+            offered: None,
             probed_at: None,
         };
         let name = attach.agent.clone();
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -52,6 +52,8 @@
     /// Report that brought the version.
     pub version_seq: u64,
     pub takes_config: bool,
+    /// Version that it was last offered in this session although it takes its configuration elsewhere.
+    pub offered: Option<ConfigVersion>,
     pub probed_at: Option<Moment>,
 }
 
