One submission with a bad estimate makes no target slow

Change: runs of at least three submissions tell, each by its least stretch. Test: fails before (4 runs of one submission called the target seven times slow).

--- a/crates/policy/src/agent/progress.rs
+++ b/crates/policy/src/agent/progress.rs
@@ -1,8 +1,11 @@
 //! Runs that take far longer than expected, or stand still.
 
+use std::collections::BTreeMap;
+
 use dfs_ids::Attempt;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
+use dfs_ids::SubmissionId;
 use dfs_wire::session::TaskRef;
 
 use super::Agent;
@@ -15,8 +18,9 @@
 pub(super) const NORMAL_PERMILLE: u32 = 1_000;
 /// Shortest run that tells how fast the target is; shorter ones are mostly start-up.
 const MIN_RUN_MS: Millis = Millis::new(40);
-/// Fewest runs that tell how fast the target is, since single expectations are far off.
-const MIN_RUNS: usize = 2;
+/// Fewest submissions whose runs tell how fast the target is: the expectation of a single one may be far
+/// off, for all of its tasks alike.
+const MIN_SUBMISSIONS: usize = 3;
 /// Time without progress after which a run stands still, besides a part of its expected run time. A
 /// target that is eight times slow still moves a run of several seconds by one hundredth in it.
 const STILL_MS: Millis = Millis::new(400);
@@ -34,18 +38,21 @@
         progress: &[(TaskRef, u8)],
         out: &mut Vec<AgentAction>,
     ) {
-        let mut stretches = Vec::new();
+        let mut stretches: BTreeMap<SubmissionId, f64> = BTreeMap::new();
         let mut still = Vec::new();
         for (task, percent) in progress {
             let Some(record) = self.records.get_mut(task) else {
                 continue;
             };
-            stretches.extend(stretch(now, record, *percent));
+            if let Some(stretch) = stretch(now, record, *percent) {
+                let least = stretches.entry(task.submission.clone()).or_insert(stretch);
+                *least = least.min(stretch);
+            }
             if note(now, record, *percent) && task.attempt < LAST_ATTEMPT {
                 still.push(task.clone());
             }
         }
-        self.stretch_permille = median(stretches);
+        self.stretch_permille = median(stretches.into_values().collect());
         for task in still {
             self.stop_run(&task, "it stands still", out);
         }
@@ -91,11 +98,11 @@
     reason = "a small positive number; a larger one saturates"
 )]
 fn median(mut stretches: Vec<f64>) -> u32 {
-    if stretches.len() < MIN_RUNS {
+    if stretches.len() < MIN_SUBMISSIONS {
         return NORMAL_PERMILLE;
     }
     stretches.sort_by(f64::total_cmp);
     // Whole steps, so that entries are told only of changes that matter.
-    let steps = stretches[stretches.len() / 2] as u32;
+    let steps = stretches[(stretches.len() - 1) / 2] as u32;
     steps.max(1).saturating_mul(NORMAL_PERMILLE)
 }
--- a/crates/policy/tests/policy_slow.rs
+++ b/crates/policy/tests/policy_slow.rs
@@ -123,14 +123,21 @@
         }
     }
 
+    /// Places one task of each of four submissions.
     fn place(&mut self) {
+        for n in 0..TASKS {
+            self.place_one(task(n));
+        }
+    }
+
+    fn place_one(&mut self, task: TaskRef) {
         self.message(EntryItem::Place(Placement {
-            submission: "s".parse().unwrap(),
+            submission: task.submission,
             group: "aba".parse().unwrap(),
             service: "desk".parse().unwrap(),
             time_left_ms: Millis::new(60_000),
             age_ms: Millis::new(0),
-            left: TASKS,
+            left: 1,
             if_full: IfFull::Queue,
             terms: Terms {
                 demand: resources(1_600),
@@ -138,7 +145,7 @@
                 repeatable: true,
                 ..Terms::default()
             },
-            tasks: (0..TASKS).map(placed).collect(),
+            tasks: vec![placed(task.task)],
         }));
     }
 
@@ -163,17 +170,21 @@
     }
 }
 
-fn placed(n: u32) -> PlacedTask {
+fn placed(task: TaskIndex) -> PlacedTask {
     PlacedTask {
-        task: TaskIndex::new(n),
+        task,
         attempt: Attempt::new(0),
         body: Arc::from(RawValue::NULL.to_owned()),
     }
 }
 
 fn task(n: u32) -> TaskRef {
+    task_of(&format!("s-{n}"), n)
+}
+
+fn task_of(submission: &str, n: u32) -> TaskRef {
     TaskRef {
-        submission: "s".parse().unwrap(),
+        submission: submission.parse().unwrap(),
         task: TaskIndex::new(n),
         attempt: Attempt::new(0),
     }
@@ -191,6 +202,19 @@
     expect_that!(bench.stretch_permille, eq(1_000));
 }
 
+#[googletest::test]
+fn one_submission_whose_expected_run_time_is_too_short_makes_no_target_slow() {
+    let mut bench = Bench::new();
+    for n in 0..TASKS {
+        bench.place_one(task_of("s", n));
+    }
+    bench.after(100);
+    let progress = (0..TASKS).map(|n| (task_of("s", n), 7)).collect();
+    bench.handle(AgentEvent::Progress(progress));
+    bench.acknowledge();
+    expect_that!(bench.stretch_permille, eq(1_000));
+}
+
 #[googletest::test]
 fn a_run_that_stands_still_is_stopped_and_the_others_go_on() {
     let mut bench = Bench::new();
