--- a/crates/cli/src/explain/story.rs
+++ b/crates/cli/src/explain/story.rs
@@ -65,7 +65,7 @@
     fn end(&self) -> Option<&Line> {
         let is_end = |line: &&Line| (302..=305).contains(&line.number);
         let own = self.lines.iter().filter(|(_, part)| *part == Part::Own);
-        own.map(|(line, _)| line).filter(is_end).next_back()
+        own.map(|(line, _)| line).rfind(is_end)
     }
 }
 
--- a/crates/cli/tests/links.rs
+++ b/crates/cli/tests/links.rs
@@ -5,7 +5,7 @@
 
 use googletest::prelude::*;
 
-const FOLDERS: [&str; 4] = ["", "docs", "docs/design", "examples"];
+const FOLDERS: [&str; 5] = ["", "docs", "docs/design", "docs/incidents", "examples"];
 
 fn root() -> PathBuf {
     PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..")
--- a/crates/cli/tests/tool/explain.rs
+++ b/crates/cli/tests/tool/explain.rs
@@ -21,10 +21,10 @@
 2026-05-15T10:59:40.000+00:00 info 302 refused request=r-old job=j-3 reason=impossible cause="no such queue" version=8
 not a line
 "#;
-const AGENT: &str = r#"
+const AGENT: &str = r"
   0.1 side-2 2026-05-15T10:59:16.503+00:00 info 413 run_started submission=e-1 task=0 attempt=1 wait_ms=0 load_permille=300
   0.1 side-2 2026-05-15T10:59:16.790+00:00 info 414 run_ended submission=e-1 task=0 attempt=1 outcome=done run_ms=287
-"#;
+";
 
 fn logs(files: &TempDir) -> (PathBuf, PathBuf) {
     let (entry, agent) = (files.path().join("entry-1"), files.path().join("agents"));
