The product follows the configuration; the adapter only reads it

Cause: platform/ held a second copy of the loop that adopts versions, says when the store is lost and tries again, beside entry's own poll. Change: entry follows any feed of versions (version/follow.rs) and both loops share what they say of the store; platform/ reads rows and translates them.

--- a/crates/entry/src/edge.rs
+++ b/crates/entry/src/edge.rs
@@ -4,12 +4,9 @@
 
 use axum::Router;
 use dfs_conf::Config;
-use dfs_conf::ConfigUpdate;
 use dfs_conf::Queue;
-use dfs_ids::ConfigVersion;
 use dfs_ids::QueueName;
 use dfs_ids::SubmissionId;
-use dfs_log::ConfigSource;
 use dfs_log::ErrorText;
 use dfs_log::RequestEvent;
 use dfs_policy::entry::Readiness;
@@ -25,7 +22,6 @@
 use crate::request::Caller;
 use crate::request::Open;
 use crate::request::State;
-use crate::version::Holder;
 
 /// Parts of an entry that depend on its host.
 pub struct EntryEdge {
@@ -33,33 +29,15 @@
     pub table: Arc<dyn TableService>,
     /// Makes the paths for callers.
     pub router: Box<dyn FnOnce(Ingress) -> Router + Send>,
-    /// Follows the configuration for as long as the process lives.
-    pub follow_config: Box<dyn FnOnce(ConfigSink) -> Pending<'static, (), StoreError> + Send>,
+    /// Versions of the configuration as they come.
+    pub feed: Box<dyn ConfigFeed>,
 }
 
-/// Takes versions of the configuration.
-#[derive(Debug, Clone)]
-pub struct ConfigSink {
-    pub(crate) holder: Holder,
-}
-
-impl ConfigSink {
-    /// Puts a version in force if it is higher than the one held.
-    pub fn offer(&self, config: Config) {
-        let update = ConfigUpdate::Whole(Box::new(config));
-        self.holder.adopt(update, ConfigSource::Store);
-    }
-
-    /// The version in force, none before the first.
-    #[must_use]
-    pub fn version(&self) -> Option<ConfigVersion> {
-        self.holder.held().map(|config| config.version)
-    }
-
-    /// Records that the store has just been read, so that the version held is known to be the latest.
-    pub fn confirm(&self) {
-        self.holder.confirm();
-    }
+/// Where versions of the configuration come from.
+pub trait ConfigFeed: Send {
+    /// Waits for changes, and returns the versions that they bring; an empty list after a while without
+    /// any, so that a silent store is noticed.
+    fn next(&mut self) -> Pending<'_, Vec<Config>, StoreError>;
 }
 
 /// Hands submissions in.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,7 +6,7 @@
 mod request;
 mod version;
 
-pub use edge::ConfigSink;
+pub use edge::ConfigFeed;
 pub use edge::EntryEdge;
 pub use edge::Ingress;
 pub use edge::NoConfig;
--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -50,11 +50,11 @@
 use super::presence;
 use crate::connection::SessionServer;
 use crate::connection::serve_callers;
-use crate::edge::ConfigSink;
 use crate::edge::EntryEdge;
 use crate::edge::Ingress;
 use crate::request;
 use crate::version::Holder;
+use crate::version::follow;
 use crate::version::poll;
 
 /// A running entry.
@@ -305,11 +305,7 @@
                 }))
             }
             Self::Hosted(edge) => {
-                let follow = (edge.follow_config)(ConfigSink { holder });
-                background.push(tokio::spawn(async move {
-                    // It ends only with the process.
-                    let _ = follow.await;
-                }));
+                background.push(tokio::spawn(follow(edge.feed, holder)));
                 (edge.router)(Ingress { state })
             }
         }
