Hints of all agents together keep to a bound at each entry

Change: an entry tells each agent the cadence at which all hints stay under 400 a second (rule max_hints_per_s), at 11 agents 27 ms.

--- a/crates/conf/src/rules/mod.rs
+++ b/crates/conf/src/rules/mod.rs
@@ -135,6 +135,9 @@
     pub hints: HintMode,
     /// Shortest time between two load hints that ride on nothing.
     pub hint_cadence_ms: Millis,
+    /// Most such hints a second that all agents together send to one entry; with many agents the cadence
+    /// is slower.
+    pub max_hints_per_s: u32,
 }
 
 impl Default for PlacementRules {
@@ -148,6 +151,7 @@
             max_hand_backs: 2,
             hints: HintMode::default(),
             hint_cadence_ms: Millis::new(50),
+            max_hints_per_s: 400,
         }
     }
 }
--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -146,6 +146,7 @@
         view.sent_messages = view
             .sent_messages
             .max(ack.sent_messages.unwrap_or_default());
+        view.hint_ms = ack.hint_ms.unwrap_or(view.hint_ms);
         if seq == 0 {
             view.phase = Phase::Established;
             view.forgotten = false;
--- a/crates/policy/src/agent/report.rs
+++ b/crates/policy/src/agent/report.rs
@@ -126,7 +126,8 @@
             HintMode::OnResults => false,
             HintMode::OnEdge => edge,
             HintMode::OnChange => {
-                hint != view.told_hint && now >= view.told_hint_at + self.rules.hint_cadence_ms
+                let cadence_ms = self.rules.hint_cadence_ms.max(view.hint_ms);
+                hint != view.told_hint && now >= view.told_hint_at + cadence_ms
             }
         };
         // To the other entries the version rides on the next report.
--- a/crates/policy/src/agent/view.rs
+++ b/crates/policy/src/agent/view.rs
@@ -49,6 +49,8 @@
     pub config_body: Option<Box<RawValue>>,
     pub told_hint: LoadHint,
     pub told_hint_at: Moment,
+    /// Shortest time between two hints that ride on nothing, as the entry asks for.
+    pub hint_ms: Millis,
     pub tell_target: bool,
     pub tell_version: bool,
     pub is_config_source: bool,
@@ -98,6 +100,7 @@
             config_body: None,
             told_hint: LoadHint::default(),
             told_hint_at: now,
+            hint_ms: Millis::default(),
             tell_target: true,
             tell_version: true,
             is_config_source: false,
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -2,6 +2,7 @@
 
 use dfs_ids::AgentId;
 use dfs_ids::ConfigVersion;
+use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_wire::session::Ack;
 use dfs_wire::session::AgentItem;
@@ -19,6 +20,8 @@
 use super::Observation;
 use crate::ConnectionId;
 
+const MILLIS_PER_SECOND: u64 = 1_000;
+
 impl Entry {
     pub(super) fn on_report(
         &mut self,
@@ -85,9 +88,22 @@
                 AgentItem::Config(body) => out.push(EntryAction::ConfigReceived(body)),
             }
         }
+        ack.hint_ms = self.changed_hint_ms(&agent);
         Ok(ack)
     }
 
+    /// Cadence at which the hints of all agents keep to their bound, if the agent was told another one.
+    fn changed_hint_ms(&mut self, agent: &AgentId) -> Option<Millis> {
+        let rules = &self.config.as_ref()?.rules.placement;
+        let agents = self.agents.len() as u64;
+        let hints_per_s = u64::from(rules.max_hints_per_s.max(1));
+        let of_all_ms = Millis::new(agents * MILLIS_PER_SECOND / hints_per_s);
+        let hint_ms = Some(rules.hint_cadence_ms.max(of_all_ms));
+        let view = self.agents.get_mut(agent)?;
+        let told_ms = std::mem::replace(&mut view.told_hint_ms, hint_ms);
+        hint_ms.filter(|_| told_ms != hint_ms)
+    }
+
     /// Opens the session with the list of held tasks; a list that arrives twice is answered alike.
     fn on_held(&mut self, agent: &AgentId, held: &Held, out: &mut Vec<EntryAction>) -> Ack {
         let Some(view) = self.agents.get_mut(agent) else {
--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -120,6 +120,7 @@
             takes_config: false,
             offered: None,
             probed_at: None,
+            told_hint_ms: None,
         };
         let name = attach.agent.clone();
         if self.agents.insert(attach.agent, view).is_none() && !self.roster.contains(&name) {
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -55,6 +55,8 @@
     /// Version that it was last offered in this session although it takes its configuration elsewhere.
     pub offered: Option<ConfigVersion>,
     pub probed_at: Option<Moment>,
+    /// Cadence of hints that it was told in this session.
+    pub told_hint_ms: Option<Millis>,
 }
 
 /// What one outstanding task weighs.
--- a/crates/policy/tests/policy_config.rs
+++ b/crates/policy/tests/policy_config.rs
@@ -1,4 +1,5 @@
-//! How a version reaches agents whose entry of choice is cut off from the table service.
+//! What an entry tells its agents: versions that their entry of choice does not bring, and the cadence of
+//! their hints.
 
 use std::sync::Arc;
 
@@ -28,6 +29,7 @@
     now: Moment,
     seq: u64,
     offers: Vec<ConfigVersion>,
+    told_hint_ms: Vec<Millis>,
 }
 
 impl Bench {
@@ -44,6 +46,7 @@
             now: Moment::from_millis(10_000),
             seq: 0,
             offers: Vec::new(),
+            told_hint_ms: Vec::new(),
         };
         bench.configure(1);
         bench.handle(EntryEvent::Attach {
@@ -108,8 +111,12 @@
         let mut actions = self.entry.handle(self.now, event);
         actions.extend(self.entry.flush(self.now));
         for action in actions {
-            if let EntryAction::OfferConfig { have, .. } = action {
-                self.offers.push(have);
+            match action {
+                EntryAction::OfferConfig { have, .. } => self.offers.push(have),
+                EntryAction::Reply { reply: Ok(ack), .. } => {
+                    self.told_hint_ms.extend(ack.hint_ms);
+                }
+                _ => {}
             }
         }
     }
@@ -134,3 +141,12 @@
     bench.after(3_000);
     expect_that!(bench.offers, is_empty());
 }
+
+#[googletest::test]
+fn an_agent_is_told_the_cadence_of_its_hints_once() {
+    let mut bench = Bench::new();
+    bench.after(100);
+    bench.after(100);
+    let cadence_ms = Rules::default().placement.hint_cadence_ms;
+    expect_that!(bench.told_hint_ms, elements_are![eq(&cadence_ms)]);
+}
--- a/crates/wire/src/session/report.rs
+++ b/crates/wire/src/session/report.rs
@@ -2,6 +2,7 @@
 
 use derive_more::Display;
 use dfs_ids::ConfigVersion;
+use dfs_ids::Millis;
 use dfs_ids::SessionNumber;
 use serde::Deserialize;
 use serde::Serialize;
@@ -138,6 +139,9 @@
     /// the target. A reply may overtake them; an agent that stops reads them all first.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub sent_messages: Option<u64>,
+    /// Shortest time between two load hints that ride on nothing, told when it has changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hint_ms: Option<Millis>,
 }
 
 /// Why a report was not accepted.
