--- a/crates/policy/src/entry/job.rs
+++ b/crates/policy/src/entry/job.rs
@@ -6,6 +6,7 @@
 use dfs_ids::AgentId;
 use dfs_ids::Attempt;
 use dfs_ids::GroupId;
+use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::Priority;
 use dfs_ids::QueueName;
@@ -36,6 +37,16 @@
     }
 }
 
+/// A span that was reckoned in microseconds.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a positive number of milliseconds; a larger one saturates"
+)]
+pub(super) fn millis(us: f64) -> Millis {
+    Millis::new((us / MICROS_PER_MILLI) as u64)
+}
+
 /// An open submission.
 #[derive(Debug)]
 pub(super) struct Job {
--- a/crates/policy/src/entry/hopeless.rs
+++ b/crates/policy/src/entry/review.rs
@@ -9,6 +9,7 @@
 use super::EntryAction;
 use super::Observation;
 use super::job::Job;
+use super::job::millis;
 use crate::order::rank;
 
 /// What becomes of the first submission of a lane.
@@ -45,8 +46,8 @@
     }
 
     fn verdict(&self, now: Moment, job: &Job) -> Verdict {
-        let run = micros(job.expected_run_us(self.totals.mean_run_us()));
-        let earliest_end = now + run;
+        let run_ms = millis(job.expected_run_us(self.totals.mean_run_us()));
+        let earliest_end = now + run_ms;
         let is_declared = job.terms.declared_ms > Millis::default();
         let is_hopeless = earliest_end > job.give_up_at.min(job.deadline);
         if is_declared && is_hopeless && job.may_have_run().is_empty() {
@@ -75,12 +76,3 @@
         self.queue.put(job.lane(), name, rank);
     }
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a positive number of milliseconds; a larger one saturates"
-)]
-fn micros(us: f64) -> Millis {
-    Millis::new((us / 1_000.0) as u64)
-}
--- a/crates/policy/src/entry/status.rs
+++ b/crates/policy/src/entry/status.rs
@@ -16,6 +16,7 @@
 use super::Entry;
 use super::job::Job;
 use super::job::TaskState;
+use super::job::millis;
 
 /// Whether an entry is ready, or why not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,7 +47,6 @@
 const MEAN_WEIGHT: f64 = 0.05;
 /// Run time that is assumed before the first task has ended.
 const FIRST_RUN_US: f64 = 200_000.0;
-const MICROS_PER_MILLI: f64 = 1_000.0;
 
 impl Totals {
     #[expect(
@@ -73,14 +73,9 @@
     }
 
     /// Time in which so many slots run so many tasks.
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a positive number of milliseconds; a larger one saturates"
-    )]
     pub(super) fn time_for(&self, tasks: f64, slots: f64) -> Millis {
         let slots = slots.max(1.0);
-        Millis::new((tasks * self.mean_run_us() / slots / MICROS_PER_MILLI) as u64)
+        millis(tasks * self.mean_run_us() / slots)
     }
 }
 
--- a/crates/policy/src/entry/wait.rs
+++ b/crates/policy/src/entry/wait.rs
@@ -8,13 +8,13 @@
 use super::Entry;
 use super::Submission;
 use super::admit::allows;
+use super::job::Job;
+use super::job::millis;
 use super::queue::Lane;
 use super::view::AgentView;
 use crate::order::Rank;
 use crate::order::rank;
 
-const MICROS_PER_MILLI: f64 = 1_000.0;
-
 /// The targets of a submission; loads are parts of one whole target.
 #[derive(Debug, Clone, Copy, Default)]
 struct Room {
@@ -121,7 +121,7 @@
     /// Load of the tasks queued here that go before a submission of this lane and rank; of groups that
     /// share the room only the own one counts.
     fn queued_ahead(&self, config: &Config, lane: &Lane, limit: Rank, part: f64) -> f64 {
-        let goes_before = |job: &&super::job::Job| {
+        let goes_before = |job: &&Job| {
             let rank = rank(&config.rules.placement, job.submitted_at, job.left);
             let place = job.lane().priority.cmp(&lane.priority);
             job.group == lane.group && place.then(rank.cmp(&limit)).is_le()
@@ -132,12 +132,3 @@
         f64::from(u32::try_from(tasks).unwrap_or(u32::MAX)) * part
     }
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a positive number of milliseconds; a larger one saturates"
-)]
-fn millis(us: f64) -> Millis {
-    Millis::new((us / MICROS_PER_MILLI) as u64)
-}
