--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,6 +6,7 @@
 mod process;
 mod request;
 
+pub use dfs_inbox::StopKind;
 pub use edge::AgentEdge;
 pub use edge::Run;
 pub use edge::TargetDriver;
@@ -16,5 +17,4 @@
 pub use fenced::OrderChannel;
 pub use process::Agent;
 pub use process::StartError;
-pub use process::StopKind;
 pub use request::Start;
--- a/crates/agent/src/process/mod.rs
+++ b/crates/agent/src/process/mod.rs
@@ -8,7 +8,6 @@
 
 pub use error::StartError;
 pub use start::Agent;
-pub use start::StopKind;
 
 pub(crate) use core::Command;
 pub(crate) use core::CoreHandle;
--- a/crates/agent/src/process/start.rs
+++ b/crates/agent/src/process/start.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
 
 use dfs_conf::AgentSettings;
 use dfs_conf::StoreSettings;
 use dfs_ids::Clock;
 use dfs_ids::Incarnation;
 use dfs_ids::Millis;
+use dfs_inbox::StopKind;
+use dfs_inbox::planned_stop;
 use dfs_log::Listener;
 use dfs_log::Metrics;
 use dfs_log::ProcessEvent;
@@ -52,17 +53,6 @@
     Presence::new(Arc::new(table), Arc::new(budget))
 }
 
-/// How a planned stop ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StopKind {
-    /// Every task has ended and its result was acknowledged.
-    Drained,
-    /// The time for it ran out.
-    BoundPassed,
-    /// It was asked for a second time.
-    AskedAgain,
-}
-
 impl Agent {
     /// Starts an agent from checked settings.
     ///
@@ -149,24 +139,9 @@
     /// Hands queued tasks back, lets running ones end and delivers their results, within the bound
     /// of the settings.
     pub async fn stop(mut self, asked_again: impl Future<Output = ()>) -> StopKind {
-        let asked = Instant::now();
-        let drain_ms = self.drain_ms;
-        dfs_log::emit(ProcessEvent::StopRequested { drain_ms });
         self.core.event(AgentEvent::Stop);
         let stopped = self.stopped.wait_for(|stopped| *stopped);
-        let drained = tokio::time::timeout(drain_ms.into(), stopped);
-        let kind = tokio::select! {
-            drained = drained => drained.map_or(StopKind::BoundPassed, |_| StopKind::Drained),
-            () = asked_again => StopKind::AskedAgain,
-        };
-        let open = self.core.open();
-        let waited = u64::try_from(asked.elapsed().as_millis()).unwrap_or(u64::MAX);
-        let waited_ms = Millis::new(waited);
-        dfs_log::emit(match kind {
-            StopKind::Drained => ProcessEvent::Drained { waited_ms },
-            StopKind::BoundPassed => ProcessEvent::StopBoundPassed { drain_ms, open },
-            StopKind::AskedAgain => ProcessEvent::SecondSignal { open },
-        });
+        let kind = planned_stop(self.drain_ms, &self.core, stopped, asked_again).await;
         self.background.iter().for_each(JoinHandle::abort);
         kind
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -10,6 +10,7 @@
 use dfs_conf::LogSettings;
 use dfs_conf::SettingsError;
 use dfs_entry::Entry;
+use dfs_entry::StopKind;
 use dfs_log::ErrorText;
 use dfs_log::Listener;
 use dfs_log::Metrics;
@@ -232,12 +233,7 @@
     mut signals: Signals,
 ) -> Result<ExitCode, RunError> {
     signals.stop_or(|| file.reload()).await;
-    Ok(match entry.stop(signals.stop()).await {
-        dfs_entry::StopKind::Drained => ExitCode::SUCCESS,
-        dfs_entry::StopKind::BoundPassed | dfs_entry::StopKind::AskedAgain => {
-            ExitCode::from(EXIT_CUT)
-        }
-    })
+    Ok(exit_code(entry.stop(signals.stop()).await))
 }
 
 async fn stop_agent(
@@ -246,10 +242,12 @@
     mut signals: Signals,
 ) -> Result<ExitCode, RunError> {
     signals.stop_or(|| file.reload()).await;
-    Ok(match agent.stop(signals.stop()).await {
-        dfs_agent::StopKind::Drained => ExitCode::SUCCESS,
-        dfs_agent::StopKind::BoundPassed | dfs_agent::StopKind::AskedAgain => {
-            ExitCode::from(EXIT_CUT)
-        }
-    })
+    Ok(exit_code(agent.stop(signals.stop()).await))
+}
+
+fn exit_code(kind: StopKind) -> ExitCode {
+    match kind {
+        StopKind::Drained => ExitCode::SUCCESS,
+        StopKind::BoundPassed | StopKind::AskedAgain => ExitCode::from(EXIT_CUT),
+    }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,11 +6,11 @@
 mod request;
 mod version;
 
+pub use dfs_inbox::StopKind;
 pub use edge::ConfigFeed;
 pub use edge::EntryEdge;
 pub use edge::Ingress;
 pub use edge::NoConfig;
 pub use process::Entry;
 pub use process::StartError;
-pub use process::StopKind;
 pub use request::Caller;
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -9,7 +9,6 @@
 
 pub use error::StartError;
 pub use start::Entry;
-pub use start::StopKind;
 
 pub(crate) use core::Command;
 pub(crate) use core::Core;
--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -6,7 +6,6 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
-use std::time::Instant;
 
 use axum::Router;
 use dfs_conf::EntryLimits;
@@ -14,7 +13,8 @@
 use dfs_conf::TokenDigest;
 use dfs_ids::Clock;
 use dfs_ids::Incarnation;
-use dfs_ids::Millis;
+use dfs_inbox::StopKind;
+use dfs_inbox::planned_stop;
 use dfs_log::ConfigSource;
 use dfs_log::Listener;
 use dfs_log::Metrics;
@@ -76,17 +76,6 @@
 /// Longest wait for the answers of a stop that passed its bound.
 const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How a planned stop ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StopKind {
-    /// Every open submission was answered.
-    Drained,
-    /// The time for it ran out.
-    BoundPassed,
-    /// It was asked for a second time.
-    AskedAgain,
-}
-
 impl Entry {
     /// Starts an entry from checked settings.
     ///
@@ -203,22 +192,8 @@
 
     /// Stops without cutting a submission, within the bound of the settings.
     pub async fn stop(mut self, asked_again: impl Future<Output = ()>) -> StopKind {
-        let asked = Instant::now();
-        let drain_ms = self.limits.drain_ms;
-        dfs_log::emit(ProcessEvent::StopRequested { drain_ms });
-        let drained = tokio::time::timeout(drain_ms.into(), self.drain());
-        let kind = tokio::select! {
-            drained = drained => drained.map_or(StopKind::BoundPassed, |()| StopKind::Drained),
-            () = asked_again => StopKind::AskedAgain,
-        };
-        let open = self.core.open();
-        let waited = u64::try_from(asked.elapsed().as_millis()).unwrap_or(u64::MAX);
-        let waited_ms = Millis::new(waited);
-        dfs_log::emit(match kind {
-            StopKind::Drained => ProcessEvent::Drained { waited_ms },
-            StopKind::BoundPassed => ProcessEvent::StopBoundPassed { drain_ms, open },
-            StopKind::AskedAgain => ProcessEvent::SecondSignal { open },
-        });
+        let (core, drain_ms) = (self.core.clone(), self.limits.drain_ms);
+        let kind = planned_stop(drain_ms, &core, self.drain(), asked_again).await;
         self.sessions.stop();
         self.background.iter().for_each(JoinHandle::abort);
         if kind == StopKind::BoundPassed {
--- a/crates/inbox/src/lib.rs
+++ b/crates/inbox/src/lib.rs
@@ -1,4 +1,6 @@
-//! Commands and ticks of the one task that owns the decisions of a process.
+//! Commands and ticks of the one task that owns the decisions of a process, and its planned stop.
+
+mod stop;
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -9,6 +11,9 @@
 use tokio::time::Interval;
 use tokio::time::MissedTickBehavior;
 
+pub use stop::StopKind;
+pub use stop::planned_stop;
+
 /// Time between two looks at leases, renewals and deadlines.
 const TICK: Duration = Duration::from_millis(20);
 /// Most commands that are taken before their consequences are sent.
