Admission reckons by group: each gets what it is owed under overload

Cause: the expected wait of a submission counted all that waits at the agents, of every group. Agents order by shares, so most of that is not ahead of it; the group that offers less was refused at once while the other one filled the queues, and got what it offered. A group limited to 3 of 11 targets was reckoned to get half of them although it is owed all.

Ruled out: the agents' ledgers.

Change: what waits is taken by the group's part of the tasks that the entry has placed; the part owed is that of all targets of the service, at most the whole of those that the group may use.

--- a/crates/policy/src/entry/wait.rs
+++ b/crates/policy/src/entry/wait.rs
@@ -2,8 +2,10 @@
 
 use dfs_conf::Config;
 use dfs_conf::Group;
+use dfs_ids::GroupId;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
+use dfs_ids::ServiceName;
 
 use super::Entry;
 use super::Submission;
@@ -78,7 +80,7 @@
         };
         let room = self.room_of(group, submission);
         let part = room.mean_part();
-        let tasks = u32::try_from(submission.tasks.len()).unwrap_or(u32::MAX);
+        let tasks = count(submission.tasks.len());
         let lane = Lane {
             priority: submission.terms.priority,
             group: submission.group.clone(),
@@ -87,13 +89,15 @@
         let rank = rank(&config.rules.placement, now, tasks);
         let ahead = self.queued_ahead(config, &lane, rank, part);
         let needed = ahead + f64::from(tasks) * part;
-        let part_of_room =
-            self.part_of_room(&room, needed) * self.shares.part_of(&submission.group);
-        let missing = needed - (room.free - room.waiting) * part_of_room;
+        let of_entry = self.part_of_room(&room, needed);
+        let of_group = self.shares.part_of(&submission.group);
+        let owed = self.part_owed(&room, &submission.service, of_group);
+        let waiting = room.waiting * self.part_of_placed(&submission.group).unwrap_or(of_group);
+        let missing = needed + (waiting - room.free * owed) * of_entry;
         if missing <= 0.0 {
             return Millis::default();
         }
-        let rate = room.rate(self.totals.mean_run_us()) * part_of_room;
+        let rate = room.rate(self.totals.mean_run_us()) * of_entry * owed;
         millis(missing / rate.max(f64::MIN_POSITIVE))
     }
 
@@ -107,6 +111,25 @@
         of_load.max(1.0 / f64::from(entries)).min(1.0)
     }
 
+    /// Part of the room of a group that it is owed: its part of all targets of the service, so that a
+    /// group with few targets may be owed all of them.
+    fn part_owed(&self, room: &Room, service: &ServiceName, of_group: f64) -> f64 {
+        let all = self.agents.values().filter(|view| view.offers(service));
+        let all = count(all.count());
+        (of_group * f64::from(all) / room.targets.max(1.0)).min(1.0)
+    }
+
+    /// Part of the tasks that this entry has placed which is of one group; none if it has placed none.
+    ///
+    /// Agents order by shares, so what waits there of other groups is not ahead of the group's tasks.
+    fn part_of_placed(&self, group: &GroupId) -> Option<f64> {
+        let placed = |job: &Job| job.left.saturating_sub(count(job.pending.len()));
+        let of_all: u32 = self.jobs.values().map(placed).sum();
+        let of_group = self.jobs.values().filter(|job| job.group == *group);
+        let of_group: u32 = of_group.map(placed).sum();
+        (of_all > 0).then(|| f64::from(of_group) / f64::from(of_all))
+    }
+
     fn room_of(&self, group: &Group, submission: &Submission) -> Room {
         let mut room = Room::default();
         for view in self.agents.values() {
@@ -129,6 +152,10 @@
         let pending = self.jobs.values().filter(|job| !job.pending.is_empty());
         let ahead = pending.filter(goes_before);
         let tasks: usize = ahead.map(|job| job.pending.len()).sum();
-        f64::from(u32::try_from(tasks).unwrap_or(u32::MAX)) * part
+        f64::from(count(tasks)) * part
     }
 }
+
+fn count(tasks: usize) -> u32 {
+    u32::try_from(tasks).unwrap_or(u32::MAX)
+}
--- a/crates/policy/tests/shares/main.rs
+++ b/crates/policy/tests/shares/main.rs
@@ -1,4 +1,4 @@
-//! A group that may use only some of the targets gets what it is owed under overload.
+//! Groups get what they are owed under overload, whatever they offer and wherever they may run.
 
 #[expect(dead_code, reason = "shared with the benchmark")]
 #[path = "../../benches/grid/cluster.rs"]
@@ -26,6 +26,7 @@
 use dfs_wire::target::Resources;
 use googletest::prelude::*;
 use mix::MEMBER_DESK;
+use tally::Tally;
 use tally::WINDOW_US;
 
 const AGENTS: u64 = 11;
@@ -52,7 +53,7 @@
     }
 }
 
-fn config() -> Arc<Config> {
+fn config(limited_to: u64) -> Arc<Config> {
     let inventory = Inventory {
         domains: vec!["lagos".parse().unwrap()],
         operators: Vec::new(),
@@ -60,7 +61,7 @@
             service: "desk".parse().unwrap(),
             requires: Resources::default(),
         }],
-        groups: vec![group("aba", LIMITED_TARGETS), group("onitsha", 0)],
+        groups: vec![group("aba", limited_to), group("onitsha", 0)],
         queues: Vec::new(),
         targets: Vec::new(),
     };
@@ -71,33 +72,61 @@
     })
 }
 
-fn tenant(name: &'static str, part: f64) -> Tenant {
+fn tenant(name: &'static str, weight: f64, job: (usize, u64)) -> Tenant {
     Tenant {
         name,
-        weight: part,
+        weight,
         entries: Vec::new(),
-        uniform: Some(JOB),
+        uniform: Some(job),
     }
 }
 
-#[googletest::test]
-fn a_group_limited_to_some_targets_gets_what_it_is_owed() {
-    let owed = mix::count(LIMITED_TARGETS) / mix::count(AGENTS);
+fn play(load: f64, tenants: Vec<Tenant>, limited_to: u64) -> Tally {
     let shape = Shape {
         entries: 4,
         agents: AGENTS,
         slots: SLOTS,
-        load: 2.0,
+        load,
         duration_us: WINDOWS * WINDOW_US,
         seed: 1,
-        tenants: vec![tenant("aba", owed), tenant("onitsha", 1.0 - owed)],
+        tenants,
         fault: Fault::None,
     };
-    let tally = Cluster::new(shape, MEMBER_DESK, &config()).run();
+    Cluster::new(shape, MEMBER_DESK, &config(limited_to)).run()
+}
+
+/// Checks each window after the first ones against the part of the capacity that a group is owed.
+fn expect_owed(tally: &Tally, group: &str, owed: f64) {
     let full_us = mix::count(WINDOW_US * AGENTS * u64::from(SLOTS)) * owed;
     for window in SKIPPED_WINDOWS..WINDOWS {
-        let busy_us = tally.busy_us.get(&("aba".parse().unwrap(), window));
+        let busy_us = tally.busy_us.get(&(group.parse().unwrap(), window));
         let part = mix::count(busy_us.copied().unwrap_or_default()) / full_us;
-        expect_that!(part, ge(FAIR_PART), "window {window}");
+        expect_that!(part, ge(FAIR_PART), "{group} in window {window}");
     }
 }
+
+#[googletest::test]
+fn a_group_limited_to_some_targets_gets_what_it_is_owed() {
+    let owed = mix::count(LIMITED_TARGETS) / mix::count(AGENTS);
+    let tenants = vec![tenant("aba", owed, JOB), tenant("onitsha", 1.0 - owed, JOB)];
+    let tally = play(2.0, tenants, LIMITED_TARGETS);
+    expect_owed(&tally, "aba", owed);
+    expect_owed(&tally, "onitsha", 1.0 - owed);
+}
+
+#[googletest::test]
+fn a_group_that_offers_ten_times_as_much_gets_no_more() {
+    let tenants = vec![tenant("aba", 10.0, JOB), tenant("onitsha", 1.0, JOB)];
+    let tally = play(10.0, tenants, 0);
+    expect_owed(&tally, "aba", 0.5);
+    expect_owed(&tally, "onitsha", 0.5);
+}
+
+#[googletest::test]
+fn a_group_with_wide_jobs_gets_as_much_as_one_with_single_tasks() {
+    let (wide, single) = ((200, 400_000), (1, 400_000));
+    let tenants = vec![tenant("aba", 1.0, wide), tenant("onitsha", 200.0, single)];
+    let tally = play(2.0, tenants, 0);
+    expect_owed(&tally, "aba", 0.5);
+    expect_owed(&tally, "onitsha", 0.5);
+}
