Submissions are refused in time wherever they are queued

The review looked at the first submission of a lane only; one that had begun stayed there and hid those behind it. And a late submission that had begun went behind all others, so that what had run of it was thrown away.

Ruled out: processor time of the entries (0.04 of 0.12 cores).

Change: open submissions are indexed by the latest start that is still of use, and looked at again when a task comes back; one that has begun keeps its place until its answer is of no use.

Tests: policy_admission, three; the two on the position in the queue and on the place of what has begun failed before.

--- a/crates/policy/src/entry/admit.rs
+++ b/crates/policy/src/entry/admit.rs
@@ -62,6 +62,7 @@
         self.queue
             .put(lane, &name, rank(&config.rules.placement, now, job.left));
         self.deadlines.insert((deadline, name.clone()));
+        self.latest_starts.insert((job.latest_start, name.clone()));
         self.jobs.insert(name, job);
     }
 
--- a/crates/policy/src/entry/answer.rs
+++ b/crates/policy/src/entry/answer.rs
@@ -137,6 +137,8 @@
     fn remove(&mut self, submission: &SubmissionId) -> Option<Job> {
         let job = self.jobs.remove(submission)?;
         self.deadlines.remove(&(job.deadline, submission.clone()));
+        self.latest_starts
+            .remove(&(job.latest_start, submission.clone()));
         self.queue.take(&job.lane(), submission);
         let pending = u32::try_from(job.pending.len()).unwrap_or(u32::MAX);
         self.queue.uncount(&job.group, pending);
--- a/crates/policy/src/entry/job.rs
+++ b/crates/policy/src/entry/job.rs
@@ -57,8 +57,9 @@
     pub terms: Terms,
     /// When the answer should be there; none: any time before the deadline.
     pub due: Option<Moment>,
-    /// When an answer is of no use any more, if nothing of it has run by then.
-    pub give_up_at: Moment,
+    /// Latest start of a run whose end is still of use to the caller; the deadline where the run time is
+    /// not declared.
+    pub latest_start: Moment,
     /// Whether it can no longer be answered when it is due; it then goes behind all others.
     pub is_late: bool,
     /// Runs of one task that may end in a failure; the last one fails the submission.
@@ -96,6 +97,12 @@
     pub state: TaskState,
 }
 
+impl Task {
+    fn has_not_run(&self) -> bool {
+        matches!(self.state, TaskState::Queued) && !self.may_have_run
+    }
+}
+
 /// State of a task.
 #[derive(Debug)]
 pub(super) enum TaskState {
@@ -128,7 +135,7 @@
             deadline,
             terms: submission.terms,
             due: submission.objective_ms.map(|objective| now + objective),
-            give_up_at,
+            latest_start: give_up_at.min(deadline) - submission.terms.declared_ms,
             is_late: false,
             max_failures: submission.max_failures.max(1),
             constraints: submission.constraints,
@@ -189,12 +196,16 @@
         })
     }
 
+    /// Whether no task ran, may have run or may still start.
+    pub fn has_not_run(&self) -> bool {
+        self.tasks.iter().all(Task::has_not_run)
+    }
+
     /// Tasks that ran, may have run or may still start.
     pub fn may_have_run(&self) -> Vec<TaskIndex> {
-        let not_run = |task: &Task| matches!(task.state, TaskState::Queued) && !task.may_have_run;
         let indexed = (0..).map(TaskIndex::new).zip(&self.tasks);
         indexed
-            .filter(|(_, task)| !not_run(task))
+            .filter(|(_, task)| !task.has_not_run())
             .map(|(index, _)| index)
             .collect()
     }
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -81,6 +81,9 @@
     jobs: BTreeMap<SubmissionId, Job>,
     /// Submissions by deadline; holds exactly the open ones.
     deadlines: BTreeSet<(Moment, SubmissionId)>,
+    /// Open submissions by their latest start; those that had begun by then are left out until a task
+    /// comes back.
+    latest_starts: BTreeSet<(Moment, SubmissionId)>,
     queue: Queue,
     shares: ShareLedger,
     retries: RetryBudget,
@@ -115,6 +118,7 @@
             connections: BTreeMap::new(),
             jobs: BTreeMap::new(),
             deadlines: BTreeSet::new(),
+            latest_starts: BTreeSet::new(),
             queue: Queue::default(),
             shares: ShareLedger::default(),
             retries: RetryBudget::default(),
--- a/crates/policy/src/entry/review.rs
+++ b/crates/policy/src/entry/review.rs
@@ -1,6 +1,5 @@
 //! Queued submissions whose time is running out.
 
-use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::SubmissionId;
 use dfs_wire::api::FailureReason;
@@ -12,53 +11,47 @@
 use super::job::millis;
 use crate::order::rank;
 
-/// What becomes of the first submission of a lane.
-enum Verdict {
-    /// It can be answered in time.
-    Keep,
-    /// It goes behind all that can be answered in time.
-    Demote,
-    /// It can't be answered while that is of use to its caller; nothing of it has run.
-    Refuse,
-}
-
 impl Entry {
-    /// Puts submissions that are late behind the others, and refuses at once those that certainly
-    /// can't be answered any more.
+    /// Refuses at once those that can't be answered while that is of use to their callers, and puts
+    /// submissions that are late behind the others.
     pub(super) fn review_queue(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
+        self.refuse_useless(now, out);
         let lanes: Vec<_> = self.queue.lanes().cloned().collect();
         for lane in lanes {
-            while let Some(name) = self.queue.first(&lane).cloned() {
-                let Some(job) = self.jobs.get(&name) else {
-                    break;
-                };
-                match self.verdict(now, job) {
-                    Verdict::Keep => break,
-                    Verdict::Demote => self.demote(now, &name, out),
-                    Verdict::Refuse => {
-                        let message = "no room came free in time to run it: try later";
-                        let reason = FailureReason::DeadlineUnreachable;
-                        self.fail(&name, reason, message.to_owned(), Vec::new(), out);
-                    }
-                }
+            while let Some(name) = self.queue.first(&lane).cloned()
+                && self.becomes_late(now, &name)
+            {
+                self.demote(now, &name, out);
             }
         }
     }
 
-    fn verdict(&self, now: Moment, job: &Job) -> Verdict {
-        let run_ms = millis(job.expected_run_us(self.totals.mean_run_us()));
-        let earliest_end = now + run_ms;
-        let is_declared = job.terms.declared_ms > Millis::default();
-        let is_hopeless = earliest_end > job.give_up_at.min(job.deadline);
-        if is_declared && is_hopeless && job.may_have_run().is_empty() {
-            return Verdict::Refuse;
-        }
-        match job.due {
-            Some(due) if !job.is_late && earliest_end > due => Verdict::Demote,
-            _ => Verdict::Keep,
+    /// Refuses submissions wherever they are queued. One of which something may have run is looked at
+    /// again when a task of it comes back.
+    fn refuse_useless(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
+        while let Some((latest_start, name)) = self.latest_starts.first().cloned()
+            && latest_start < now
+        {
+            self.latest_starts.pop_first();
+            if self.jobs.get(&name).is_some_and(Job::has_not_run) {
+                let message = "no room came free in time to run it: try later";
+                let reason = FailureReason::DeadlineUnreachable;
+                self.fail(&name, reason, message.to_owned(), Vec::new(), out);
+            }
         }
     }
 
+    /// Whether a submission can no longer be answered when it is due. One that has begun keeps its place
+    /// while its answer is of use, so that what has run is not thrown away.
+    fn becomes_late(&self, now: Moment, name: &SubmissionId) -> bool {
+        let Some(job) = self.jobs.get(name).filter(|job| !job.is_late) else {
+            return false;
+        };
+        let run_ms = millis(job.expected_run_us(self.totals.mean_run_us()));
+        let is_overdue = job.due.is_some_and(|due| now + run_ms > due);
+        is_overdue && (job.has_not_run() || job.latest_start < now)
+    }
+
     fn demote(&mut self, now: Moment, name: &SubmissionId, out: &mut Vec<EntryAction>) {
         let Some(config) = self.config.clone() else {
             return;
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -330,6 +330,8 @@
             again.attempt = again.attempt.next();
             again.avoid = Some(agent.clone());
             job.pending.push_back(task.task);
+            self.latest_starts
+                .insert((job.latest_start, task.submission.clone()));
             self.shares.charge(&job.group, -charged_us);
             out.push(EntryAction::Observe(Observation::QueuedAgain {
                 task: task.clone(),
--- a/crates/policy/tests/policy_admission.rs
+++ b/crates/policy/tests/policy_admission.rs
@@ -6,6 +6,7 @@
 use dfs_conf::Group;
 use dfs_conf::Inventory;
 use dfs_conf::LeaseSettings;
+use dfs_conf::Order;
 use dfs_conf::Rules;
 use dfs_conf::Service;
 use dfs_ids::AgentId;
@@ -35,7 +36,9 @@
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::Report;
 use dfs_wire::session::TargetState;
+use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
+use dfs_wire::session::TaskResult;
 use dfs_wire::session::Terms;
 use dfs_wire::target::Offer;
 use dfs_wire::target::Resources;
@@ -43,6 +46,9 @@
 use serde_json::value::RawValue;
 
 const SLOTS: u32 = 8;
+const RUN_MS: u64 = 60;
+const OBJECTIVE_MS: u64 = 100;
+const DEADLINE_MS: u64 = 1_500;
 
 /// An entry and what it has done so far.
 struct Bench {
@@ -92,6 +98,22 @@
     })
 }
 
+fn submission(name: &str, tasks: usize) -> Submission {
+    let body = || Arc::from(RawValue::from_string("1".to_owned()).unwrap());
+    Submission {
+        submission: name.parse().unwrap(),
+        group: "aba".parse().unwrap(),
+        service: "desk".parse().unwrap(),
+        tasks: (0..tasks).map(|_| body()).collect(),
+        deadline_ms: Some(Millis::new(DEADLINE_MS)),
+        terms: Terms::default(),
+        objective_ms: None,
+        max_failures: 1,
+        constraints: Constraints::default(),
+        queue: None,
+    }
+}
+
 impl Bench {
     fn new(rules: Rules) -> Self {
         let identity = Identity {
@@ -174,22 +196,46 @@
         tasks: usize,
         deadline_ms: u64,
     ) {
-        let body = || Arc::from(RawValue::from_string("1".to_owned()).unwrap());
         let submission = Submission {
-            submission: name.parse().unwrap(),
             group: group.parse().unwrap(),
             service: service.parse().unwrap(),
-            tasks: (0..tasks).map(|_| body()).collect(),
             deadline_ms: Some(Millis::new(deadline_ms)),
-            terms: Terms::default(),
-            objective_ms: None,
-            max_failures: 1,
-            constraints: Constraints::default(),
-            queue: None,
+            ..submission(name, tasks)
         };
         self.handle(EntryEvent::Submit(submission));
     }
 
+    /// Submits tasks that should be answered within [`OBJECTIVE_MS`] and are expected to run for
+    /// [`RUN_MS`].
+    fn submit_due(&mut self, name: &str, tasks: usize) {
+        let submission = Submission {
+            terms: Terms {
+                declared_ms: Millis::new(RUN_MS),
+                ..Terms::default()
+            },
+            objective_ms: Some(Millis::new(OBJECTIVE_MS)),
+            ..submission(name, tasks)
+        };
+        self.handle(EntryEvent::Submit(submission));
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now = self.now + Millis::new(ms);
+        self.handle(EntryEvent::Tick);
+    }
+
+    /// Reports tasks of the first agent as done.
+    fn finish(&mut self, tasks: &[TaskRef]) {
+        let done = |task: &TaskRef| TaskResult {
+            task: task.clone(),
+            wait_us: 0,
+            run_us: 1_000,
+            outcome: TaskOutcome::Done(Arc::from(RawValue::from_string("1".to_owned()).unwrap())),
+        };
+        let results = tasks.iter().map(done).collect();
+        self.report(0, vec![AgentItem::Results(results)]);
+    }
+
     fn handle(&mut self, event: EntryEvent) {
         let mut actions = self.entry.handle(self.now, event);
         actions.extend(self.entry.flush(self.now));
@@ -311,3 +357,56 @@
     expect_that!(failure.not_run, eq(true));
     expect_that!(failure.retry_after_ms, some(anything()));
 }
+
+/// Rules under which a submission of any length is admitted and no task waits at an agent.
+fn patient() -> Rules {
+    let mut rules = Rules::default();
+    rules.admission.max_objectives = 10.0;
+    rules.admission.deadline_part = 1.0;
+    rules.placement.max_load = 1.0;
+    rules.placement.order = Order::FirstCome;
+    rules
+}
+
+#[googletest::test]
+fn a_submission_behind_one_that_has_begun_is_refused_when_its_start_is_of_no_use_any_more() {
+    let mut bench = Bench::with_agents(patient(), 64);
+    bench.submit_due("begun", 2 * SLOTS as usize + 1);
+    bench.submit_due("waiting", 1);
+    bench.pass(3 * OBJECTIVE_MS - RUN_MS);
+    expect_that!(bench.refused, is_empty());
+    bench.pass(1);
+    let refusal = bench.refusal_of("waiting").unwrap();
+    expect_that!(refusal.not_run, eq(true));
+    expect_that!(refusal.reason, eq(FailureReason::DeadlineUnreachable));
+    expect_that!(bench.refusal_of("begun"), none());
+}
+
+#[googletest::test]
+fn a_submission_whose_tasks_all_come_back_too_late_is_refused_at_once() {
+    let mut bench = Bench::with_agents(patient(), 64);
+    bench.submit_due("full", 2 * SLOTS as usize - 1);
+    bench.submit_due("returned", 1);
+    let (agent, task, _) = bench.placed.last().unwrap().clone();
+    bench.pass(3 * OBJECTIVE_MS);
+    expect_that!(bench.refused, is_empty());
+    let reason = NotRunReason::Busy;
+    bench.report(
+        agent,
+        vec![AgentItem::NotRun(vec![NotRun { task, reason }])],
+    );
+    expect_that!(bench.refusal_of("returned"), some(anything()));
+}
+
+#[googletest::test]
+fn a_late_submission_that_has_begun_goes_before_one_that_is_not_late() {
+    let mut bench = Bench::with_agents(patient(), 64);
+    bench.submit_due("begun", 2 * SLOTS as usize + 1);
+    bench.pass(OBJECTIVE_MS);
+    bench.submit_due("fresh", 1);
+    let at_first = bench.placed.iter().find(|(agent, _, _)| *agent == 0);
+    let task = at_first.unwrap().1.clone();
+    bench.finish(&[task]);
+    let last = &bench.placed.last().unwrap().1;
+    expect_that!(last.submission.as_str(), eq("begun"));
+}
