A fault soak of the real processes

Why: the faults of the process cases are single ones at chosen steps; the users ask for random ones that overlap, from outside the processes.

A process that is told to stop is replaced after the last step, since it may wait for a link that is still cut.

--- a/crates/daemon/tests/faults/main.rs
+++ b/crates/daemon/tests/faults/main.rs
@@ -8,6 +8,7 @@
 mod leave;
 mod links;
 mod membership;
+mod soak;
 #[cfg(feature = "failpoints")]
 mod steps;
 mod stop;
