One write budget for each entry; unused messages and fields go

Cause: since presence became a part of the host's edge, a native entry gave presence rows and request-key claims a budget each, and so could write up to twice store.max_writes_per_s. Seen in review, without a failing test: the claims' and the rows' budget now come from one place (Platform), and a host hands its presence over whole.

Also gone: EntryItem::Closing, which agents ignored; `running` and `queued` of a load hint, which no entry read, so that a hint is sent only when the load, the stretch or the window changes; three copies of "presence from store settings" and two of whole seconds of a span.

--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -235,7 +235,6 @@
                     self.handle(AgentEvent::ConfigBody { connection, body });
                 }
             }
-            AgentAction::EntryClosing { .. } => {}
             AgentAction::EntryLapsed { entry, dropped } => {
                 let peer = ProcessName::Entry(entry);
                 let settled_tasks = dropped.into();
--- a/crates/agent/src/process/start.rs
+++ b/crates/agent/src/process/start.rs
@@ -18,7 +18,6 @@
 use dfs_policy::agent::AgentEvent;
 use dfs_store::HttpTable;
 use dfs_store::Presence;
-use dfs_store::WriteBudget;
 use rand::Rng;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
@@ -49,8 +48,7 @@
 
 fn native_presence(store: &StoreSettings) -> Presence {
     let table = HttpTable::new(store.table_address, store.timeout_ms);
-    let budget = WriteBudget::per_second(store.max_writes_per_s);
-    Presence::new(Arc::new(table), Arc::new(budget))
+    Presence::within(Arc::new(table), store)
 }
 
 impl Agent {
--- a/crates/entry/src/edge.rs
+++ b/crates/entry/src/edge.rs
@@ -12,8 +12,8 @@
 use dfs_policy::entry::Readiness;
 use dfs_policy::entry::Submission;
 use dfs_store::Pending;
+use dfs_store::Presence;
 use dfs_store::StoreError;
-use dfs_store::TableService;
 use dfs_wire::api::Answer;
 use dfs_wire::api::FailureReason;
 use tokio::sync::oneshot;
@@ -26,7 +26,7 @@
 /// Parts of an entry that depend on its host.
 pub struct EntryEdge {
     /// Where presence rows are kept.
-    pub table: Arc<dyn TableService>,
+    pub presence: Presence,
     /// Makes the paths for callers.
     pub router: Box<dyn FnOnce(Ingress) -> Router + Send>,
     /// Versions of the configuration as they come.
--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -154,8 +154,7 @@
             lease_ms: presence::PRESENCE_LEASE_MS,
         };
         let (stop, stopped) = tokio::sync::watch::channel(false);
-        let budget = Arc::new(WriteBudget::per_second(settings.store.max_writes_per_s));
-        let presence = Presence::new(edge.table(), budget);
+        let presence = edge.presence();
         let mut background = vec![
             tokio::spawn(core.run()),
             tokio::spawn(pass_on(incoming, holder.clone(), handle.clone(), stop)),
@@ -224,9 +223,9 @@
     }
 }
 
-/// Clients of the platform.
+/// Clients of the platform; all writes of the process share one budget.
 struct Platform {
-    table: Arc<dyn TableService>,
+    presence: Presence,
     config: ConfigStore,
     claimer: Claimer,
 }
@@ -240,8 +239,12 @@
         let budget = Arc::new(WriteBudget::per_second(store.max_writes_per_s));
         Self {
             config: ConfigStore::new(Arc::clone(&table), objects, Arc::clone(&budget)),
-            claimer: Claimer::spawn(Arc::clone(&table), budget, ClaimSettings::default()),
-            table,
+            claimer: Claimer::spawn(
+                Arc::clone(&table),
+                Arc::clone(&budget),
+                ClaimSettings::default(),
+            ),
+            presence: Presence::new(table, budget),
         }
     }
 }
@@ -253,10 +256,10 @@
 }
 
 impl Edge {
-    fn table(&self) -> Arc<dyn TableService> {
+    fn presence(&self) -> Presence {
         match self {
-            Self::Native(platform) => Arc::clone(&platform.table),
-            Self::Hosted(edge) => Arc::clone(&edge.table),
+            Self::Native(platform) => platform.presence.clone(),
+            Self::Hosted(edge) => edge.presence.clone(),
         }
     }
 
--- a/crates/entry/src/request/refuse.rs
+++ b/crates/entry/src/request/refuse.rs
@@ -14,7 +14,6 @@
 
 /// Wait that is advised while an entry starts.
 const SOON_MS: Millis = Millis::new(1_000);
-const MILLIS_PER_SECOND: u64 = 1_000;
 
 /// A refusal; nothing has run.
 #[derive(Debug)]
@@ -76,7 +75,7 @@
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = (status, Json(answer)).into_response();
     if let Some(after) = failure.and_then(|failure| failure.retry_after_ms) {
-        let seconds = after.get().div_ceil(MILLIS_PER_SECOND);
+        let seconds = after.ceil_seconds();
         response
             .headers_mut()
             .insert(RETRY_AFTER, HeaderValue::from(seconds));
--- a/crates/ids/src/unit.rs
+++ b/crates/ids/src/unit.rs
@@ -13,6 +13,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+const MILLIS_PER_SECOND: u64 = 1_000;
+
 /// A span of time in milliseconds.
 #[derive(
     Debug,
@@ -50,6 +52,12 @@
         self.0
     }
 
+    /// Whole seconds, rounded up.
+    #[must_use]
+    pub const fn ceil_seconds(self) -> u64 {
+        self.0.div_ceil(MILLIS_PER_SECOND)
+    }
+
     /// This span less another, or zero.
     #[must_use]
     pub const fn saturating_sub(self, other: Self) -> Self {
--- a/crates/policy/src/agent/event.rs
+++ b/crates/policy/src/agent/event.rs
@@ -142,11 +142,6 @@
         /// Version that the agent holds.
         version: ConfigVersion,
     },
-    /// An entry is about to stop.
-    EntryClosing {
-        /// Its connection.
-        connection: ConnectionId,
-    },
     /// The lease of an entry lapsed; its queued tasks were dropped, its repeatable ones stopped.
     EntryLapsed {
         /// The entry.
--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -81,7 +81,6 @@
                 out.extend(self.version.map(wanted));
             }
             EntryItem::Entries(addresses) => out.push(AgentAction::Entries(addresses)),
-            EntryItem::Closing => out.push(AgentAction::EntryClosing { connection }),
         }
     }
 
--- a/crates/policy/src/agent/report.rs
+++ b/crates/policy/src/agent/report.rs
@@ -222,8 +222,6 @@
             load_permille: permille(self.load()),
             stretch_permille: self.stretch_permille,
             window: window(self.slots(), self.rules.open_tasks_per_slot, sessions),
-            running: self.occupied(),
-            queued: self.queued(),
         }
     }
 
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -31,7 +31,6 @@
 use dfs_ids::SessionNumber;
 use dfs_ids::SubmissionId;
 use dfs_wire::session::EntryAddress;
-use dfs_wire::session::EntryItem;
 use dfs_wire::session::TaskRef;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -157,7 +156,7 @@
             EntryEvent::SendItem { connection, item } => {
                 self.send_to(connection, vec![item], &mut out);
             }
-            EntryEvent::Stop => self.on_stop(&mut out),
+            EntryEvent::Stop => self.stopping = true,
             EntryEvent::Tick => {}
         }
         out
@@ -182,15 +181,4 @@
         self.expire_leases(now, out);
         self.expire_deadlines(now, out);
     }
-
-    fn on_stop(&mut self, out: &mut Vec<EntryAction>) {
-        if self.stopping {
-            return;
-        }
-        self.stopping = true;
-        let connections: Vec<_> = self.connections.keys().copied().collect();
-        for connection in connections {
-            self.send_to(connection, vec![EntryItem::Closing], out);
-        }
-    }
 }
--- a/crates/policy/tests/policy_admission.rs
+++ b/crates/policy/tests/policy_admission.rs
@@ -297,8 +297,6 @@
         load_permille: 1_000,
         stretch_permille: 0,
         window: 64,
-        running: SLOTS,
-        queued: 0,
     };
     let not_run = NotRun {
         task,
--- a/crates/store/src/presence/mod.rs
+++ b/crates/store/src/presence/mod.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use dfs_conf::StoreSettings;
 use dfs_ids::EntryId;
 use dfs_ids::FailureDomain;
 use dfs_ids::Incarnation;
@@ -54,6 +55,13 @@
         Self { table, budget }
     }
 
+    /// Keeps rows in `table`, with a write budget of its own.
+    #[must_use]
+    pub fn within(table: Arc<dyn TableService>, settings: &StoreSettings) -> Self {
+        let budget = WriteBudget::per_second(settings.max_writes_per_s);
+        Self::new(table, Arc::new(budget))
+    }
+
     /// Writes the row of an entry anew, which gives it a new revision.
     ///
     /// # Errors
--- a/crates/wire/src/session/attach.rs
+++ b/crates/wire/src/session/attach.rs
@@ -67,8 +67,6 @@
     WantConfig,
     /// Entries that the agent may dial.
     Entries(Vec<EntryAddress>),
-    /// The entry is about to stop and places nothing more.
-    Closing,
 }
 
 /// Where an entry takes sessions.
--- a/crates/wire/src/session/report.rs
+++ b/crates/wire/src/session/report.rs
@@ -80,10 +80,6 @@
 pub struct LoadHint {
     /// Tasks that the entry may have open at the agent.
     pub window: u32,
-    /// Tasks running, of all entries.
-    pub running: u32,
-    /// Tasks queued, of all entries.
-    pub queued: u32,
     /// Parts of the target that running and queued tasks take, of all entries, in thousandths.
     #[serde(default)]
     pub load_permille: u32,
