A backlogged entry admits by what it really gets of the room

Admission reckoned with a part of the room by load, which slow entries do not get.

Change: while tasks have waited for at least half a second, the load that came free through the entry's own ends bounds the expected rate, so that what can't start in time is refused at once, with a wait worked out from that rate. A span with too few ends is dropped after 1.5 s.

Test: policy_admission, failed before.

--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -51,6 +51,7 @@
 use crate::retry::RetryBudget;
 use crate::share::ShareLedger;
 use crate::speed::Speeds;
+use crate::throughput::Throughput;
 
 /// Who an entry is and how long its leases are.
 #[derive(Debug, Clone)]
@@ -88,6 +89,7 @@
     retries: RetryBudget,
     ejection: Ejection,
     speeds: Speeds,
+    throughput: Throughput,
     /// Tasks of lost agents whose runs may go on until the given moment.
     unsettled: BTreeSet<(Moment, AgentId, TaskRef)>,
     /// When the version in force was adopted.
@@ -123,6 +125,7 @@
             retries: RetryBudget::default(),
             ejection: Ejection::default(),
             speeds: Speeds::default(),
+            throughput: Throughput::default(),
             unsettled: BTreeSet::new(),
             configured_at: Moment::default(),
             behind_since: None,
@@ -170,6 +173,7 @@
         self.offer_late(now, &mut out);
         self.review_queue(now, &mut out);
         self.dispatch(now, &mut out);
+        self.throughput.observe(now, self.queue.tasks() > 0);
         if self.stopping && self.jobs.is_empty() && !self.stopped {
             self.stopped = true;
             out.push(EntryAction::Stopped);
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -155,7 +155,7 @@
             .collect();
         for task in missing {
             if held.forgotten {
-                self.forget_outstanding(agent, &task);
+                self.release(agent, &task);
                 self.on_unknown(agent, &task, "the agent has dropped its records", out);
             } else {
                 self.on_absent(agent, &task, out);
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -18,6 +18,7 @@
 use super::Observation;
 use super::job::TaskState;
 use super::view::AgentView;
+use super::view::Weight;
 use crate::order::rank;
 
 impl Entry {
@@ -28,9 +29,10 @@
         result: TaskResult,
         out: &mut Vec<EntryAction>,
     ) {
-        if !self.forget_outstanding(agent, &result.task) {
+        let Some(weight) = self.release(agent, &result.task) else {
             return;
-        }
+        };
+        self.throughput.ended(weight.part);
         self.totals.ran(result.run_us);
         if matches!(result.outcome, TaskOutcome::Done(_)) {
             self.note_run(now, agent, &result);
@@ -55,11 +57,9 @@
         }
     }
 
-    /// Removes a task from what the agent holds; false if it was not there.
-    pub(super) fn forget_outstanding(&mut self, agent: &AgentId, task: &TaskRef) -> bool {
-        self.agents
-            .get_mut(agent)
-            .is_some_and(|view| view.release(task))
+    /// Removes a task from what the agent holds, and returns what it weighed if it was there.
+    pub(super) fn release(&mut self, agent: &AgentId, task: &TaskRef) -> Option<Weight> {
+        self.agents.get_mut(agent)?.release(task)
     }
 
     #[expect(
@@ -225,7 +225,7 @@
         reason: NotRunReason,
         out: &mut Vec<EntryAction>,
     ) {
-        if !self.forget_outstanding(agent, task) || !self.is_placed(agent, task) {
+        if self.release(agent, task).is_none() || !self.is_placed(agent, task) {
             return;
         }
         match reason {
@@ -274,7 +274,7 @@
         task: &TaskRef,
         out: &mut Vec<EntryAction>,
     ) {
-        if self.forget_outstanding(agent, task) && self.is_placed(agent, task) {
+        if self.release(agent, task).is_some() && self.is_placed(agent, task) {
             self.requeue(agent, task, "the agent never read it", out);
         }
     }
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -116,17 +116,15 @@
         self.outstanding.insert(task, weight);
     }
 
-    /// Removes a task from what the agent holds; false if it was not there.
-    pub fn release(&mut self, task: &TaskRef) -> bool {
-        let Some(weight) = self.outstanding.remove(task) else {
-            return false;
-        };
+    /// Removes a task from what the agent holds, and returns what it weighed if it was there.
+    pub fn release(&mut self, task: &TaskRef) -> Option<Weight> {
+        let weight = self.outstanding.remove(task)?;
         self.load_at_hint = (self.load_at_hint - weight.part).max(0.0);
         self.own_load -= weight.part;
         if self.outstanding.is_empty() {
             // Rounding errors do not add up.
             self.own_load = 0.0;
         }
-        true
+        Some(weight)
     }
 }
--- a/crates/policy/src/entry/wait.rs
+++ b/crates/policy/src/entry/wait.rs
@@ -97,7 +97,8 @@
         if missing <= 0.0 {
             return Millis::default();
         }
-        let rate = room.rate(self.totals.mean_run_us()) * of_entry * owed;
+        let expected = room.rate(self.totals.mean_run_us()) * of_entry;
+        let rate = self.throughput.rate().unwrap_or(expected).min(expected) * owed;
         millis(missing / rate.max(f64::MIN_POSITIVE))
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod runs;
 pub mod share;
 pub mod speed;
+pub mod throughput;
 
 use derive_more::Display;
 use derive_more::From;
--- a/crates/policy/tests/policy_admission.rs
+++ b/crates/policy/tests/policy_admission.rs
@@ -14,6 +14,7 @@
 use dfs_ids::Incarnation;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
+use dfs_ids::Priority;
 use dfs_ids::SessionNumber;
 use dfs_ids::Slots;
 use dfs_ids::SubmissionId;
@@ -408,3 +409,31 @@
     let last = &bench.placed.last().unwrap().1;
     expect_that!(last.submission.as_str(), eq("begun"));
 }
+
+#[googletest::test]
+fn an_entry_that_gets_little_of_the_room_refuses_what_it_cannot_start_in_time() {
+    let mut rules = patient();
+    rules.admission.max_objectives = 1.0;
+    let mut bench = Bench::with_agents(rules, 64);
+    bench.submit_due("first", 2 * SLOTS as usize);
+    bench.handle(EntryEvent::Submit(Submission {
+        terms: Terms {
+            priority: Priority::new(9),
+            ..Terms::default()
+        },
+        deadline_ms: Some(Millis::new(60_000)),
+        ..submission("less-urgent", 100)
+    }));
+    bench.submit_due("before", 1);
+    expect_that!(bench.refusal_of("before"), none());
+    for _ in 0..2 * SLOTS {
+        bench.pass(RUN_MS);
+        let at_first = bench.placed.iter().find(|(agent, _, _)| *agent == 0);
+        let task = at_first.unwrap().1.clone();
+        bench.placed.retain(|(_, placed, _)| *placed != task);
+        bench.finish(&[task]);
+    }
+    bench.submit_due("after", 1);
+    let refusal = bench.refusal_of("after").unwrap();
+    expect_that!(refusal.not_run, eq(true));
+}
