--- a/crates/ids/src/unit.rs
+++ b/crates/ids/src/unit.rs
@@ -4,7 +4,6 @@
 use std::ops::Sub;
 use std::time::Duration;
 
-use derive_more::Add as DeriveAdd;
 use derive_more::Display;
 use derive_more::From;
 use derive_more::FromStr;
@@ -30,7 +29,6 @@
     FromStr,
     From,
     Into,
-    DeriveAdd,
     Sum,
     Serialize,
     Deserialize,
@@ -65,6 +63,15 @@
     }
 }
 
+impl Add for Millis {
+    type Output = Self;
+
+    /// The longest span where the sum would be longer.
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
 impl From<Millis> for Duration {
     fn from(span: Millis) -> Self {
         Self::from_millis(span.0)
