--- a/crates/policy/src/entry/job.rs
+++ b/crates/policy/src/entry/job.rs
@@ -57,8 +57,8 @@
     pub terms: Terms,
     /// When the answer should be there; none: any time before the deadline.
     pub due: Option<Moment>,
-    /// Latest start of a run whose end is still of use to the caller; the deadline where the run time is
-    /// not declared.
+    /// Latest start of a run whose end is still of use to the caller; a run time that is not declared
+    /// counts as none.
     pub latest_start: Moment,
     /// Whether it can no longer be answered when it is due; it then goes behind all others.
     pub is_late: bool,
--- a/crates/policy/src/entry/review.rs
+++ b/crates/policy/src/entry/review.rs
@@ -12,8 +12,8 @@
 use crate::order::rank;
 
 impl Entry {
-    /// Refuses at once those that can't be answered while that is of use to their callers, and puts
-    /// submissions that are late behind the others.
+    /// Refuses at once submissions that can't be answered while that is of use to their callers, and puts
+    /// late ones behind the others.
     pub(super) fn review_queue(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
         self.refuse_useless(now, out);
         let lanes: Vec<_> = self.queue.lanes().cloned().collect();
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -67,6 +67,7 @@
     pub part: f64,
     /// Run time that was expected at placement, in microseconds.
     pub run_us: f64,
+    /// Priority of its submission, also after that one is answered.
     pub priority: Priority,
 }
 
