Admission walks agents and submissions once less

Cause: found when reading the change. The expected wait of a submission walked all agents a second time to count the targets of its service, and all open submissions twice for the group's part of what was placed, also when nothing waits at the targets and that part is multiplied by zero.

Change: the service's targets are counted in the walk that sums up the room; the group's part is reckoned in one walk, and only where something waits.

--- a/crates/policy/src/entry/wait.rs
+++ b/crates/policy/src/entry/wait.rs
@@ -5,7 +5,6 @@
 use dfs_ids::GroupId;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
-use dfs_ids::ServiceName;
 
 use super::Entry;
 use super::Submission;
@@ -21,6 +20,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Room {
     targets: f64,
+    /// All targets of the service, also those that the group may not use.
+    of_service: f64,
     /// What is free now.
     free: f64,
     /// What runs now.
@@ -52,6 +53,12 @@
         self.parts / self.targets.max(1.0)
     }
 
+    /// Part of the room that a group is owed: its part of all targets of the service, so that a group with
+    /// few targets may be owed all of them.
+    fn part_owed(&self, of_group: f64) -> f64 {
+        (of_group * self.of_service / self.targets.max(1.0)).min(1.0)
+    }
+
     /// Load that comes free for each microsecond through the ends of all tasks while all targets are
     /// full, as they are while anything waits.
     fn rate(&self, mean_run_us: f64) -> f64 {
@@ -91,8 +98,12 @@
         let needed = ahead + f64::from(tasks) * part;
         let of_entry = self.part_of_room(&room, needed);
         let of_group = self.shares.part_of(&submission.group);
-        let owed = self.part_owed(&room, &submission.service, of_group);
-        let waiting = room.waiting * self.part_of_placed(&submission.group).unwrap_or(of_group);
+        let owed = room.part_owed(of_group);
+        let waiting = if room.waiting > 0.0 {
+            room.waiting * self.part_of_placed(&submission.group).unwrap_or(of_group)
+        } else {
+            0.0
+        };
         let missing = needed + (waiting - room.free * owed) * of_entry;
         if missing <= 0.0 {
             return Millis::default();
@@ -113,22 +124,16 @@
         of_load.max(1.0 / f64::from(entries)).min(1.0)
     }
 
-    /// Part of the room of a group that it is owed: its part of all targets of the service, so that a
-    /// group with few targets may be owed all of them.
-    fn part_owed(&self, room: &Room, service: &ServiceName, of_group: f64) -> f64 {
-        let all = self.agents.values().filter(|view| view.offers(service));
-        let all = count(all.count());
-        (of_group * f64::from(all) / room.targets.max(1.0)).min(1.0)
-    }
-
     /// Part of the tasks that this entry has placed which is of one group; none if it has placed none.
     ///
     /// Agents order by shares, so what waits there of other groups is not ahead of the group's tasks.
     fn part_of_placed(&self, group: &GroupId) -> Option<f64> {
-        let placed = |job: &Job| job.left.saturating_sub(count(job.pending.len()));
-        let of_all: u32 = self.jobs.values().map(placed).sum();
-        let of_group = self.jobs.values().filter(|job| job.group == *group);
-        let of_group: u32 = of_group.map(placed).sum();
+        let (mut of_all, mut of_group) = (0, 0);
+        for job in self.jobs.values() {
+            let placed = job.left.saturating_sub(count(job.pending.len()));
+            of_all += placed;
+            of_group += if job.group == *group { placed } else { 0 };
+        }
         (of_all > 0).then(|| f64::from(of_group) / f64::from(of_all))
     }
 
@@ -136,7 +141,11 @@
         let mut room = Room::default();
         for view in self.agents.values() {
             let Some(offer) = view.offer() else { continue };
-            if view.offers(&submission.service) && allows(group, &offer.target) {
+            if !view.offers(&submission.service) {
+                continue;
+            }
+            room.of_service += 1.0;
+            if allows(group, &offer.target) {
                 room.add(view, offer.part_of(&submission.terms.demand));
             }
         }
