Tests: each cluster has a session secret of its own

All clusters shared one secret, and clusters in parallel take ports from the system: an agent of a cluster that was ending dialled a port that had just become the new cluster's relay.

--- a/crates/daemon/tests/faults/hostile.rs
+++ b/crates/daemon/tests/faults/hostile.rs
@@ -18,7 +18,6 @@
 use crate::support::OPERATOR_TOKEN;
 use crate::support::Record;
 use crate::support::Reply;
-use crate::support::SECRET;
 use crate::support::SERVICE;
 use crate::support::Shape;
 use crate::support::judge;
@@ -86,12 +85,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn tokens_and_bodies() {
-    harmless(61, async |_, to| {
+    harmless(61, async |cluster, to| {
         let job = json!({ "service": SERVICE, "tasks": [1] });
         let reply = post(to, OPERATOR_TOKEN, &job).await;
         assert_that!(reply.status, eq(403));
         assert_that!(reason_of(&reply.body), eq(FailureReason::Forbidden));
-        for token in ["", "unknown", SECRET] {
+        for token in ["", "unknown", cluster.secret.as_str()] {
             let reply = post(to, token, &job).await;
             assert_that!(reply.status, eq(401), "{token}");
             assert_that!(reason_of(&reply.body), eq(FailureReason::UnknownToken));
--- a/crates/daemon/tests/faults/support/cluster.rs
+++ b/crates/daemon/tests/faults/support/cluster.rs
@@ -22,7 +22,6 @@
 use super::Role;
 use super::until;
 
-pub const SECRET: &str = "secret-of-all-processes";
 pub const GROUP_TOKEN: &str = "token-of-printers";
 pub const OPERATOR_TOKEN: &str = "token-of-operator";
 pub const SERVICE: &str = "price";
@@ -100,6 +99,8 @@
     pub logs: Vec<StartLog>,
     pub shape: Shape,
     pub files: TempDir,
+    /// Of this cluster alone: a port may have been that of another cluster whose processes still dial it.
+    pub secret: String,
     lives: usize,
     /// The balancer as each agent reaches it.
     balancer: Vec<Relay>,
@@ -109,13 +110,15 @@
 impl Cluster {
     /// Starts everything and applies the first configuration.
     pub async fn start(shape: Shape) -> Self {
+        let files = tempfile::tempdir().unwrap();
         let mut cluster = Self {
             entries: Vec::new(),
             agents: Vec::new(),
             platform: Platform::spawn().await.unwrap(),
             logs: Vec::new(),
             shape,
-            files: tempfile::tempdir().unwrap(),
+            secret: format!("secret-of-{}", files.path().display()),
+            files,
             lives: 0,
             balancer: Vec::new(),
             _permit: CLUSTERS.acquire().await.unwrap(),
@@ -132,7 +135,7 @@
             "inventory": inventory(),
             "rules": rules(),
         });
-        let call = Call::post("/v1/config", SECRET, &first);
+        let call = Call::post("/v1/config", &cluster.secret, &first);
         let reply = call.send(cluster.entry_address(0)).await.unwrap();
         assert_eq!(reply.status, 200, "{reply:?}");
         cluster.recovered().await;
@@ -152,7 +155,7 @@
             "listen_address": LOOPBACK,
             "session_address": LOOPBACK,
             "advertised_address": sessions.address,
-            "session_secret": SECRET,
+            "session_secret": self.secret,
             "store": {
                 "table_address": table.address,
                 "object_address": objects.address,
@@ -203,7 +206,7 @@
             "domain": domain(number),
             "listen_address": LOOPBACK,
             "entry_addresses": entries,
-            "session_secret": SECRET,
+            "session_secret": self.secret,
             "redial_ms": 50,
             "redial_max_ms": 200,
             "target_connect_timeout_ms": 500,
--- a/crates/daemon/tests/faults/support/mod.rs
+++ b/crates/daemon/tests/faults/support/mod.rs
@@ -17,7 +17,6 @@
 pub use cluster::Cluster;
 pub use cluster::GROUP_TOKEN;
 pub use cluster::OPERATOR_TOKEN;
-pub use cluster::SECRET;
 pub use cluster::SERVICE;
 pub use cluster::Shape;
 pub use daemon::Daemon;
