Two failures of the checks traced to daemons of a killed test run

Cause: 18 entries and agents of a test run that I killed at 03:30:58 were still running and dialled the ports of their lost relays every 50 to 200 ms.

Ruled out: the code under test and load.

DEVELOPERS.md says to end what a killed run leaves.

--- a/crates/daemon/tests/faults/support/cluster.rs
+++ b/crates/daemon/tests/faults/support/cluster.rs
@@ -99,7 +99,7 @@
     pub logs: Vec<StartLog>,
     pub shape: Shape,
     pub files: TempDir,
-    /// Of this cluster alone: a port may have been that of another cluster whose processes still dial it.
+    /// Of this cluster alone: processes of a test run that was killed may still dial a port that is reused.
     pub secret: String,
     lives: usize,
     /// The balancer as each agent reaches it.
