Answer requests that reach an entry while it is suspended

A caller's connection has a limit on the wait for the headers of its next request. When a suspended process resumes, epoll_wait returns EINTR, so tokio's driver has seen no input yet when it fires the overdue timers: hyper polls its read (pending), then its timer (over), and closes the connection with the request unread in the receive buffer.

Ruled out: the relay of the test cluster (the new test connects directly) and the drain of a stop (no SIGTERM comes).

Test: 32 connections that have carried one request idle while the entry is stopped for 2.5 s and get their next request meanwhile.

--- a/crates/daemon/tests/faults/crash.rs
+++ b/crates/daemon/tests/faults/crash.rs
@@ -1,13 +1,20 @@
 //! Processes that are killed and replaced, or suspended for longer than every lease.
 
+use googletest::prelude::*;
+
+use crate::support::Call;
 use crate::support::Cluster;
+use crate::support::ClusterOptions;
+use crate::support::Connection;
 use crate::support::Load;
+use crate::support::OPERATOR_TOKEN;
 use crate::support::Signal;
 use crate::support::pause_ms;
 use crate::support::run_under_load;
 
 /// Longer than every lease of a test cluster.
 const SUSPEND_MS: u64 = 2_500;
+const IDLE_CONNECTIONS: usize = 32;
 
 async fn replace_entry(cluster: &mut Cluster, load: &Load, number: usize) {
     cluster.replace_entry(number).await;
@@ -76,6 +83,37 @@
     .await;
 }
 
+/// The limit on the time between two requests of a connection runs out while the entry is suspended, but
+/// the next request has arrived before the entry resumes.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_to_a_suspended_entry_are_answered() {
+    let cluster = Cluster::start(ClusterOptions::DEFAULT).await;
+    let address = cluster.entry_address(0);
+    let mut connections = Vec::new();
+    for _ in 0..IDLE_CONNECTIONS {
+        let mut connection = Connection::open(address).await.unwrap();
+        assert_that!(
+            connection.send(status_call()).await.unwrap().status,
+            eq(200)
+        );
+        connections.push(connection);
+    }
+    cluster.entries[0].daemon.signal(Signal::Stop);
+    let request = |mut connection: Connection| {
+        tokio::spawn(async move { connection.send(status_call()).await })
+    };
+    let replies: Vec<_> = connections.into_iter().map(request).collect();
+    pause_ms(SUSPEND_MS).await;
+    cluster.entries[0].daemon.signal(Signal::Continue);
+    for reply in replies {
+        assert_that!(reply.await.unwrap().map(|reply| reply.status), ok(eq(&200)));
+    }
+}
+
+fn status_call() -> Call<'static> {
+    Call::get("/v1/status", OPERATOR_TOKEN)
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn agent_suspended_and_resumed() {
     run_under_load(6, &[], async |cluster, _| {
--- a/crates/daemon/tests/faults/support/http.rs
+++ b/crates/daemon/tests/faults/support/http.rs
@@ -1,4 +1,5 @@
-//! HTTP client that opens one connection per request, so that a broken connection affects only one.
+//! HTTP client. It opens one connection per request, so that a broken connection affects only one,
+//! unless a test keeps a [`Connection`] open.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,9 +10,11 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Bytes;
+use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 use super::WAIT_TIMEOUT;
 
@@ -76,26 +79,60 @@
     }
 
     async fn exchange(self, address: SocketAddr) -> Result<Reply, CallError> {
-        let broken = |error: hyper::Error| CallError::Broken(error.to_string());
+        Connection::open(address).await?.exchange(self).await
+    }
+}
+
+/// A connection to an entry that carries any number of requests, one after the other.
+pub struct Connection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<hyper::Result<()>>,
+}
+
+impl Connection {
+    pub async fn open(address: SocketAddr) -> Result<Self, CallError> {
         let stream = TcpStream::connect(address).await;
         let stream = stream.map_err(|_| CallError::NotConnected)?;
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-        let (mut sender, connection) = handshake.map_err(broken)?;
-        let connection = tokio::spawn(connection);
+        let (sender, connection) = handshake.map_err(broken)?;
+        Ok(Self {
+            address,
+            sender,
+            driver: tokio::spawn(connection),
+        })
+    }
+
+    pub async fn send(&mut self, call: Call<'_>) -> Result<Reply, CallError> {
+        let reply = tokio::time::timeout(call.timeout, self.exchange(call)).await;
+        reply.unwrap_or(Err(CallError::Timeout))
+    }
+
+    async fn exchange(&mut self, call: Call<'_>) -> Result<Reply, CallError> {
         let mut request = Request::builder()
-            .method(self.method)
-            .uri(self.path)
-            .header("host", address.to_string())
-            .header(AUTHORIZATION, format!("Bearer {}", self.token));
-        if !self.submission.is_empty() {
-            request = request.header(SUBMISSION_HEADER, self.submission);
+            .method(call.method)
+            .uri(call.path)
+            .header("host", self.address.to_string())
+            .header(AUTHORIZATION, format!("Bearer {}", call.token));
+        if !call.submission.is_empty() {
+            request = request.header(SUBMISSION_HEADER, call.submission);
         }
-        let request = request.body(Full::new(Bytes::from(self.body))).unwrap();
-        let response = sender.send_request(request).await.map_err(broken)?;
+        let request = request.body(Full::new(Bytes::from(call.body))).unwrap();
+        let response = self.sender.send_request(request).await.map_err(broken)?;
         let status = response.status().as_u16();
         let body = response.into_body().collect().await.map_err(broken)?;
-        connection.abort();
         let body = serde_json::from_slice(&body.to_bytes()).unwrap_or(Value::Null);
         Ok(Reply { status, body })
     }
 }
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+#[expect(clippy::needless_pass_by_value, reason = "passed to map_err")]
+fn broken(error: hyper::Error) -> CallError {
+    CallError::Broken(error.to_string())
+}
--- a/crates/daemon/tests/faults/support/mod.rs
+++ b/crates/daemon/tests/faults/support/mod.rs
@@ -25,6 +25,7 @@
 pub use daemon::Signal;
 pub use http::Call;
 pub use http::CallError;
+pub use http::Connection;
 pub use http::Reply;
 pub use load::Load;
 pub use load::Record;
--- a/crates/entry/src/connection/callers.rs
+++ b/crates/entry/src/connection/callers.rs
@@ -10,7 +10,6 @@
 use dfs_wire::api::FailureReason;
 use hyper::server::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpListener;
@@ -18,6 +17,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 
+use super::timer::InputFirstTimer;
 use crate::process::Lifecycle;
 use crate::process::Phase;
 use crate::request::Refusal;
@@ -101,7 +101,7 @@
 fn http_builder(limits: &EntryLimits) -> Builder {
     let mut builder = Builder::new();
     builder
-        .timer(TokioTimer::new())
+        .timer(InputFirstTimer)
         .header_read_timeout(Duration::from(limits.body_timeout_ms))
         .max_headers(limits.max_headers as usize);
     builder
