Settle unanswered orders and exited targets sooner

(2) After srv_crash the agents of both crashed workers knew at once that no process listened there, but took tasks for 400 ms more (141 handed back) and let 19 runs wait for their lease.

Change: (1) the timeout of a start follows the measured response times (RFC 6298, 25 to 100 ms), and a start without answer is settled by a poll of its own that does not wait. (2) A refused connection withdraws the target at once; a second one in a row ends its runs: the process has exited.

One older test there now names the poll that it means, since another one follows at once; it checks the same.

--- a/crates/agent/src/fenced.rs
+++ b/crates/agent/src/fenced.rs
@@ -3,14 +3,19 @@
 use std::collections::HashMap;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use axum::Router;
 use dfs_ids::Clock;
+use dfs_ids::Millis;
 use dfs_ids::TargetId;
 use dfs_log::ErrorText;
 use dfs_log::TargetEvent;
 use dfs_policy::agent::RunEnd;
+use dfs_policy::response::ResponseTimer;
 use dfs_policy::runs::FencingToken;
 use dfs_policy::runs::Heartbeat;
 use dfs_policy::runs::PollOutcome;
@@ -28,6 +33,7 @@
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
 use serde_json::value::RawValue;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -40,6 +46,13 @@
 
 /// Time between two checks of leases and timeouts. Requests to the target do not wait for it.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
+/// Limit on start and stop requests in flight, each of which uses a connection of its own.
+const MAX_CONCURRENT_ORDERS: usize = 3;
+/// Shortest response timeout of a start request. On an instance with little processor time, a timer and the
+/// response behind it may both be late by some milliseconds.
+const MIN_RESPONSE_TIMEOUT_MS: Millis = Millis::new(25);
+/// Longest response timeout of a start request.
+const MAX_RESPONSE_TIMEOUT_MS: Millis = Millis::new(100);
 
 /// A boxed future, as the methods of [`TargetClient`] return it.
 pub type BoxFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
@@ -97,6 +110,7 @@
     runs: Runs,
     clock: Clock,
     client: Arc<dyn TargetClient>,
+    orders: Orders,
     commands: mpsc::UnboundedReceiver<Command>,
     command_sender: mpsc::UnboundedSender<Command>,
     end_senders: HashMap<TaskRef, oneshot::Sender<(u64, RunEnd)>>,
@@ -113,6 +127,7 @@
         Self {
             runs: Runs::new(options, token, clock.now()),
             clock,
+            orders: Orders::new(Arc::clone(&client)),
             client,
             commands,
             command_sender,
@@ -174,15 +189,17 @@
     fn perform(&mut self, action: RunsAction, target_events: &TargetEvents) {
         match action {
             RunsAction::SendStart(request) => {
-                let (client, sender) = (Arc::clone(&self.client), self.command_sender.clone());
+                let (orders, sender) = (self.orders.clone(), self.command_sender.clone());
                 tokio::spawn(async move {
-                    let outcome = client.start(&request).await;
+                    let outcome = orders.start(&request).await;
                     let event = RunsEvent::StartCompleted { request, outcome };
                     // The receiver is dropped only with the process.
                     let _ = sender.send(Command::Event(event));
                 });
             }
-            RunsAction::SendStop(request) => drop(tokio::spawn(self.client.stop(request))),
+            RunsAction::SendStop(request) => {
+                drop(tokio::spawn(self.orders.clone().stop(request)));
+            }
             RunsAction::SendPoll(poll) => {
                 let (client, sender) = (Arc::clone(&self.client), self.command_sender.clone());
                 tokio::spawn(async move {
@@ -231,6 +248,58 @@
     }
 }
 
+/// Sends start and stop requests, a limited number at a time.
+#[derive(Clone)]
+struct Orders {
+    client: Arc<dyn TargetClient>,
+    permits: Arc<Semaphore>,
+    response_timer: Arc<Mutex<ResponseTimer>>,
+}
+
+impl Orders {
+    fn new(client: Arc<dyn TargetClient>) -> Self {
+        let timer = ResponseTimer::new(MIN_RESPONSE_TIMEOUT_MS, MAX_RESPONSE_TIMEOUT_MS);
+        Self {
+            client,
+            permits: Arc::new(Semaphore::new(MAX_CONCURRENT_ORDERS)),
+            response_timer: Arc::new(Mutex::new(timer)),
+        }
+    }
+
+    async fn start(&self, request: &StartRequest) -> RequestOutcome {
+        // The semaphore is never closed.
+        let _permit = self.permits.acquire().await;
+        let timeout_ms = self.with_timer(|timer| timer.timeout_ms());
+        let sent_at = Instant::now();
+        let response = self.client.start(request);
+        let Ok(outcome) = tokio::time::timeout(timeout_ms.into(), response).await else {
+            self.with_timer(ResponseTimer::record_timeout);
+            return RequestOutcome::Unknown {
+                message: format!("no response within {timeout_ms}"),
+            };
+        };
+        match &outcome {
+            RequestOutcome::Done { .. } | RequestOutcome::Refused { .. } => {
+                let elapsed_ms = u64::try_from(sent_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+                self.with_timer(|timer| timer.record_response(Millis::new(elapsed_ms)));
+            }
+            RequestOutcome::Unknown { .. } => self.with_timer(ResponseTimer::record_timeout),
+        }
+        outcome
+    }
+
+    async fn stop(self, request: StopRequest) {
+        // The semaphore is never closed.
+        let _permit = self.permits.acquire().await;
+        self.client.stop(request).await;
+    }
+
+    fn with_timer<T>(&self, action: impl FnOnce(&mut ResponseTimer) -> T) -> T {
+        let timer = self.response_timer.lock();
+        action(&mut timer.unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
 struct FencedDriver {
     client: Arc<dyn TargetClient>,
     commands: mpsc::UnboundedSender<Command>,
--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -129,6 +129,9 @@
     /// The target temporarily accepts no requests, or could not be reached.
     #[display("unhealthy")]
     Unhealthy,
+    /// No process listens at the target's address.
+    #[display("not listening")]
+    NotListening,
     /// The target could not parse the request or does not accept the task.
     #[display("malformed")]
     Malformed,
@@ -146,6 +149,8 @@
     Fenced,
     /// Another incarnation of the target answered.
     WrongIncarnation,
+    /// No process listens at the target's address.
+    NotListening,
     /// No usable response.
     Failed {
         /// Error text for the log.
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -7,6 +7,7 @@
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::TaskOutcome;
 
+use super::EXITED_AFTER_UNHEARD_POLLS;
 use super::EndedRun;
 use super::FencingToken;
 use super::MAX_PENDING_POLLS;
@@ -34,11 +35,13 @@
 
 impl Runs {
     pub(super) fn send_poll_if_due(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
-        if now < self.next_poll_at || !self.may_poll(now) {
+        let resolves_start = self.may_resolve_start();
+        if !resolves_start && (now < self.next_poll_at || !self.may_poll(now)) {
             return;
         }
         self.pending_polls += 1;
         self.last_poll_sent_at = now;
+        self.last_poll_token = self.token;
         // A poll without an answer may still renew the lease. While polls fail, they request no renewal;
         // otherwise the runs of an unreachable target could never be known to have ended.
         let renews_lease = !self.tracked.is_empty() && self.polls_failing_since.is_none();
@@ -46,8 +49,9 @@
         if lease_until.is_some() {
             self.extend_lease_bound(now);
         }
-        // Until the takeover is complete, the clock and the runs of earlier incarnations are needed at once.
-        let wait_ms = if self.taken_over {
+        // Until the takeover is complete, the clock and the runs of earlier incarnations are needed at once, and
+        // so is the answer that resolves a start.
+        let wait_ms = if self.taken_over && !resolves_start {
             self.options.poll_wait_ms
         } else {
             dfs_ids::Millis::default()
@@ -62,6 +66,13 @@
         }));
     }
 
+    /// Whether a start was not answered that no poll sent so far resolves. Its task waits until it is certain
+    /// that the run never starts here.
+    fn may_resolve_start(&self) -> bool {
+        let is_unresolved = |tracked: &TrackedRun| matches!(tracked.phase, Phase::Unanswered { resolved_by } if resolved_by > self.last_poll_token);
+        self.pending_polls < MAX_PENDING_POLLS && self.tracked.values().any(is_unresolved)
+    }
+
     /// Allows one poll at a time, and a further one when the last answer is overdue.
     fn may_poll(&self, now: Moment) -> bool {
         let overdue_at = self.last_poll_sent_at + self.options.poll_wait_ms + POLL_OVERDUE_MS;
@@ -76,6 +87,9 @@
         out: &mut Vec<RunsAction>,
     ) {
         self.pending_polls = self.pending_polls.saturating_sub(1);
+        if outcome != PollOutcome::NotListening {
+            self.unheard_polls = 0;
+        }
         match outcome {
             PollOutcome::Runs(snapshot) => self.on_snapshot(now, poll, &snapshot, out),
             PollOutcome::Fenced => self.raise_token_after_fenced_poll(poll.token),
@@ -83,6 +97,10 @@
                 self.on_incarnation_lost(now, out);
                 self.next_poll_at = now + POLL_RETRY_DELAY_MS;
             }
+            PollOutcome::NotListening => {
+                self.next_poll_at = now + POLL_RETRY_DELAY_MS;
+                self.on_not_listening(now, out);
+            }
             // The failure is outdated: a snapshot has arrived since this poll was sent.
             PollOutcome::Failed { .. } if poll.sent_at < self.last_snapshot_at => {}
             PollOutcome::Failed { message } => {
@@ -112,6 +130,27 @@
         });
     }
 
+    /// Withdraws a target at whose address no process listens. Once a second poll confirms it, the target has
+    /// exited, and its runs with it.
+    fn on_not_listening(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
+        self.unheard_polls += 1;
+        self.polls_failing_since.get_or_insert(now);
+        if self.is_announced {
+            self.send_goodbye(out);
+            out.push(RunsAction::TargetUnreachable {
+                running_tasks: self.tracked.len(),
+                message: "no process listens at its address".to_owned(),
+            });
+        }
+        if self.unheard_polls < EXITED_AFTER_UNHEARD_POLLS {
+            return;
+        }
+        if !self.taken_over {
+            self.complete_takeover(out);
+        }
+        self.interrupt_all(now, "the target has exited", out);
+    }
+
     fn on_snapshot(
         &mut self,
         now: Moment,
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -225,7 +225,11 @@
                 let end = RunEnd::Finished(TaskOutcome::Failed(message));
                 self.end_run(now, name, end, out);
             }
-            Refusal::Fenced | Refusal::StaleRun | Refusal::LeaseExpired | Refusal::Unhealthy => {
+            Refusal::Fenced
+            | Refusal::StaleRun
+            | Refusal::LeaseExpired
+            | Refusal::Unhealthy
+            | Refusal::NotListening => {
                 self.end_not_started(now, name, NotRunReason::ConnectionRefused, out);
             }
             Refusal::WrongIncarnation => {
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -159,9 +159,18 @@
         running: &[(&str, u32)],
         ended: &[(u64, &str, u32, RunOutcome)],
     ) {
+        let snapshot = self.snapshot(running, ended);
+        self.answer_poll(PollOutcome::Runs(snapshot));
+    }
+
+    pub fn snapshot(
+        &self,
+        running: &[(&str, u32)],
+        ended: &[(u64, &str, u32, RunOutcome)],
+    ) -> RunSnapshot {
         let running = running.iter();
         let ended = ended.iter();
-        let snapshot = RunSnapshot {
+        RunSnapshot {
             clock: TargetTime(self.now.as_micros() / 1_000),
             incarnation: Some(TargetIncarnation(1)),
             running: running
@@ -179,8 +188,7 @@
                     outcome: outcome.clone(),
                 })
                 .collect(),
-        };
-        self.answer_poll(PollOutcome::Runs(snapshot));
+        }
     }
 
     pub fn answer_poll(&mut self, outcome: PollOutcome) {
--- a/crates/policy/tests/runs/directed.rs
+++ b/crates/policy/tests/runs/directed.rs
@@ -1,5 +1,6 @@
 //! Single scenarios.
 
+use dfs_ids::Millis;
 use dfs_policy::agent::RunEnd;
 use dfs_policy::runs::FencingToken;
 use dfs_policy::runs::PollOutcome;
@@ -59,13 +60,13 @@
 fn an_unanswered_start_ends_as_not_started_once_a_poll_with_a_higher_token_does_not_list_it() {
     let mut harness = Harness::with_ready_target();
     harness.start("s", "a");
+    let pending = harness.polls.last().unwrap().clone();
     harness.answer_start(unanswered());
     // The poll in flight was sent with the old token and cannot resolve the start.
-    expect_that!(
-        harness.polls.last().unwrap().token,
-        eq(FencingToken(FIRST_TOKEN))
-    );
-    harness.answer_poll_with(&[], &[]);
+    expect_that!(pending.token, eq(FencingToken(FIRST_TOKEN)));
+    let outcome = PollOutcome::Runs(harness.snapshot(&[], &[]));
+    let poll = pending;
+    harness.handle(RunsEvent::PollCompleted { poll, outcome });
     expect_that!(harness.ended.len(), eq(0));
     expect_that!(
         harness.polls.last().unwrap().token,
@@ -299,3 +300,55 @@
     // A poll requests a lease only while polls succeed.
     expect_that!(harness.polls.last().unwrap().lease_until, some(anything()));
 }
+
+#[googletest::test]
+fn an_unanswered_start_is_resolved_by_a_poll_that_does_not_wait_for_the_pending_one() {
+    let mut harness = Harness::with_ready_target();
+    harness.start("s", "a");
+    let pending_polls = harness.polls.len();
+    harness.answer_start(unanswered());
+    expect_that!(harness.polls.len(), eq(pending_polls + 1));
+    let poll = harness.polls.last().unwrap();
+    expect_that!(poll.token, gt(FencingToken(FIRST_TOKEN)));
+    expect_that!(poll.wait_ms, eq(Millis::new(0)));
+    harness.answer_poll_with(&[], &[]);
+    expect_that!(harness.ended.len(), eq(1));
+}
+
+#[googletest::test]
+fn an_unanswered_start_is_polled_for_at_once_only_one_time() {
+    let mut harness = Harness::with_ready_target();
+    harness.start("s", "a");
+    harness.answer_start(unanswered());
+    let polls = harness.polls.len();
+    harness.advance(1);
+    expect_that!(harness.polls.len(), eq(polls));
+}
+
+#[googletest::test]
+fn runs_end_once_two_polls_in_a_row_meet_no_listening_process() {
+    let mut harness = Harness::with_ready_target();
+    harness.start("s", "a");
+    harness.accept_start();
+    harness.answer_poll(PollOutcome::NotListening);
+    expect_that!(harness.goodbye_count, eq(1));
+    expect_that!(harness.ended.len(), eq(0));
+    harness.advance(50);
+    harness.answer_poll(PollOutcome::NotListening);
+    expect_that!(harness.ended.len(), eq(1));
+    expect_true!(is_interrupted(&harness.ended[0].1));
+}
+
+#[googletest::test]
+fn runs_are_kept_while_a_target_that_refused_a_connection_answers_in_between() {
+    let mut harness = Harness::with_ready_target();
+    harness.start("s", "a");
+    harness.accept_start();
+    for _ in 0..4 {
+        harness.answer_poll(PollOutcome::NotListening);
+        harness.advance(50);
+        harness.answer_poll_with(&[("a", 1)], &[]);
+    }
+    expect_that!(harness.ended.len(), eq(0));
+    expect_that!(harness.announcement_count, eq(5));
+}
