A restarted agent announces the target that its predecessor knew

Ruled out: the store (configuration read in 10 ms), the sessions (open within 0.1 s), the takeover (40 ms where runs had to be stopped).

Change: an agent keeps its target's latest heartbeat in a row of the table service, written when it says something new. A new incarnation reads the row at start and uses it once the target's own list of runs shows the same incarnation of the target, until the next heartbeat comes. Without the store it waits for the heartbeat as before.

--- a/crates/agent/src/fenced.rs
+++ b/crates/agent/src/fenced.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use axum::Router;
+use dfs_ids::AgentId;
 use dfs_ids::Clock;
 use dfs_ids::Millis;
 use dfs_ids::TargetId;
@@ -27,8 +28,11 @@
 use dfs_policy::runs::RunsOptions;
 use dfs_policy::runs::StartRequest;
 use dfs_policy::runs::StopRequest;
+use dfs_policy::runs::TargetIncarnation;
 use dfs_policy::runs::TaskSpec;
 use dfs_store::Presence;
+use dfs_store::TargetRow;
+use dfs_store::TargetRows;
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
@@ -111,6 +115,7 @@
     clock: Clock,
     client: Arc<dyn TargetClient>,
     orders: Orders,
+    memory: Option<TargetMemory>,
     commands: mpsc::UnboundedReceiver<Command>,
     command_sender: mpsc::UnboundedSender<Command>,
     end_senders: HashMap<TaskRef, oneshot::Sender<(u64, RunEnd)>>,
@@ -129,6 +134,7 @@
             clock,
             orders: Orders::new(Arc::clone(&client)),
             client,
+            memory: None,
             commands,
             command_sender,
             end_senders: HashMap::new(),
@@ -136,6 +142,14 @@
         }
     }
 
+    /// Keeps the target's latest heartbeat in the rows of a store, so that the agent need not wait for
+    /// the next one after a restart.
+    #[must_use]
+    pub fn with_memory(mut self, agent: AgentId, rows: TargetRows) -> Self {
+        self.memory = Some(TargetMemory { agent, rows });
+        self
+    }
+
     /// Turns the driver into the adapter of an agent; `router` builds the HTTP routes for
     /// heartbeats.
     pub fn into_adapter(
@@ -166,6 +180,16 @@
     }
 
     async fn run(mut self, target_events: TargetEvents) {
+        if let Some(memory) = self.memory.clone() {
+            let sender = self.command_sender.clone();
+            tokio::spawn(async move {
+                if let Some(heartbeat) = memory.recall().await {
+                    let event = RunsEvent::HeartbeatRecalled(heartbeat);
+                    // The receiver is dropped only with the process.
+                    let _ = sender.send(Command::Event(event));
+                }
+            });
+        }
         let mut tick = tokio::time::interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -218,6 +242,18 @@
             RunsAction::Progress(progress) => target_events.progress(progress),
             RunsAction::Announce(announcement) => target_events.announced(announcement),
             RunsAction::Goodbye => target_events.goodbye(),
+            RunsAction::StoreHeartbeat(heartbeat) => {
+                if let Some(memory) = self.memory.clone() {
+                    let sender = self.command_sender.clone();
+                    tokio::spawn(async move {
+                        if memory.store(&heartbeat).await {
+                            let event = RunsEvent::HeartbeatStored(heartbeat);
+                            // The receiver is dropped only with the process.
+                            let _ = sender.send(Command::Event(event));
+                        }
+                    });
+                }
+            }
             RunsAction::TakenOver {
                 token,
                 stopped_runs,
@@ -300,6 +336,49 @@
     }
 }
 
+/// The target's latest heartbeat as it is kept in the store.
+#[derive(Clone)]
+struct TargetMemory {
+    agent: AgentId,
+    rows: TargetRows,
+}
+
+impl TargetMemory {
+    /// The stored heartbeat; `None` if there is none or the store can't be read, which only means that
+    /// the agent has to wait for the target's next heartbeat.
+    async fn recall(&self) -> Option<Heartbeat> {
+        let read = self.rows.read(&self.agent).await;
+        let row = read.unwrap_or_else(|error| {
+            let error = ErrorText::new(&error);
+            dfs_log::emit(TargetEvent::NotRecalled { error });
+            None
+        })?;
+        Some(Heartbeat {
+            target: row.offer.target.clone(),
+            incarnation: Some(TargetIncarnation(row.incarnation)),
+            // Any heartbeat of the target replaces it.
+            sequence: 0,
+            address: row.address,
+            is_draining: row.is_draining,
+            offer: row.offer,
+        })
+    }
+
+    /// Whether the heartbeat was stored. One that was not is stored with the next heartbeat.
+    async fn store(&self, heartbeat: &Heartbeat) -> bool {
+        let Some(TargetIncarnation(incarnation)) = heartbeat.incarnation else {
+            return false;
+        };
+        let row = TargetRow {
+            incarnation,
+            address: heartbeat.address,
+            is_draining: heartbeat.is_draining,
+            offer: heartbeat.offer.clone(),
+        };
+        self.rows.write(&self.agent, &row).await.is_ok()
+    }
+}
+
 struct FencedDriver {
     client: Arc<dyn TargetClient>,
     commands: mpsc::UnboundedSender<Command>,
--- a/crates/log/src/event/target.rs
+++ b/crates/log/src/event/target.rs
@@ -164,5 +164,10 @@
             /// Ratio of run time to expected run time, in thousandths.
             stretch_permille: u32,
         }
+        /// A restarted agent could not read what its predecessor knew of the target.
+        418 Info "target_not_recalled" NotRecalled {
+            /// Error of the store.
+            error: ErrorText,
+        }
     }
 }
--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -223,6 +223,18 @@
     pub offer: Offer,
 }
 
+impl Heartbeat {
+    /// Whether another heartbeat says the same, whenever it was sent.
+    pub(super) fn agrees_with(&self, other: &Self) -> bool {
+        let sequence = self.sequence;
+        *self
+            == Self {
+                sequence,
+                ..other.clone()
+            }
+    }
+}
+
 /// Input of [`Runs::handle`](super::Runs::handle).
 #[derive(Debug, Clone)]
 pub enum RunsEvent {
@@ -254,6 +266,10 @@
     },
     /// The target sent a heartbeat.
     Heartbeat(Heartbeat),
+    /// The store holds a heartbeat that an earlier incarnation of the agent received.
+    HeartbeatRecalled(Heartbeat),
+    /// The store has confirmed a [`RunsAction::StoreHeartbeat`].
+    HeartbeatStored(Heartbeat),
     /// The target announced that it shuts down.
     Deregistered {
         /// Id of the target, which changes with each incarnation.
@@ -285,6 +301,9 @@
     Progress(Vec<(TaskRef, u8)>),
     /// Announces the target to the agent, or renews its announcement.
     Announce(Announcement),
+    /// Stores a heartbeat for the next incarnation of the agent; the caller answers with
+    /// [`RunsEvent::HeartbeatStored`] if that succeeds.
+    StoreHeartbeat(Heartbeat),
     /// Withdraws the announcement: the target accepts no new tasks.
     Goodbye,
     /// The takeover is complete: no run of an earlier incarnation of the agent continues on the target.
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -181,6 +181,7 @@
         self.last_run_numbers
             .retain(|_, (_, ended_at)| now < *ended_at + RUN_NUMBER_RETENTION_MS);
         let was_failing = self.polls_failing_since.take().is_some();
+        self.use_recalled_heartbeat(now, out);
         if !self.taken_over && self.orphans(&running).next().is_none() {
             self.complete_takeover(out);
             self.announce_if_ready(now, out);
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -69,6 +69,11 @@
     /// Last run number of each task name that ended recently, and when it ended.
     last_run_numbers: HashMap<Arc<str>, (RunNumber, Moment)>,
     heartbeat: Option<(Heartbeat, Moment)>,
+    /// Heartbeat that the store holds, as far as known.
+    stored_heartbeat: Option<Heartbeat>,
+    /// Heartbeat received by an earlier incarnation of the agent. It is used once the target reports the same
+    /// incarnation, until its next heartbeat arrives.
+    recalled_heartbeat: Option<Heartbeat>,
     /// Incarnation that the last snapshot came from.
     incarnation: Option<TargetIncarnation>,
     /// Sequence number of the last end that was processed.
@@ -130,6 +135,8 @@
             waiting_tasks: HashMap::new(),
             last_run_numbers: HashMap::new(),
             heartbeat: None,
+            stored_heartbeat: None,
+            recalled_heartbeat: None,
             incarnation: None,
             last_end_sequence: 0,
             target_clock: None,
@@ -161,6 +168,10 @@
                 self.on_poll_completed(now, &poll, outcome, &mut out);
             }
             RunsEvent::Heartbeat(heartbeat) => self.on_heartbeat(now, heartbeat, &mut out),
+            RunsEvent::HeartbeatRecalled(heartbeat) => {
+                self.on_heartbeat_recalled(now, heartbeat, &mut out);
+            }
+            RunsEvent::HeartbeatStored(heartbeat) => self.stored_heartbeat = Some(heartbeat),
             RunsEvent::Deregistered { target } => self.on_deregistered(&target, &mut out),
             RunsEvent::Tick => {}
         }
@@ -194,10 +205,40 @@
         if is_new_incarnation {
             self.on_new_incarnation(now, out);
         }
+        let is_stored = |stored: &Heartbeat| stored.agrees_with(&heartbeat);
+        if !self.stored_heartbeat.as_ref().is_some_and(is_stored) {
+            out.push(RunsAction::StoreHeartbeat(heartbeat.clone()));
+        }
+        self.recalled_heartbeat = None;
         self.heartbeat = Some((heartbeat, now));
         self.announce_if_ready(now, out);
     }
 
+    fn on_heartbeat_recalled(
+        &mut self,
+        now: Moment,
+        heartbeat: Heartbeat,
+        out: &mut Vec<RunsAction>,
+    ) {
+        self.stored_heartbeat.get_or_insert(heartbeat.clone());
+        if self.heartbeat.is_none() {
+            self.recalled_heartbeat = Some(heartbeat);
+            self.use_recalled_heartbeat(now, out);
+        }
+    }
+
+    /// Takes a recalled heartbeat for the current one if the target still is the incarnation that sent it, so
+    /// that a restarted agent need not wait for the next one.
+    fn use_recalled_heartbeat(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
+        let is_same = |recalled: &mut Heartbeat| {
+            recalled.incarnation.is_some() && recalled.incarnation == self.incarnation
+        };
+        if let Some(heartbeat) = self.recalled_heartbeat.take_if(is_same) {
+            self.heartbeat = Some((heartbeat, now));
+            self.announce_if_ready(now, out);
+        }
+    }
+
     fn on_deregistered(&mut self, target: &dfs_ids::TargetId, out: &mut Vec<RunsAction>) {
         let is_this = |known: &(Heartbeat, Moment)| known.0.target == *target;
         if self.heartbeat.as_ref().is_some_and(is_this) {
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -89,6 +89,7 @@
     pub ended: Vec<(TaskRef, RunEnd)>,
     pub announcement_count: usize,
     pub goodbye_count: usize,
+    pub stored: Vec<Heartbeat>,
 }
 
 impl Harness {
@@ -103,6 +104,7 @@
             ended: Vec::new(),
             announcement_count: 0,
             goodbye_count: 0,
+            stored: Vec::new(),
         };
         harness.handle(RunsEvent::Tick);
         harness
@@ -125,6 +127,7 @@
                 RunsAction::TaskEnded { task, end, .. } => self.ended.push((task, end)),
                 RunsAction::Announce(_) => self.announcement_count += 1,
                 RunsAction::Goodbye => self.goodbye_count += 1,
+                RunsAction::StoreHeartbeat(heartbeat) => self.stored.push(heartbeat),
                 RunsAction::TakenOver { .. }
                 | RunsAction::Progress(_)
                 | RunsAction::TargetUnreachable { .. }
--- a/crates/policy/tests/runs/directed.rs
+++ b/crates/policy/tests/runs/directed.rs
@@ -352,3 +352,56 @@
     expect_that!(harness.ended.len(), eq(0));
     expect_that!(harness.announcement_count, eq(5));
 }
+
+#[googletest::test]
+fn a_heartbeat_is_stored_again_only_until_confirmed_and_when_it_says_something_new() {
+    let mut harness = Harness::with_ready_target();
+    expect_that!(harness.stored.len(), eq(1));
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 1, 2)));
+    expect_that!(harness.stored.len(), eq(2));
+    let stored = harness.stored[1].clone();
+    harness.handle(RunsEvent::HeartbeatStored(stored));
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 1, 3)));
+    expect_that!(harness.stored.len(), eq(2));
+    let mut draining = heartbeat("t-1", 1, 4);
+    draining.is_draining = true;
+    harness.handle(RunsEvent::Heartbeat(draining));
+    expect_that!(harness.stored.len(), eq(3));
+}
+
+#[googletest::test]
+fn a_restarted_agent_announces_the_target_that_its_predecessor_knew() {
+    let mut harness = Harness::new();
+    harness.handle(RunsEvent::HeartbeatRecalled(heartbeat("t-1", 1, 9)));
+    expect_that!(harness.announcement_count, eq(0));
+    harness.answer_poll_with(&[], &[]);
+    expect_that!(harness.announcement_count, eq(1));
+}
+
+#[googletest::test]
+fn a_heartbeat_that_is_recalled_after_the_takeover_is_used_at_once() {
+    let mut harness = Harness::new();
+    harness.answer_poll_with(&[], &[]);
+    harness.handle(RunsEvent::HeartbeatRecalled(heartbeat("t-1", 1, 9)));
+    expect_that!(harness.announcement_count, eq(1));
+}
+
+#[googletest::test]
+fn a_recalled_heartbeat_of_another_incarnation_of_the_target_is_not_used() {
+    let mut harness = Harness::new();
+    harness.handle(RunsEvent::HeartbeatRecalled(heartbeat("t-0", 0, 9)));
+    harness.answer_poll_with(&[], &[]);
+    expect_that!(harness.announcement_count, eq(0));
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 1, 1)));
+    expect_that!(harness.announcement_count, eq(1));
+}
+
+#[googletest::test]
+fn a_target_that_was_draining_is_not_announced_from_a_recalled_heartbeat() {
+    let mut harness = Harness::new();
+    let mut draining = heartbeat("t-1", 1, 9);
+    draining.is_draining = true;
+    harness.handle(RunsEvent::HeartbeatRecalled(draining));
+    harness.answer_poll_with(&[], &[]);
+    expect_that!(harness.announcement_count, eq(0));
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,5 +1,5 @@
 //! Clients of the platform's table service and object store, and the data kept in them: the
-//! configuration, claims of request keys, and presence rows.
+//! configuration, claims of request keys, presence rows, and what agents know of their targets.
 //!
 //! The platform's protocol is not published, so everything else goes through the traits
 //! [`TableService`] and [`ObjectStore`]; [`HttpTable`] and [`HttpObjects`] implement them over
@@ -13,6 +13,7 @@
 mod object;
 mod presence;
 mod table;
+mod target;
 
 pub use budget::WriteBudget;
 pub use claim::ClaimOutcome;
@@ -44,3 +45,5 @@
 pub use table::RowKey;
 pub use table::RowWrite;
 pub use table::TableService;
+pub use target::TargetRow;
+pub use target::TargetRows;
