Queue what reaches a starting entry instead of refusing it

The balancer sends to entries that were ready before the restart.

Change: for lease.startup_ms (250 ms by default) after the start, requests wait for the first configuration, and submissions are queued although no target is known; when that time is over, those that no known target can run are refused at once. Later nothing waits: with the store away, requests are refused at once as before.

The older tests of policy_admission now begin after the start of the entry; what they check is as before.

--- a/crates/conf/src/settings/entry.rs
+++ b/crates/conf/src/settings/entry.rs
@@ -59,6 +59,9 @@
     /// Time for which tasks may still be running after their agent was removed. A repeatable task
     /// is retried only after it.
     pub settle_ms: Millis,
+    /// Time after the start within which the first configuration and the sessions of agents are
+    /// expected. Submissions are queued meanwhile instead of refused.
+    pub startup_ms: Millis,
 }
 
 impl Default for LeaseSettings {
@@ -69,6 +72,7 @@
             idle_renew_ms: Millis::new(1_000),
             fresh_ms: Millis::new(2_000),
             settle_ms: Millis::new(0),
+            startup_ms: Millis::new(250),
         }
     }
 }
--- a/crates/conf/src/settings/entry_check.rs
+++ b/crates/conf/src/settings/entry_check.rs
@@ -22,6 +22,7 @@
 
 const LEASE_MS: RangeInclusive<Millis> = Millis::new(30)..=Millis::new(60_000);
 const RENEW_MS: RangeInclusive<Millis> = Millis::new(1)..=Millis::new(60_000);
+const STARTUP_MS: RangeInclusive<Millis> = Millis::new(1)..=Millis::new(60_000);
 const BODY_BYTES: RangeInclusive<u32> = 64..=64 << 20;
 const HEADERS: RangeInclusive<u32> = 1..=1_024;
 const BODY_TIMEOUT_MS: RangeInclusive<Millis> = Millis::new(10)..=Millis::new(600_000);
@@ -121,6 +122,7 @@
     checker.in_range(field("busy_renew_ms"), lease.busy_renew_ms, &RENEW_MS);
     checker.in_range(field("idle_renew_ms"), lease.idle_renew_ms, &RENEW_MS);
     checker.in_range(field("fresh_ms"), lease.fresh_ms, &RENEW_MS);
+    checker.in_range(field("startup_ms"), lease.startup_ms, &STARTUP_MS);
     if lease
         .busy_renew_ms
         .get()
--- a/crates/entry/src/edge.rs
+++ b/crates/entry/src/edge.rs
@@ -96,6 +96,11 @@
         Ok(queues.find(host, path).cloned())
     }
 
+    /// Waits for the first configuration if the process has only just started.
+    pub async fn wait_for_first_config(&self) {
+        self.state.active_config.wait_for_first().await;
+    }
+
     /// Number of submissions of a queue at this entry of which no task has been placed yet.
     pub async fn unplaced_submissions(&self, queue: QueueName) -> u64 {
         let (reply, receiver) = oneshot::channel();
--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -128,6 +128,7 @@
             handle.clone(),
             metrics.clone(),
             settings.domain.clone(),
+            settings.lease.startup_ms,
         );
         let sessions = SessionServer::start(&settings, handle.clone(), metrics.clone()).await?;
         let address = settings.listen_address;
--- a/crates/entry/src/version/holder.rs
+++ b/crates/entry/src/version/holder.rs
@@ -27,6 +27,7 @@
 use dfs_policy::entry::EntryEvent;
 use serde_json::value::RawValue;
 use serde_json::value::to_raw_value;
+use tokio::sync::watch;
 
 use crate::process::CoreHandle;
 
@@ -42,6 +43,9 @@
     core: CoreHandle,
     metrics: Metrics,
     domain: FailureDomain,
+    startup_ms: Millis,
+    /// Whether there is an active version.
+    is_configured: watch::Sender<bool>,
 }
 
 #[derive(Debug, Default)]
@@ -59,16 +63,35 @@
 }
 
 impl ActiveConfig {
-    pub fn new(clock: Clock, core: CoreHandle, metrics: Metrics, domain: FailureDomain) -> Self {
+    pub fn new(
+        clock: Clock,
+        core: CoreHandle,
+        metrics: Metrics,
+        domain: FailureDomain,
+        startup_ms: Millis,
+    ) -> Self {
         Self {
             state: Arc::default(),
             clock,
             core,
             metrics,
             domain,
+            startup_ms,
+            is_configured: watch::Sender::new(false),
         }
     }
 
+    /// Waits for the first version, but only while the process is starting: once it has run for
+    /// `startup_ms` it returns at once.
+    pub async fn wait_for_first(&self) {
+        let mut is_configured = self.is_configured.subscribe();
+        let first = is_configured.wait_for(|is_configured| *is_configured);
+        let running_ms = self.clock.now().since(Moment::default());
+        let left_ms = self.startup_ms.saturating_sub(running_ms);
+        // On a timeout the caller finds no version.
+        let _ = tokio::time::timeout(left_ms.into(), first).await;
+    }
+
     /// Activates a version if it is higher than the active one, and notifies the core.
     pub fn adopt(&self, update: ConfigUpdate, source: ConfigSource) {
         let Some(config) = self.lock().adopt(update) else {
@@ -76,6 +99,7 @@
         };
         let version = config.version;
         self.core.send_event(EntryEvent::Configured(config));
+        self.is_configured.send_replace(true);
         self.metrics.set(Gauge::ConfigVersion, version.get());
         let domain = self.domain.clone();
         dfs_log::emit(ConfigEvent::Adopted {
--- a/crates/policy/src/entry/admit.rs
+++ b/crates/policy/src/entry/admit.rs
@@ -2,14 +2,18 @@
 
 use dfs_conf::Config;
 use dfs_conf::Group;
+use dfs_ids::GroupId;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
+use dfs_ids::ServiceName;
 use dfs_ids::SubmissionId;
 use dfs_wire::api::Answer;
 use dfs_wire::api::Failure;
 use dfs_wire::api::FailureReason;
 use dfs_wire::api::Outcome;
+use dfs_wire::target::Resources;
 
+use super::Constraints;
 use super::Entry;
 use super::EntryAction;
 use super::Submission;
@@ -21,6 +25,9 @@
 const TRANSIENT_RETRY_AFTER_MS: Millis = Millis::new(1_000);
 /// Lower bound of the retry delay advised under overload.
 const MIN_RETRY_AFTER_MS: u64 = 100;
+/// Upper bound of the retry delay advised under overload. The rate at which the queue drains is measured over
+/// at most 1.5 s, so a longer estimate says little about the time after it.
+const MAX_RETRY_AFTER_MS: Millis = Millis::new(2_000);
 
 impl Entry {
     pub(super) fn on_submit(
@@ -54,6 +61,9 @@
             |objective_ms| now + scaled(objective_ms, config.rules.admission.give_up_objectives);
         let give_up_at = submission.objective_ms.map_or(deadline, after_objectives);
         let job = Job::new(submission, now, deadline, give_up_at);
+        if self.is_starting(now) {
+            self.queued_at_start.push(id.clone());
+        }
         let lane = job.lane();
         self.shares.activate(&job.group);
         for _ in &job.tasks {
@@ -83,7 +93,14 @@
         check_size(config, submission)?;
         check_feasible(config, group, submission)?;
         self.check_queue_limits(config, submission)?;
-        self.check_live_target(config, submission)?;
+        if self.is_starting(now) {
+            return Ok(());
+        }
+        if !self.has_live_target(config, &Needs::of(submission)) {
+            let message = no_live_target(&submission.group, &submission.service);
+            let reason = FailureReason::NoTarget;
+            return Err(refusal(reason, message, Some(TRANSIENT_RETRY_AFTER_MS)));
+        }
         self.check_deadline(now, config, submission)
     }
 
@@ -135,12 +152,13 @@
             return Ok(());
         }
         let message = format!(
-            "the tasks before it need about {wait_ms}, it can wait for {max_wait_ms} of its deadline \
-             of {deadline_ms}: try later or allow more time"
+            "the tasks before it need about {}, it can wait for {max_wait_ms} of its deadline \
+             of {deadline_ms}: try later or allow more time",
+            wait_ms.min(config.rules.deadlines.max_ms)
         );
         let retry_after_ms = wait_ms
             .saturating_sub(max_wait_ms)
-            .max(Millis::new(MIN_RETRY_AFTER_MS));
+            .clamp(Millis::new(MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS);
         let reason = FailureReason::DeadlineUnreachable;
         Err(refusal(reason, message, Some(retry_after_ms)))
     }
@@ -160,37 +178,51 @@
             .sum()
     }
 
-    fn check_live_target(&self, config: &Config, submission: &Submission) -> Result<(), Failure> {
-        let Some(group) = config.group(&submission.group) else {
-            return Ok(());
+    /// Whether a live target can run tasks with these needs, however full it is.
+    pub(super) fn has_live_target(&self, config: &Config, needs: &Needs) -> bool {
+        let Some(group) = config.group(needs.group) else {
+            return true;
         };
-        let Some(service) = config.service(&submission.service) else {
-            return Ok(());
+        let Some(service) = config.service(needs.service) else {
+            return true;
         };
-        let can_serve = self.agents.values().any(|agent| {
+        self.agents.values().any(|agent| {
             agent.offer().is_some_and(|offer| {
-                offer.services.contains(&submission.service)
+                offer.services.contains(needs.service)
                     && offer.resources.covers(&service.requires)
-                    && offer.fraction_per_task(&submission.terms.demand) <= 1.0
-                    && submission.constraints.allow(offer, || 0)
+                    && offer.fraction_per_task(needs.demand) <= 1.0
+                    && needs.constraints.allow(offer, || 0)
                     && may_use(group, &offer.target)
             })
-        });
-        if can_serve {
-            return Ok(());
+        })
+    }
+}
+
+/// What the tasks of a submission require of a target.
+pub(super) struct Needs<'a> {
+    pub group: &'a GroupId,
+    pub service: &'a ServiceName,
+    pub demand: &'a Resources,
+    pub constraints: &'a Constraints,
+}
+
+impl<'a> Needs<'a> {
+    const fn of(submission: &'a Submission) -> Self {
+        Self {
+            group: &submission.group,
+            service: &submission.service,
+            demand: &submission.terms.demand,
+            constraints: &submission.constraints,
         }
-        let message = format!(
-            "no live target that has what a task takes offers {} to group {}: try later",
-            submission.service, submission.group
-        );
-        Err(refusal(
-            FailureReason::NoTarget,
-            message,
-            Some(TRANSIENT_RETRY_AFTER_MS),
-        ))
     }
 }
 
+pub(super) fn no_live_target(group: &GroupId, service: &ServiceName) -> String {
+    format!(
+        "no live target that has what a task takes offers {service} to group {group}: try later"
+    )
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_precision_loss,
--- a/crates/policy/src/entry/answer.rs
+++ b/crates/policy/src/entry/answer.rs
@@ -157,7 +157,7 @@
 fn retry_after(reason: FailureReason) -> Option<Millis> {
     let is_transient = matches!(
         reason,
-        FailureReason::RetriesExhausted | FailureReason::Overloaded
+        FailureReason::RetriesExhausted | FailureReason::Overloaded | FailureReason::NoTarget
     );
     is_transient.then_some(RETRY_AFTER_MS)
 }
--- a/crates/policy/src/entry/config.rs
+++ b/crates/policy/src/entry/config.rs
@@ -46,11 +46,19 @@
                 out.push(EntryAction::OfferConfig { connection, have });
             }
         }
+        let startup_ms = self.identity.lease.startup_ms;
+        self.starting_until.get_or_insert(now + startup_ms);
         self.config = Some(config);
         self.config_stale_since = None;
         self.config_adopted_at = now;
     }
 
+    /// Whether the entry has started so recently that agents may still have to connect. Until then it doesn't
+    /// know what is free, so it queues submissions that it would refuse later.
+    pub(super) fn is_starting(&self, now: Moment) -> bool {
+        self.starting_until.is_some_and(|until| now < until)
+    }
+
     /// Offers the active configuration to agents that have not received it from their configuration
     /// source; that entry may itself be waiting for it from its agents.
     pub(super) fn offer_config_to_lagging_agents(
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -91,6 +91,11 @@
     throughput: ThroughputMeter,
     /// Repeatable tasks of lost agents, with the time until which their runs may still be going on.
     orphaned_tasks: BTreeSet<(Moment, AgentId, TaskRef)>,
+    /// End of the time for which submissions wait for the agents to connect; `None` before the first
+    /// configuration.
+    starting_until: Option<Moment>,
+    /// Submissions that were queued before `starting_until`, until they are reviewed then.
+    queued_at_start: Vec<SubmissionId>,
     /// When the active configuration was adopted.
     config_adopted_at: Moment,
     /// Since when an agent has reported a higher configuration version than that of this entry.
@@ -126,6 +131,8 @@
             speeds: SpeedTracker::default(),
             throughput: ThroughputMeter::default(),
             orphaned_tasks: BTreeSet::new(),
+            starting_until: None,
+            queued_at_start: Vec::new(),
             config_adopted_at: Moment::default(),
             config_stale_since: None,
             config_requested_at: None,
--- a/crates/policy/src/entry/review.rs
+++ b/crates/policy/src/entry/review.rs
@@ -8,6 +8,8 @@
 use super::Entry;
 use super::EntryAction;
 use super::Observation;
+use super::admit::Needs;
+use super::admit::no_live_target;
 use super::job::Job;
 use super::job::millis_from_micros;
 use crate::order::rank;
@@ -17,6 +19,9 @@
     /// that will miss their objective behind the others.
     pub(super) fn review_queue(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
         self.refuse_unreachable(now, out);
+        if !self.is_starting(now) {
+            self.refuse_without_target(out);
+        }
         let lanes: Vec<_> = self.queue.lanes().cloned().collect();
         for lane in lanes {
             while let Some(id) = self.queue.first(&lane).cloned()
@@ -42,6 +47,29 @@
         }
     }
 
+    /// Refuses the submissions that were queued while the entry was starting and that no target can run which has
+    /// become known since.
+    fn refuse_without_target(&mut self, out: &mut Vec<EntryAction>) {
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        for id in std::mem::take(&mut self.queued_at_start) {
+            let Some(job) = self.jobs.get(&id).filter(|job| job.has_not_run()) else {
+                continue;
+            };
+            let needs = Needs {
+                group: &job.group,
+                service: &job.service,
+                demand: &job.terms.demand,
+                constraints: &job.constraints,
+            };
+            if !self.has_live_target(&config, &needs) {
+                let message = no_live_target(&job.group, &job.service);
+                self.fail(&id, FailureReason::NoTarget, message, Vec::new(), out);
+            }
+        }
+    }
+
     /// Whether a submission that is not demoted yet can no longer meet its objective. One that has begun to
     /// run is spared until its latest start, so that completed work is not wasted.
     fn will_miss_objective(&self, now: Moment, id: &SubmissionId) -> bool {
--- a/crates/policy/tests/policy_admission.rs
+++ b/crates/policy/tests/policy_admission.rs
@@ -50,6 +50,8 @@
 const RUN_MS: u64 = 60;
 const OBJECTIVE_MS: u64 = 100;
 const DEADLINE_MS: u64 = 1_500;
+/// Time for which submissions wait at an entry that has just started for the agents to connect.
+const STARTUP_MS: u64 = 300;
 
 /// An entry under test with the actions that it has emitted so far.
 struct TestEntry {
@@ -116,12 +118,16 @@
 }
 
 impl TestEntry {
-    fn new(rules: Rules) -> Self {
+    /// An entry that has just received its first configuration.
+    fn starting(rules: Rules) -> Self {
         let identity = Identity {
             entry: "entry".parse().unwrap(),
             domain: "lagos".parse().unwrap(),
             incarnation: Incarnation::new(1),
-            lease: LeaseSettings::default(),
+            lease: LeaseSettings {
+                startup_ms: Millis::new(STARTUP_MS),
+                ..LeaseSettings::default()
+            },
         };
         let mut entry = Self {
             entry: Entry::new(identity, 7),
@@ -136,7 +142,13 @@
 
     /// An entry with two idle agents that each accept up to `window` tasks of it.
     fn with_agents(rules: Rules, window: u32) -> Self {
-        let mut entry = Self::new(rules);
+        let mut entry = Self::starting(rules);
+        entry.advance(STARTUP_MS);
+        entry.connect_agents(window);
+        entry
+    }
+
+    fn connect_agents(&mut self, window: u32) {
         for n in 0..2 {
             let attach = Attach {
                 secret: String::new(),
@@ -145,7 +157,7 @@
                 domain: "lagos".parse().unwrap(),
             };
             let connection = ConnectionId(n);
-            entry.handle(EntryEvent::Attach { connection, attach });
+            self.handle(EntryEvent::Attach { connection, attach });
             let offer = Offer {
                 target: format!("target-{n}").parse().unwrap(),
                 services: vec!["desk".parse().unwrap(), LARGE.parse().unwrap()],
@@ -167,9 +179,8 @@
                 AgentItem::Target(TargetState::Live(offer)),
                 AgentItem::Load(load),
             ];
-            entry.report(n, items);
+            self.report(n, items);
         }
-        entry
     }
 
     fn report(&mut self, n: u64, items: Vec<AgentItem>) {
@@ -436,3 +447,62 @@
     let failure = entry.failure_of("after").unwrap();
     expect_that!(failure.not_run, eq(true));
 }
+
+#[googletest::test]
+fn a_submission_at_a_starting_entry_is_placed_when_the_first_agents_connect() {
+    let mut entry = TestEntry::starting(Rules::default());
+    entry.submit("s", "aba", 4, DEADLINE_MS);
+    entry.advance(50);
+    expect_that!(entry.failures.is_empty(), eq(true));
+    entry.connect_agents(64);
+    expect_that!(entry.placed.len(), eq(4));
+}
+
+#[googletest::test]
+fn submissions_at_a_starting_entry_are_refused_once_its_agents_should_have_connected() {
+    let mut entry = TestEntry::starting(Rules::default());
+    entry.submit("s", "aba", 4, DEADLINE_MS);
+    entry.advance(STARTUP_MS);
+    let failure = entry.failure_of("s").unwrap();
+    expect_that!(failure.reason, eq(FailureReason::NoTarget));
+    expect_that!(failure.not_run, eq(true));
+    expect_that!(failure.retry_after_ms, some(anything()));
+    entry.submit("t", "aba", 4, DEADLINE_MS);
+    expect_that!(entry.failure_of("t").is_some(), eq(true));
+}
+
+#[googletest::test]
+fn a_submission_that_no_connected_target_can_run_is_refused_when_the_start_is_over() {
+    let mut entry = TestEntry::starting(Rules::default());
+    entry.submit_to(LARGE, "large", "aba", 1, 60_000);
+    entry.submit("s", "aba", 1, 60_000);
+    entry.connect_agents(64);
+    expect_that!(entry.failures.is_empty(), eq(true));
+    entry.advance(STARTUP_MS);
+    let failure = entry.failure_of("large").unwrap();
+    expect_that!(failure.reason, eq(FailureReason::NoTarget));
+    expect_that!(entry.failure_of("s").is_none(), eq(true));
+}
+
+#[googletest::test]
+fn the_advised_retry_delay_stays_bounded_while_nothing_seems_to_come_free() {
+    let mut rules = Rules::default();
+    rules.placement.max_load = 1.0;
+    let mut entry = TestEntry::with_agents(rules, 64);
+    entry.submit("first", "aba", 16, 60_000);
+    let full_load = LoadHint {
+        load_permille: 1_000,
+        slowdown_permille: 0,
+        window: 64,
+    };
+    for n in 0..2 {
+        entry.report(n, vec![AgentItem::Load(full_load)]);
+    }
+    for n in 0..400 {
+        entry.submit(&format!("wide-{n}"), "aba", 320, 600_000);
+    }
+    entry.submit("late", "aba", 320, 1_000);
+    let failure = entry.failure_of("late").unwrap();
+    expect_that!(failure.reason, eq(FailureReason::DeadlineUnreachable));
+    expect_that!(failure.retry_after_ms, some(le(Millis::new(2_000))));
+}
