End the wait for the first configuration when its source fails

Change: the first failed read of the configuration ends the wait; the request is then refused at once.

Test: a third one in entry/tests/startup.rs.

--- a/crates/entry/src/edge.rs
+++ b/crates/entry/src/edge.rs
@@ -96,7 +96,8 @@
         Ok(queues.find(host, path).cloned())
     }
 
-    /// Waits for the first configuration if the process has only just started.
+    /// Waits for the first configuration if the process has only just started and the source of the
+    /// configuration has not failed.
     pub async fn wait_for_first_config(&self) {
         self.state.active_config.wait_for_first().await;
     }
--- a/crates/entry/src/version/follow.rs
+++ b/crates/entry/src/version/follow.rs
@@ -25,6 +25,7 @@
             }
             Err(error) => {
                 health.record_failure(&active_config, &error);
+                active_config.stop_waiting();
                 tokio::time::sleep(RETRY_DELAY).await;
             }
         }
--- a/crates/entry/src/version/holder.rs
+++ b/crates/entry/src/version/holder.rs
@@ -44,8 +44,8 @@
     metrics: Metrics,
     domain: FailureDomain,
     startup_ms: Millis,
-    /// Whether there is an active version.
-    is_configured: watch::Sender<bool>,
+    /// Whether there is an active version, or the source has failed to give one.
+    is_settled: watch::Sender<bool>,
 }
 
 #[derive(Debug, Default)]
@@ -77,19 +77,19 @@
             metrics,
             domain,
             startup_ms,
-            is_configured: watch::Sender::new(false),
+            is_settled: watch::Sender::new(false),
         }
     }
 
     /// Waits for the first version, but only while the process is starting: once it has run for
-    /// `startup_ms` it returns at once.
+    /// `startup_ms`, or its source has failed, it returns at once.
     pub async fn wait_for_first(&self) {
-        let mut is_configured = self.is_configured.subscribe();
-        let first = is_configured.wait_for(|is_configured| *is_configured);
+        let mut is_settled = self.is_settled.subscribe();
+        let settled = is_settled.wait_for(|is_settled| *is_settled);
         let running_ms = self.clock.now().since(Moment::default());
         let left_ms = self.startup_ms.saturating_sub(running_ms);
         // On a timeout the caller finds no version.
-        let _ = tokio::time::timeout(left_ms.into(), first).await;
+        let _ = tokio::time::timeout(left_ms.into(), settled).await;
     }
 
     /// Activates a version if it is higher than the active one, and notifies the core.
@@ -99,7 +99,7 @@
         };
         let version = config.version;
         self.core.send_event(EntryEvent::Configured(config));
-        self.is_configured.send_replace(true);
+        self.is_settled.send_replace(true);
         self.metrics.set(Gauge::ConfigVersion, version.get());
         let domain = self.domain.clone();
         dfs_log::emit(ConfigEvent::Adopted {
@@ -109,6 +109,11 @@
         });
     }
 
+    /// Ends the wait for the first version, because its source has failed.
+    pub fn stop_waiting(&self) {
+        self.is_settled.send_replace(true);
+    }
+
     pub fn current(&self) -> Option<Arc<Config>> {
         self.lock().holder.current().cloned()
     }
--- a/crates/entry/tests/startup.rs
+++ b/crates/entry/tests/startup.rs
@@ -35,13 +35,35 @@
 /// Longer than the test takes on any machine.
 const LONG_STARTUP_MS: u64 = 60_000;
 
-/// Delivers one configuration when told to, and then nothing.
-struct HeldFeed(Arc<Notify>);
+/// What the source of the configuration does.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum FeedBehaviour {
+    /// Delivers a configuration once a request has arrived.
+    DeliversOnRequest,
+    /// Answers nothing.
+    Silent,
+    /// Fails at once.
+    Fails,
+}
+
+struct TestFeed {
+    behaviour: FeedBehaviour,
+    request_arrived: Arc<Notify>,
+}
 
-impl ConfigFeed for HeldFeed {
+impl ConfigFeed for TestFeed {
     fn next(&mut self) -> ResultFuture<'_, Vec<Config>, StoreError> {
         Box::pin(async {
-            self.0.notified().await;
+            match self.behaviour {
+                FeedBehaviour::DeliversOnRequest => self.request_arrived.notified().await,
+                FeedBehaviour::Silent => std::future::pending().await,
+                FeedBehaviour::Fails => {
+                    return Err(StoreError::Malformed {
+                        what: "configuration".to_owned(),
+                        message: "no answer".to_owned(),
+                    });
+                }
+            }
             Ok(vec![Config {
                 version: ConfigVersion::new(1),
                 inventory: Inventory {
@@ -59,8 +81,7 @@
 }
 
 /// Starts an entry that answers each request with whether it is configured, after it has waited for that.
-/// Each request releases the feed first if `releases_feed` is set.
-async fn start_entry(startup_ms: u64, releases_feed: bool) -> (Entry, Platform) {
+async fn start_entry(startup_ms: u64, behaviour: FeedBehaviour) -> (Entry, Platform) {
     let platform = Platform::spawn().await.unwrap();
     let addresses = platform.addresses();
     let settings: EntrySettings = serde_json::from_value(json!({
@@ -79,13 +100,14 @@
     let entry: EntryId = "entry-1".parse().unwrap();
     let metrics = Metrics::new(None, &ProcessName::Entry(entry)).unwrap();
     let table = HttpTable::new(addresses.table_address, Millis::new(1_000));
-    let release = Arc::new(Notify::new());
-    let feed = HeldFeed(Arc::clone(&release));
+    let request_arrived = Arc::new(Notify::new());
+    let feed = TestFeed {
+        behaviour,
+        request_arrived: Arc::clone(&request_arrived),
+    };
     let router = move |ingress: Ingress| {
         Router::new().fallback(move || async move {
-            if releases_feed {
-                release.notify_one();
-            }
+            request_arrived.notify_one();
             ingress.wait_for_first_config().await;
             ingress.config().is_some().to_string()
         })
@@ -109,12 +131,18 @@
 
 #[tokio::test]
 async fn a_request_waits_for_the_first_configuration_of_a_starting_entry() {
-    let (entry, _platform) = start_entry(LONG_STARTUP_MS, true).await;
+    let (entry, _platform) = start_entry(LONG_STARTUP_MS, FeedBehaviour::DeliversOnRequest).await;
     assert_that!(get(entry.address).await, eq("true"));
 }
 
 #[tokio::test]
 async fn a_request_does_not_wait_for_a_configuration_once_the_start_is_over() {
-    let (entry, _platform) = start_entry(1, false).await;
+    let (entry, _platform) = start_entry(1, FeedBehaviour::Silent).await;
+    assert_that!(get(entry.address).await, eq("false"));
+}
+
+#[tokio::test]
+async fn a_request_does_not_wait_for_a_configuration_whose_source_has_failed() {
+    let (entry, _platform) = start_entry(LONG_STARTUP_MS, FeedBehaviour::Fails).await;
     assert_that!(get(entry.address).await, eq("false"));
 }
