Admission counts all that is free, not an entry's part of it

Cause: expected_wait granted a submission free x entry_fraction, a third at one of three entries and a 35th at one of 35, although free capacity goes to whoever asks first. The simulation did not show it, since it never told entries of each other.

Change: what is left over after the tasks that wait at the agents counts whole; only what is short is worked off at the entry's part of the release rate.

The shared simulation can now tell entries of each other.

--- a/crates/policy/benches/grid/cluster.rs
+++ b/crates/policy/benches/grid/cluster.rs
@@ -33,6 +33,7 @@
 use dfs_policy::entry::Submission;
 use dfs_wire::api::Answer;
 use dfs_wire::session::Attach;
+use dfs_wire::session::EntryAddress;
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::Terms;
 use dfs_wire::target::Announcement;
@@ -122,6 +123,9 @@
     pub seed: u64,
     pub workloads: Vec<Workload>,
     pub fault: Fault,
+    /// Whether each entry knows the others, as it does from presence rows, and so reckons with a part of
+    /// the released capacity.
+    pub entries_know_each_other: bool,
 }
 
 enum Event {
@@ -190,7 +194,12 @@
     }
 
     fn connect(&mut self, config: &Arc<Config>) {
+        let addresses: Vec<_> = (0..self.scenario.entries).map(entry_address).collect();
         for e in 0..self.scenario.entries {
+            if self.scenario.entries_know_each_other {
+                let known = EntryEvent::EntriesChanged(addresses.clone());
+                self.schedule(0, Event::ToEntry(e, known));
+            }
             self.schedule(
                 0,
                 Event::ToEntry(e, EntryEvent::Configured(Arc::clone(config))),
@@ -504,6 +513,14 @@
     Entry::new(identity, seed ^ (e << 32))
 }
 
+fn entry_address(e: u64) -> EntryAddress {
+    EntryAddress {
+        entry: format!("e{e}").parse().expect("the name is valid"),
+        domain: domain(),
+        address: ([127, 0, 0, 1], 1).into(),
+    }
+}
+
 fn agent_id(a: u64) -> AgentId {
     format!("a{a}").parse().expect("the name is valid")
 }
--- a/crates/policy/benches/grid/faults.rs
+++ b/crates/policy/benches/grid/faults.rs
@@ -33,6 +33,7 @@
             seed: 1,
             workloads: vec![Workload::single()],
             fault,
+            entries_know_each_other: false,
         };
         let tally = Cluster::new(scenario, MEMBER_DESK, &config(rules)).run();
         let fraction = to_f64(tally.tasks_at_first_agent) / to_f64(tally.tasks);
--- a/crates/policy/benches/grid/kinds.rs
+++ b/crates/policy/benches/grid/kinds.rs
@@ -121,15 +121,22 @@
 
 /// Simulates the overload once.
 pub fn simulate(seed: u64) -> Tally {
+    let fault = Fault::DelayedEntry(ENTRY_DELAY_US);
+    simulate_pool(4, 11, LOAD, fault, seed)
+}
+
+/// Simulates a pool once; `load` is the offered load as a fraction of its capacity.
+pub fn simulate_pool(entries: u64, agents: u64, load: f64, fault: Fault, seed: u64) -> Tally {
     let scenario = Scenario {
-        entries: 4,
-        agents: 11,
+        entries,
+        agents,
         slots: 8,
-        load: LOAD,
+        load,
         duration_us: DURATION_US,
         seed,
         workloads: KINDS.iter().map(workload).collect(),
-        fault: Fault::DelayedEntry(ENTRY_DELAY_US),
+        fault,
+        entries_know_each_other: true,
     };
     Cluster::new(scenario, MEMBER_DESK, &config()).run()
 }
--- a/crates/policy/benches/grid/main.rs
+++ b/crates/policy/benches/grid/main.rs
@@ -156,6 +156,7 @@
                 seed,
                 workloads: vec![Workload::single()],
                 fault: Fault::None,
+                entries_know_each_other: false,
             };
             let config = &config;
             scope.spawn(move || Cluster::new(scenario, mix, config).run())
--- a/crates/policy/benches/grid/shares.rs
+++ b/crates/policy/benches/grid/shares.rs
@@ -129,6 +129,7 @@
             seed: 1,
             workloads: groups.iter().map(|group| group.workload.clone()).collect(),
             fault: Fault::None,
+            entries_know_each_other: false,
         };
         let tally = Cluster::new(scenario, MEMBER_DESK, &config_for(rules, &groups)).run();
         println!("\n{name}");
--- a/crates/policy/src/entry/wait.rs
+++ b/crates/policy/src/entry/wait.rs
@@ -74,7 +74,7 @@
     /// Expected time until all tasks of a submission have started.
     ///
     /// Assumes that released capacity is divided among entries in proportion to their current load, and
-    /// among groups by their shares.
+    /// among groups by their shares. Free capacity is not divided among entries.
     pub(super) fn expected_wait(
         &self,
         now: Moment,
@@ -106,8 +106,14 @@
         } else {
             0.0
         };
-        let missing =
-            needed + (queued_of_group - capacity.free * entitled_fraction) * entry_fraction;
+        let shortage = queued_of_group - capacity.free * entitled_fraction;
+        // What is short is worked off by all entries; what is left over goes to whoever asks first.
+        let missing = needed
+            + if shortage > 0.0 {
+                shortage * entry_fraction
+            } else {
+                shortage
+            };
         if missing <= 0.0 {
             return Millis::default();
         }
--- a/crates/policy/tests/overload/main.rs
+++ b/crates/policy/tests/overload/main.rs
@@ -14,6 +14,7 @@
 #[path = "../../benches/grid/tally.rs"]
 mod tally;
 
+use cluster::Fault;
 use googletest::prelude::*;
 use kinds::DEADLINE_MS;
 use kinds::ENTRY_DELAY_US;
@@ -21,6 +22,7 @@
 use kinds::MICROS_PER_MILLI;
 use kinds::responses;
 use kinds::simulate;
+use kinds::simulate_pool;
 use mix::MEMBER_DESK;
 use mix::to_f64;
 use tally::Outcome;
@@ -30,6 +32,10 @@
 const TICK_US: u64 = 20_000;
 /// Default of the rule `give_up_objectives`: an answer after so many times the objective is of no use.
 const USEFUL_OBJECTIVES: u64 = 3;
+/// Load at which a quarter of the pool is free on average.
+const MODERATE_LOAD: f64 = 0.75;
+/// Two nines of all submissions are to be served where the pool has room.
+const MIN_SERVED_FRACTION: f64 = 0.99;
 /// Maximum fraction of submissions that may be refused or fail in one run.
 const MAX_UNSERVED_FRACTION: f64 = 0.6;
 
@@ -80,3 +86,18 @@
         expect_that!(of_kind, ge(average / 2.0), "{}", kind.name);
     }
 }
+
+/// Each entry knows only a part of what is queued; whoever asks first may still take all that is free.
+#[googletest::test]
+fn jobs_are_served_while_targets_have_room_however_many_entries_there_are() {
+    for (entries, agents) in [(1, 5), (3, 5), (11, 11)] {
+        let tally = simulate_pool(entries, agents, MODERATE_LOAD, Fault::None, 4);
+        let all: Vec<_> = tally.responses.values().flatten().collect();
+        let complete = all.iter().filter(|r| r.outcome == Outcome::Complete);
+        expect_that!(
+            to_f64(complete.count() as u64) / to_f64(all.len() as u64),
+            ge(MIN_SERVED_FRACTION),
+            "{entries} entries, {agents} agents"
+        );
+    }
+}
--- a/crates/policy/tests/shares/main.rs
+++ b/crates/policy/tests/shares/main.rs
@@ -87,7 +87,15 @@
 
 /// Simulates a cluster. Group `aba` may use `limited_to` targets, or all if that is 0.
 fn simulate(load: f64, workloads: Vec<Workload>, limited_to: u64) -> Tally {
-    let scenario = Scenario {
+    simulate_scenario(scenario(load, workloads), limited_to)
+}
+
+fn simulate_scenario(scenario: Scenario, limited_to: u64) -> Tally {
+    Cluster::new(scenario, MEMBER_DESK, &config(limited_to)).run()
+}
+
+fn scenario(load: f64, workloads: Vec<Workload>) -> Scenario {
+    Scenario {
         entries: 4,
         agents: AGENTS,
         slots: SLOTS,
@@ -96,8 +104,17 @@
         seed: 1,
         workloads,
         fault: Fault::None,
-    };
-    Cluster::new(scenario, MEMBER_DESK, &config(limited_to)).run()
+        entries_know_each_other: false,
+    }
+}
+
+/// One group submits wide jobs, the other as much work in single tasks.
+fn wide_and_single_jobs() -> Vec<Workload> {
+    let (wide, single) = ((200, 400_000), (1, 400_000));
+    vec![
+        workload("aba", 1.0, wide),
+        workload("onitsha", 200.0, single),
+    ]
 }
 
 /// Checks that a group gets `entitlement`, a fraction of the whole capacity, in each window after the
@@ -137,12 +154,18 @@
 
 #[googletest::test]
 fn a_group_with_wide_jobs_gets_as_much_as_one_with_single_tasks() {
-    let (wide, single) = ((200, 400_000), (1, 400_000));
-    let workloads = vec![
-        workload("aba", 1.0, wide),
-        workload("onitsha", 200.0, single),
-    ];
-    let tally = simulate(2.0, workloads, 0);
+    let tally = simulate(2.0, wide_and_single_jobs(), 0);
+    expect_entitlement(&tally, "aba", 0.5);
+    expect_entitlement(&tally, "onitsha", 0.5);
+}
+
+#[googletest::test]
+fn wide_jobs_get_their_share_from_entries_that_know_each_other() {
+    let scenario = Scenario {
+        entries_know_each_other: true,
+        ..scenario(2.0, wide_and_single_jobs())
+    };
+    let tally = simulate_scenario(scenario, 0);
     expect_entitlement(&tally, "aba", 0.5);
     expect_entitlement(&tally, "onitsha", 0.5);
 }
