Two polls that are refused at the same time don't prove an exit

Read-through of the change that ends runs on the second refused connection: polls overlap (up to four), so two of them could meet the closed port in the same millisecond and count as two findings.

--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -7,7 +7,6 @@
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::TaskOutcome;
 
-use super::EXITED_AFTER_UNHEARD_POLLS;
 use super::EndedRun;
 use super::FencingToken;
 use super::MAX_PENDING_POLLS;
@@ -88,7 +87,7 @@
     ) {
         self.pending_polls = self.pending_polls.saturating_sub(1);
         if outcome != PollOutcome::NotListening {
-            self.unheard_polls = 0;
+            self.not_listening_since = None;
         }
         match outcome {
             PollOutcome::Runs(snapshot) => self.on_snapshot(now, poll, &snapshot, out),
@@ -99,7 +98,7 @@
             }
             PollOutcome::NotListening => {
                 self.next_poll_at = now + POLL_RETRY_DELAY_MS;
-                self.on_not_listening(now, out);
+                self.on_not_listening(now, poll, out);
             }
             // The failure is outdated: a snapshot has arrived since this poll was sent.
             PollOutcome::Failed { .. } if poll.sent_at < self.last_snapshot_at => {}
@@ -130,10 +129,10 @@
         });
     }
 
-    /// Withdraws a target at whose address no process listens. Once a second poll confirms it, the target has
-    /// exited, and its runs with it.
-    fn on_not_listening(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
-        self.unheard_polls += 1;
+    /// Withdraws a target at whose address no process listens. Once a poll that was sent later confirms it, the
+    /// target has exited, and its runs with it.
+    fn on_not_listening(&mut self, now: Moment, poll: &PollRequest, out: &mut Vec<RunsAction>) {
+        let not_listening_since = *self.not_listening_since.get_or_insert(now);
         self.polls_failing_since.get_or_insert(now);
         if self.is_announced {
             self.send_goodbye(out);
@@ -142,7 +141,7 @@
                 message: "no process listens at its address".to_owned(),
             });
         }
-        if self.unheard_polls < EXITED_AFTER_UNHEARD_POLLS {
+        if poll.sent_at <= not_listening_since {
             return;
         }
         if !self.taken_over {
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -87,8 +87,8 @@
     last_poll_sent_at: Moment,
     /// Highest token of all polls sent.
     last_poll_token: FencingToken,
-    /// Consecutive polls for which no process listened at the target's address.
-    unheard_polls: u32,
+    /// When a poll first met no process that listens at the target's address, if no later one was answered.
+    not_listening_since: Option<Moment>,
     /// When a poll last returned a snapshot.
     last_snapshot_at: Moment,
     /// Time of the first failed poll since the last snapshot.
@@ -112,9 +112,6 @@
 /// Grace period after [`RunsOptions::poll_wait_ms`] after which another poll is sent. It is short because
 /// an answer takes only a few milliseconds, and no end is noticed until one arrives.
 const POLL_OVERDUE_MS: Millis = Millis::new(25);
-/// Consecutive polls without a listening process after which the target has certainly exited; a single one
-/// may have met a process that was still binding its address.
-const EXITED_AFTER_UNHEARD_POLLS: u32 = 2;
 /// Limit on polls in flight.
 const MAX_PENDING_POLLS: u32 = 4;
 /// Time for which polls must fail before the target counts as unreachable; a single lost answer must not
@@ -144,7 +141,7 @@
             pending_polls: 0,
             last_poll_sent_at: now,
             last_poll_token: FencingToken::default(),
-            unheard_polls: 0,
+            not_listening_since: None,
             last_snapshot_at: now,
             polls_failing_since: None,
             next_poll_at: now,
--- a/crates/policy/tests/runs/directed.rs
+++ b/crates/policy/tests/runs/directed.rs
@@ -405,3 +405,18 @@
     harness.answer_poll_with(&[], &[]);
     expect_that!(harness.announcement_count, eq(0));
 }
+
+#[googletest::test]
+fn polls_that_are_refused_at_the_same_time_do_not_confirm_each_other() {
+    let mut harness = Harness::with_ready_target();
+    harness.start("s", "a");
+    harness.accept_start();
+    harness.start("t", "b");
+    harness.answer_start(unanswered());
+    let in_flight = harness.polls.split_off(harness.polls.len() - 2);
+    for poll in in_flight {
+        let outcome = PollOutcome::NotListening;
+        harness.handle(RunsEvent::PollCompleted { poll, outcome });
+    }
+    expect_that!(harness.ended.len(), eq(0));
+}
