Log which end of a run counts as a failure

run_failed has name, run number, number of the end and incarnation of the target, failure_counted the count beside the limit at submission and the active one, start_refused why a start had no effect, target_restarted each change of incarnation. Warnings about requests have a rate limit of their own, so that ordinary lines do not displace them (test: request_lines_do_not_use_up_the_limit_of_request_warnings).

No decision changes.

--- a/crates/agent/src/fenced.rs
+++ b/crates/agent/src/fenced.rs
@@ -19,9 +19,12 @@
 use dfs_policy::response::ResponseTimer;
 use dfs_policy::runs::FencingToken;
 use dfs_policy::runs::Heartbeat;
+use dfs_policy::runs::ListedEnd;
 use dfs_policy::runs::PollOutcome;
 use dfs_policy::runs::PollRequest;
+use dfs_policy::runs::Refusal;
 use dfs_policy::runs::RequestOutcome;
+use dfs_policy::runs::RunNumber;
 use dfs_policy::runs::Runs;
 use dfs_policy::runs::RunsAction;
 use dfs_policy::runs::RunsEvent;
@@ -233,7 +236,17 @@
                     let _ = sender.send(Command::Event(event));
                 });
             }
-            RunsAction::TaskEnded { task, run_us, end } => {
+            RunsAction::TaskEnded {
+                task,
+                name,
+                run,
+                listed,
+                run_us,
+                end,
+            } => {
+                if let RunEnd::Finished(TaskOutcome::Failed(error)) = &end {
+                    log_failed_run(&task, &name, run, listed, error);
+                }
                 if let Some(end_sender) = self.end_senders.remove(&task) {
                     // The agent may not wait for the run any more.
                     let _ = end_sender.send((run_us, end));
@@ -271,6 +284,21 @@
                 running_tasks,
                 error: ErrorText::from(message.as_str()),
             }),
+            RunsAction::TargetRestarted {
+                previous,
+                current,
+                tracked_runs,
+            } => dfs_log::emit(TargetEvent::Restarted {
+                previous: previous.map(|incarnation| incarnation.0),
+                current: current.map(|incarnation| incarnation.0),
+                running_tasks: tracked_runs,
+            }),
+            RunsAction::StartRefused {
+                task,
+                name,
+                run,
+                refusal,
+            } => log_refused_start(task, &name, run, refusal),
             RunsAction::StartUnanswered {
                 name,
                 token,
@@ -284,6 +312,41 @@
     }
 }
 
+fn log_failed_run(
+    task: &TaskRef,
+    name: &str,
+    run: Option<RunNumber>,
+    listed: Option<ListedEnd>,
+    error: &str,
+) {
+    let incarnation = listed.and_then(|listed| listed.incarnation);
+    dfs_log::emit(TargetEvent::RunFailed {
+        submission: task.submission.clone(),
+        task: task.task,
+        attempt: task.attempt,
+        name: name.to_owned(),
+        run: run.map(|run| run.0),
+        sequence: listed.map(|listed| listed.sequence),
+        target_incarnation: incarnation.map(|incarnation| incarnation.0),
+        error: ErrorText::from(error),
+    });
+}
+
+fn log_refused_start(task: TaskRef, name: &str, run: RunNumber, refusal: Refusal) {
+    if refusal == Refusal::NoCapacity {
+        // The hand-back of the task is logged instead.
+        return;
+    }
+    dfs_log::emit(TargetEvent::StartRefused {
+        submission: task.submission,
+        task: task.task,
+        attempt: task.attempt,
+        name: name.to_owned(),
+        run: run.0,
+        refusal: ErrorText::from(refusal.to_string().as_str()),
+    });
+}
+
 /// Sends start and stop requests, a limited number at a time.
 #[derive(Clone)]
 struct Orders {
--- a/crates/entry/src/process/observe.rs
+++ b/crates/entry/src/process/observe.rs
@@ -13,6 +13,7 @@
 use dfs_log::Series;
 use dfs_log::SessionEvent;
 use dfs_log::TargetEvent;
+use dfs_policy::entry::CountedFailure;
 use dfs_policy::entry::Observation;
 
 const PERMILLE: u64 = 1_000;
@@ -87,6 +88,7 @@
                     cause: ErrorText::from(cause.as_str()),
                 });
             }
+            Observation::FailureCounted(counted) => log_failure(counted),
             Observation::ObjectiveUnreachable { submission, age_ms } => {
                 self.metrics.count(Counter::Late, 1);
                 dfs_log::emit(RequestEvent::Late { submission, age_ms });
@@ -132,3 +134,16 @@
         }
     }
 }
+
+fn log_failure(counted: CountedFailure) {
+    dfs_log::emit(RequestEvent::FailureCounted {
+        submission: counted.task.submission,
+        task: counted.task.task,
+        attempt: counted.task.attempt,
+        agent: counted.agent,
+        failed_runs: counted.failed_runs,
+        max_failures: counted.max_failures,
+        active_max_failures: counted.active_max_failures,
+        version: counted.version,
+    });
+}
--- a/crates/log/src/event/request.rs
+++ b/crates/log/src/event/request.rs
@@ -155,5 +155,24 @@
             /// Time since the submission arrived.
             age_ms: Millis,
         }
+        /// A failed run of a task counts towards the limit of its submission.
+        312 Warn "failure_counted" FailureCounted {
+            /// Identifier of the submission.
+            submission: SubmissionId,
+            /// Index of the task.
+            task: TaskIndex,
+            /// Attempt that failed.
+            attempt: Attempt,
+            /// Agent that reported the failure.
+            agent: AgentId,
+            /// Failed runs of the task so far, including this one.
+            failed_runs: u32,
+            /// Number of failed runs at which the submission fails.
+            max_failures: u32,
+            /// The same limit in the active configuration; absent if the queue is gone.
+            active_max_failures: Option<u32>,
+            /// Active version of the configuration.
+            version: Option<ConfigVersion>,
+        }
     }
 }
--- a/crates/log/src/event/target.rs
+++ b/crates/log/src/event/target.rs
@@ -169,5 +169,48 @@
             /// Error of the store.
             error: ErrorText,
         }
+        /// A run has failed, or the target does not accept its task.
+        419 Warn "run_failed" RunFailed {
+            /// Identifier of the submission.
+            submission: SubmissionId,
+            /// Index of the task.
+            task: TaskIndex,
+            /// Number of the attempt.
+            attempt: Attempt,
+            /// Name of the task on the target.
+            name: String,
+            /// Number of the run on the target.
+            run: Option<u32>,
+            /// Number of the end in the target's list; absent if the target did not list it.
+            sequence: Option<u64>,
+            /// Incarnation of the target that listed the end.
+            target_incarnation: Option<u64>,
+            /// Why it counts as failed.
+            error: ErrorText,
+        }
+        /// The target refused to start a run, other than for lack of capacity.
+        420 Warn "start_refused" StartRefused {
+            /// Identifier of the submission.
+            submission: SubmissionId,
+            /// Index of the task.
+            task: TaskIndex,
+            /// Number of the attempt.
+            attempt: Attempt,
+            /// Name of the task on the target.
+            name: String,
+            /// Number of the run that was requested.
+            run: u32,
+            /// Reason given by the target.
+            refusal: ErrorText,
+        }
+        /// Another incarnation of the target answers its agent or sends heartbeats.
+        421 Warn "target_restarted" Restarted {
+            /// Incarnation that was known before.
+            previous: Option<u64>,
+            /// The new incarnation; absent if the target has not named it yet.
+            current: Option<u64>,
+            /// Number of tasks that were running or may have been running on the previous one.
+            running_tasks: usize,
+        }
     }
 }
--- a/crates/log/src/limit.rs
+++ b/crates/log/src/limit.rs
@@ -6,12 +6,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use dfs_conf::LogLevel;
+
 use crate::EventKind;
 
 /// Length of the fixed window over which lines are counted.
 const WINDOW: Duration = Duration::from_secs(1);
 /// Lines per window of all request-scoped kinds together. At 20 µs a line they take 2% of a core.
 const MAX_REQUEST_LINES: u32 = 1_000;
+/// Lines per window of all warnings about requests together.
+const MAX_REQUEST_WARNINGS: u32 = 200;
 /// Lines per window of each other kind.
 const MAX_LINES_PER_OTHER_KIND: u32 = 20;
 
@@ -20,8 +24,8 @@
 
 /// Fixed-window rate limiter for log lines.
 ///
-/// Request-scoped events share one limit and every other kind has its own, so that a repeated
-/// error cannot displace the lines of requests.
+/// Request-scoped events share one limit, warnings among them another, and every other kind has its own, so
+/// that a repeated error cannot displace the lines of requests, nor these the warnings.
 #[derive(Debug, Default)]
 pub struct RateLimiter {
     state: Mutex<State>,
@@ -32,6 +36,7 @@
     /// Start of the current window; `None` before the first line.
     window_start: Option<Instant>,
     request_lines: u32,
+    request_warnings: u32,
     /// Lines of the current window by event number.
     other_lines: BTreeMap<u16, u32>,
     /// Lines dropped since they were last reported.
@@ -78,13 +83,16 @@
         }
         self.window_start = Some(now);
         self.request_lines = 0;
+        self.request_warnings = 0;
         self.other_lines.clear();
         std::mem::take(&mut self.dropped)
     }
 
     /// Returns whether the line is within the limit of its kind.
     fn count(&mut self, kind: &EventKind) -> bool {
-        let (lines, limit) = if kind.is_request_scoped() {
+        let (lines, limit) = if kind.is_request_scoped() && kind.level == LogLevel::Warn {
+            (&mut self.request_warnings, MAX_REQUEST_WARNINGS)
+        } else if kind.is_request_scoped() {
             (&mut self.request_lines, MAX_REQUEST_LINES)
         } else {
             let lines = self.other_lines.entry(kind.number).or_default();
--- a/crates/log/tests/limit.rs
+++ b/crates/log/tests/limit.rs
@@ -47,6 +47,14 @@
     expect_that!(count_admitted(&limiter, 301, 1_000, now), eq(1_000));
 }
 
+#[googletest::test]
+fn request_lines_do_not_use_up_the_limit_of_request_warnings() {
+    let (limiter, now) = (RateLimiter::default(), Instant::now());
+    expect_that!(count_admitted(&limiter, 309, 5_000, now), eq(1_000));
+    expect_that!(count_admitted(&limiter, 312, 150, now), eq(150));
+    expect_that!(count_admitted(&limiter, 419, 150, now), eq(50));
+}
+
 #[googletest::test]
 fn a_line_dropped_after_admission_is_reported() {
     let (limiter, now) = (RateLimiter::default(), Instant::now());
--- a/crates/policy/src/entry/event.rs
+++ b/crates/policy/src/entry/event.rs
@@ -204,6 +204,8 @@
         /// Why the attempt has ended.
         cause: String,
     },
+    /// A failed run counts towards the limit of its submission.
+    FailureCounted(CountedFailure),
     /// A queued submission can no longer meet its latency objective.
     ObjectiveUnreachable {
         /// Submission that is moved behind those that can.
@@ -248,3 +250,20 @@
         group: GroupId,
     },
 }
+
+/// A failed run that counts towards the limit of its submission.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CountedFailure {
+    /// Attempt that failed.
+    pub task: TaskRef,
+    /// Agent that reported the failure.
+    pub agent: AgentId,
+    /// Failed runs of the task so far, including this one.
+    pub failed_runs: u32,
+    /// Number of failed runs at which the submission fails.
+    pub max_failures: u32,
+    /// The same limit in the active configuration; `None` if the queue is gone.
+    pub active_max_failures: Option<u32>,
+    /// Active version of the configuration.
+    pub version: Option<ConfigVersion>,
+}
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -36,6 +36,7 @@
 use rand::rngs::SmallRng;
 
 pub use event::Constraints;
+pub use event::CountedFailure;
 pub use event::EntryAction;
 pub use event::EntryEvent;
 pub use event::Observation;
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -13,6 +13,7 @@
 use dfs_wire::session::TaskResult;
 use serde_json::value::RawValue;
 
+use super::CountedFailure;
 use super::Entry;
 use super::EntryAction;
 use super::Observation;
@@ -157,7 +158,7 @@
         if !self.is_placed(agent, task) {
             return;
         }
-        if self.count_failed_run(task, run_us) {
+        if self.count_failed_run(agent, task, run_us, out) {
             self.requeue(agent, task, &message, out);
             return;
         }
@@ -176,17 +177,38 @@
     }
 
     /// Counts a failed run; true if the task may run again.
-    fn count_failed_run(&mut self, task: &TaskRef, run_us: u64) -> bool {
+    fn count_failed_run(
+        &mut self,
+        agent: &AgentId,
+        task: &TaskRef,
+        run_us: u64,
+        out: &mut Vec<EntryAction>,
+    ) -> bool {
+        let config = self.config.as_deref();
         let Some(job) = self.jobs.get_mut(&task.submission) else {
             return false;
         };
         job.longest_run_us = job.longest_run_us.max(run_us);
         let max_failures = job.max_failures;
+        let active_max_failures = config.and_then(|config| {
+            let mut queues = config.inventory.queues.iter();
+            let queue = queues.find(|queue| Some(&queue.queue) == job.queue.as_ref())?;
+            Some(queue.max_failures)
+        });
         let Some(failed) = job.task_mut(task.task) else {
             return false;
         };
         failed.may_have_run = true;
         failed.failed_runs += 1;
+        let counted = CountedFailure {
+            task: task.clone(),
+            agent: agent.clone(),
+            failed_runs: failed.failed_runs,
+            max_failures,
+            active_max_failures,
+            version: config.map(|config| config.version),
+        };
+        out.push(EntryAction::Observe(Observation::FailureCounted(counted)));
         failed.failed_runs < max_failures
     }
 
--- a/crates/policy/src/runs/active.rs
+++ b/crates/policy/src/runs/active.rs
@@ -7,6 +7,7 @@
 use dfs_wire::session::TaskRef;
 
 use super::FencingToken;
+use super::ListedEnd;
 use super::RunNumber;
 use super::Runs;
 use super::RunsAction;
@@ -52,6 +53,7 @@
         now: Moment,
         name: &Arc<str>,
         end: RunEnd,
+        listed: Option<ListedEnd>,
         out: &mut Vec<RunsAction>,
     ) {
         let Some(tracked) = self.tracked.remove(name) else {
@@ -62,6 +64,9 @@
             .insert(name.clone(), (tracked.run, now));
         out.push(RunsAction::TaskEnded {
             task: tracked.task,
+            name: name.clone(),
+            run: Some(tracked.run),
+            listed,
             run_us: now.micros_since(tracked.started_at),
             end,
         });
@@ -82,7 +87,7 @@
     pub(super) fn interrupt_all(&mut self, now: Moment, reason: &str, out: &mut Vec<RunsAction>) {
         let names: Vec<_> = self.tracked.keys().cloned().collect();
         for name in names {
-            self.end_run(now, &name, interrupted_end(reason.to_owned()), out);
+            self.end_run(now, &name, interrupted_end(reason.to_owned()), None, out);
         }
     }
 }
--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -195,6 +195,15 @@
     pub outcome: RunOutcome,
 }
 
+/// Identifies one end among all that a target has listed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ListedEnd {
+    /// [`EndedRun::sequence`] of the end.
+    pub sequence: u64,
+    /// Incarnation of the target that listed it, if it reports one.
+    pub incarnation: Option<TargetIncarnation>,
+}
+
 /// How a run ended, as reported by the target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RunOutcome {
@@ -292,6 +301,12 @@
     TaskEnded {
         /// Attempt that the run belonged to.
         task: TaskRef,
+        /// [`TaskSpec::name`] of the task.
+        name: Arc<str>,
+        /// Number of the run; `None` if none was requested.
+        run: Option<RunNumber>,
+        /// Position of the end in the target's list; `None` if the target did not list it.
+        listed: Option<ListedEnd>,
         /// Time since the start was requested, in microseconds.
         run_us: u64,
         /// Outcome for the entry.
@@ -320,6 +335,26 @@
         /// Error text of the last poll.
         message: String,
     },
+    /// Another incarnation of the target has answered or sent a heartbeat.
+    TargetRestarted {
+        /// Incarnation of the last snapshot; `None` if there was none since the last restart.
+        previous: Option<TargetIncarnation>,
+        /// The new incarnation; `None` if the target has not named it yet.
+        current: Option<TargetIncarnation>,
+        /// Runs that were running or may have been running on the previous one.
+        tracked_runs: usize,
+    },
+    /// The target refused a start request.
+    StartRefused {
+        /// Attempt that the run belongs to.
+        task: TaskRef,
+        /// [`TaskSpec::name`] of the task.
+        name: Arc<str>,
+        /// Number of the run that was requested.
+        run: RunNumber,
+        /// Reason given by the target.
+        refusal: Refusal,
+    },
     /// A start request was not answered, so that the token was raised.
     StartUnanswered {
         /// [`TaskSpec::name`] of the task.
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -9,6 +9,7 @@
 
 use super::EndedRun;
 use super::FencingToken;
+use super::ListedEnd;
 use super::MAX_PENDING_POLLS;
 use super::POLL_OVERDUE_MS;
 use super::POLL_RETRY_DELAY_MS;
@@ -161,7 +162,7 @@
             && snapshot.incarnation.is_some()
             && snapshot.incarnation != self.incarnation
         {
-            self.on_new_incarnation(now, out);
+            self.on_new_incarnation(now, snapshot.incarnation, out);
         }
         self.incarnation = snapshot.incarnation.or(self.incarnation);
         self.last_snapshot_at = now;
@@ -207,7 +208,11 @@
                 interrupted_end(format!("the run ended as {reason}"))
             }
         };
-        self.end_run(now, &ended.name, end, out);
+        let listed = ListedEnd {
+            sequence: ended.sequence,
+            incarnation: self.incarnation,
+        };
+        self.end_run(now, &ended.name, end, Some(listed), out);
     }
 
     fn is_tracked(&self, name: &Arc<str>, run: RunNumber) -> bool {
@@ -243,7 +248,7 @@
                 }
             } else {
                 let reason = NotRunReason::ConnectionRefused;
-                self.end_run(now, &name, RunEnd::NotStarted(reason), out);
+                self.end_run(now, &name, RunEnd::NotStarted(reason), None, out);
             }
         }
     }
@@ -265,7 +270,7 @@
         let missing: Vec<_> = missing.map(|(name, _)| name.clone()).collect();
         for name in missing {
             let end = interrupted_end("the target does not know the run any more".to_owned());
-            self.end_run(now, &name, end, out);
+            self.end_run(now, &name, end, None, out);
         }
     }
 
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -24,6 +24,7 @@
 pub use event::EndedRun;
 pub use event::FencingToken;
 pub use event::Heartbeat;
+pub use event::ListedEnd;
 pub use event::PollOutcome;
 pub use event::PollRequest;
 pub use event::Refusal;
@@ -200,7 +201,7 @@
             .as_ref()
             .is_some_and(|(known, _)| incarnation_key(known) != incarnation_key(&heartbeat));
         if is_new_incarnation {
-            self.on_new_incarnation(now, out);
+            self.on_new_incarnation(now, heartbeat.incarnation, out);
         }
         let is_stored = |stored: &Heartbeat| stored.agrees_with(&heartbeat);
         if !self.stored_heartbeat.as_ref().is_some_and(is_stored) {
@@ -246,7 +247,17 @@
 
     /// Ends all runs: a new incarnation of the target has neither the runs nor the fencing token of the
     /// previous one.
-    fn on_new_incarnation(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
+    fn on_new_incarnation(
+        &mut self,
+        now: Moment,
+        current: Option<TargetIncarnation>,
+        out: &mut Vec<RunsAction>,
+    ) {
+        out.push(RunsAction::TargetRestarted {
+            previous: self.incarnation,
+            current,
+            tracked_runs: self.tracked.len(),
+        });
         self.last_end_sequence = 0;
         self.target_clock = None;
         self.incarnation = None;
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -56,11 +56,14 @@
             return;
         }
         let is_task = |(waiting, _): &(TaskRef, TaskSpec)| waiting == task;
-        for waiting in self.waiting_tasks.values_mut() {
+        for (name, waiting) in &mut self.waiting_tasks {
             if let Some(index) = waiting.iter().position(is_task) {
                 waiting.remove(index);
                 out.push(RunsAction::TaskEnded {
                     task: task.clone(),
+                    name: name.clone(),
+                    run: None,
+                    listed: None,
                     run_us: 0,
                     end: RunEnd::NotStarted(NotRunReason::Withdrawn),
                 });
@@ -207,6 +210,12 @@
             return;
         };
         tracked.refused_starts += 1;
+        out.push(RunsAction::StartRefused {
+            task: tracked.task.clone(),
+            name: name.clone(),
+            run: request.run,
+            refusal,
+        });
         let may_retry =
             tracked.refused_starts <= MAX_REFUSED_STARTS && tracked.pending_stop.is_none();
         match refusal {
@@ -223,7 +232,7 @@
             Refusal::Malformed => {
                 let message = "the target does not accept the task".to_owned();
                 let end = RunEnd::Finished(TaskOutcome::Failed(message));
-                self.end_run(now, name, end, out);
+                self.end_run(now, name, end, None, out);
             }
             Refusal::Fenced
             | Refusal::StaleRun
@@ -246,13 +255,13 @@
         reason: NotRunReason,
         out: &mut Vec<RunsAction>,
     ) {
-        self.end_run(now, name, RunEnd::NotStarted(reason), out);
+        self.end_run(now, name, RunEnd::NotStarted(reason), None, out);
     }
 
     /// Handles an answer of another incarnation of the target, of which nothing is known until its heartbeat.
     pub(super) fn on_incarnation_lost(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
         self.heartbeat = None;
-        self.on_new_incarnation(now, out);
+        self.on_new_incarnation(now, None, out);
         self.send_goodbye(out);
     }
 
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -131,6 +131,8 @@
                 RunsAction::TakenOver { .. }
                 | RunsAction::Progress(_)
                 | RunsAction::TargetUnreachable { .. }
+                | RunsAction::TargetRestarted { .. }
+                | RunsAction::StartRefused { .. }
                 | RunsAction::StartUnanswered { .. } => {}
             }
         }
