Count a task that the target does not accept as not run

What callers saw: a job answered 200 with state `failed` although none of its tasks had run.

The entry tries other targets, those that have not refused the task first, and answers that the job was refused: at once when every live target has refused it, or when attempts or the retry budget are used up.

Such a refusal no longer counts against the target by itself: tasks that one target refuses and no other may run (by a label) ejected it, although it was sound. It counts once another target has run the task, so that a target that refuses everything is still ejected.

--- a/crates/agent/src/fenced.rs
+++ b/crates/agent/src/fenced.rs
@@ -450,8 +450,7 @@
 impl TargetDriver for FencedDriver {
     fn start(&self, request: RunRequest) -> RunFuture {
         let Some(spec) = self.client.parse_task_spec(&request.body) else {
-            let message = "the body is not a task of this target".to_owned();
-            let end = RunEnd::Finished(TaskOutcome::Failed(message));
+            let end = RunEnd::NotStarted(NotRunReason::NotOffered);
             return Box::pin(std::future::ready((0, end)));
         };
         let (end_sender, end) = oneshot::channel();
--- /dev/null
+++ b/crates/agent/tests/fenced.rs
@@ -0,0 +1,78 @@
+//! The driver of a target that checks fencing tokens and leases, without the target.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use dfs_agent::BoxFuture;
+use dfs_agent::FencedTarget;
+use dfs_agent::RunRequest;
+use dfs_agent::TargetClient;
+use dfs_ids::Attempt;
+use dfs_ids::Millis;
+use dfs_ids::TaskIndex;
+use dfs_policy::agent::RunEnd;
+use dfs_policy::runs::FencingToken;
+use dfs_policy::runs::PollOutcome;
+use dfs_policy::runs::PollRequest;
+use dfs_policy::runs::RequestOutcome;
+use dfs_policy::runs::RunsOptions;
+use dfs_policy::runs::StartRequest;
+use dfs_policy::runs::StopRequest;
+use dfs_policy::runs::TaskSpec;
+use dfs_wire::session::NotRunReason;
+use dfs_wire::session::TaskRef;
+use googletest::prelude::*;
+use serde_json::value::RawValue;
+
+/// A client that takes no body for a task of its target.
+struct PickyClient;
+
+impl TargetClient for PickyClient {
+    fn start(&self, _: &StartRequest) -> BoxFuture<RequestOutcome> {
+        Box::pin(std::future::pending())
+    }
+
+    fn stop(&self, _: StopRequest) -> BoxFuture<()> {
+        Box::pin(std::future::pending())
+    }
+
+    fn poll(&self, _: &PollRequest) -> BoxFuture<PollOutcome> {
+        Box::pin(std::future::pending())
+    }
+
+    fn parse_task_spec(&self, _: &RawValue) -> Option<TaskSpec> {
+        None
+    }
+}
+
+#[googletest::test]
+fn a_body_that_is_no_task_of_the_target_ends_as_not_started_instead_of_failed() {
+    let options = RunsOptions {
+        run_lease_ms: Millis::new(800),
+        max_lease_ms: Millis::new(1_000),
+        stop_ms: Millis::new(50),
+        poll_wait_ms: Millis::new(250),
+        heartbeat_lease_ms: Millis::new(4_500),
+    };
+    let target = FencedTarget::new(options, FencingToken(1), Arc::new(PickyClient));
+    let adapter = target.into_adapter(|_| Router::new(), None);
+    let request = RunRequest {
+        task: TaskRef {
+            submission: "s".parse().unwrap(),
+            task: TaskIndex::new(0),
+            attempt: Attempt::new(0),
+        },
+        service: "desk".parse().unwrap(),
+        address: ([127, 0, 0, 1], 1).into(),
+        declared_ms: Millis::default(),
+        time_left: Duration::from_secs(1),
+        body: Arc::from(RawValue::from_string("{}".to_owned()).unwrap()),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .build()
+        .unwrap();
+    let (_, end) = runtime.block_on(adapter.driver.start(request));
+    let is_not_started = matches!(end, RunEnd::NotStarted(NotRunReason::NotOffered));
+    expect_true!(is_not_started);
+}
--- a/crates/policy/src/entry/admit.rs
+++ b/crates/policy/src/entry/admit.rs
@@ -2,6 +2,8 @@
 
 use dfs_conf::Config;
 use dfs_conf::Group;
+use dfs_conf::Service;
+use dfs_ids::AgentId;
 use dfs_ids::GroupId;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
@@ -11,6 +13,8 @@
 use dfs_wire::api::Failure;
 use dfs_wire::api::FailureReason;
 use dfs_wire::api::Outcome;
+use dfs_wire::session::TaskRef;
+use dfs_wire::target::Offer;
 use dfs_wire::target::Resources;
 
 use super::Constraints;
@@ -186,15 +190,42 @@
         let Some(service) = config.service(needs.service) else {
             return true;
         };
-        self.agents.values().any(|agent| {
-            agent.offer().is_some_and(|offer| {
-                offer.services.contains(needs.service)
-                    && offer.resources.covers(&service.requires)
-                    && offer.fraction_per_task(needs.demand) <= 1.0
-                    && needs.constraints.allow(offer, || 0)
-                    && may_use(group, &offer.target)
-            })
-        })
+        let mut live = self.live_agents(group, service, needs);
+        live.next().is_some()
+    }
+
+    /// Whether every live target that could run the task has refused it, and there is one.
+    pub(super) fn is_refused_by_all(&self, config: &Config, task: &TaskRef) -> bool {
+        let Some(job) = self.jobs.get(&task.submission) else {
+            return false;
+        };
+        let (group, service) = (config.group(&job.group), config.service(&job.service));
+        let Some(((group, service), task)) = group.zip(service).zip(job.task(task.task)) else {
+            return false;
+        };
+        let needs = Needs::of_job(job);
+        let mut live = self.live_agents(group, service, &needs).peekable();
+        live.peek().is_some() && live.all(|agent| task.refused_by.contains(agent))
+    }
+
+    /// Agents of the live targets that can run tasks with these needs, however full they are.
+    fn live_agents<'a>(
+        &'a self,
+        group: &'a Group,
+        service: &'a Service,
+        needs: &'a Needs,
+    ) -> impl Iterator<Item = &'a AgentId> {
+        let can_run = |offer: &Offer| {
+            offer.services.contains(needs.service)
+                && offer.resources.covers(&service.requires)
+                && offer.fraction_per_task(needs.demand) <= 1.0
+                && needs.constraints.allow(offer, || 0)
+                && may_use(group, &offer.target)
+        };
+        let agents = self.agents.iter();
+        agents
+            .filter(move |(_, view)| view.offer().is_some_and(can_run))
+            .map(|(agent, _)| agent)
     }
 }
 
@@ -215,6 +246,15 @@
             constraints: &submission.constraints,
         }
     }
+
+    pub const fn of_job(job: &'a Job) -> Self {
+        Self {
+            group: &job.group,
+            service: &job.service,
+            demand: &job.terms.demand,
+            constraints: &job.constraints,
+        }
+    }
 }
 
 pub(super) fn no_live_target(group: &GroupId, service: &ServiceName) -> String {
--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -179,7 +179,7 @@
         let required = config.service(&lane.service)?.requires;
         let sample = self.sample_agents();
         let job = self.jobs.get(submission)?;
-        let avoid_agent = job.task(index)?.avoid_agent.clone();
+        let task = job.task(index)?;
         let demand = job.terms.demand;
         let max_load = config.rules.placement.max_load;
         let candidate = |(agent, view): (&AgentId, &AgentView)| {
@@ -206,7 +206,9 @@
         }
         let others: Vec<_> = eligible
             .iter()
-            .filter(|c| Some(&c.id) != avoid_agent.as_ref())
+            .filter(|c| {
+                Some(&c.id) != task.avoid_agent.as_ref() && !task.refused_by.contains(&c.id)
+            })
             .cloned()
             .collect();
         let eligible = if others.is_empty() { eligible } else { others };
--- a/crates/policy/src/entry/job.rs
+++ b/crates/policy/src/entry/job.rs
@@ -1,5 +1,6 @@
 //! Open submissions and the states of their tasks.
 
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -92,6 +93,8 @@
     pub hand_backs: u32,
     /// Agent of the last attempt; used again only if no other one is eligible.
     pub avoid_agent: Option<AgentId>,
+    /// Agents whose targets do not accept it; used again only if no other one is eligible.
+    pub refused_by: BTreeSet<AgentId>,
     /// Whether an earlier attempt may have run; then only a repeatable task is attempted again.
     pub may_have_run: bool,
     pub state: TaskState,
@@ -125,6 +128,7 @@
             failed_attempts: 0,
             hand_backs: 0,
             avoid_agent: None,
+            refused_by: BTreeSet::new(),
             may_have_run: false,
             state: TaskState::Queued,
         };
--- a/crates/policy/src/entry/review.rs
+++ b/crates/policy/src/entry/review.rs
@@ -57,12 +57,7 @@
             let Some(job) = self.jobs.get(&id).filter(|job| job.has_not_run()) else {
                 continue;
             };
-            let needs = Needs {
-                group: &job.group,
-                service: &job.service,
-                demand: &job.terms.demand,
-                constraints: &job.constraints,
-            };
+            let needs = Needs::of_job(job);
             if !self.has_live_target(&config, &needs) {
                 let message = no_live_target(&job.group, &job.service);
                 self.fail(&id, FailureReason::NoTarget, message, Vec::new(), out);
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -1,5 +1,6 @@
 //! Settling placed tasks: results, tasks that did not run, and unknown outcomes.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use dfs_ids::AgentId;
@@ -126,8 +127,16 @@
         job.unfinished -= 1;
         job.longest_run_us = job.longest_run_us.max(run_us);
         let unfinished = job.unfinished;
-        if let Some(task) = job.task_mut(task.task) {
-            task.state = TaskState::Done(body);
+        let done = job.task_mut(task.task);
+        let refused_by = done.map_or_else(BTreeSet::new, |done| {
+            done.state = TaskState::Done(body);
+            std::mem::take(&mut done.refused_by)
+        });
+        // Only now is it known that these refusals were not the fault of the task.
+        for agent in refused_by {
+            if self.agents.contains_key(&agent) {
+                self.record_failure(now, &agent, out);
+            }
         }
         if unfinished == 0 {
             self.complete(now, &task.submission, out);
@@ -271,21 +280,39 @@
                     out,
                 );
             }
-            NotRunReason::ConnectionRefused
-            | NotRunReason::QueueFull
-            | NotRunReason::NotOffered => {
+            NotRunReason::ConnectionRefused | NotRunReason::QueueFull => {
                 self.record_failure(now, agent, out);
-                let cause = reason.to_string();
-                if !self.retry(agent, task, &cause, out) {
-                    self.requeue(agent, task, &cause, out);
-                    let message = format!("task {} was refused ({reason}): try later", task.task);
-                    let reason = FailureReason::RetriesExhausted;
-                    self.fail(&task.submission, reason, message, Vec::new(), out);
+                self.on_refused(agent, task, reason, out);
+            }
+            NotRunReason::NotOffered => {
+                let job = self.jobs.get_mut(&task.submission);
+                if let Some(refused) = job.and_then(|job| job.task_mut(task.task)) {
+                    refused.refused_by.insert(agent.clone());
                 }
+                self.on_refused(agent, task, reason, out);
             }
         }
     }
 
+    fn on_refused(
+        &mut self,
+        agent: &AgentId,
+        task: &TaskRef,
+        reason: NotRunReason,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let cause = reason.to_string();
+        let config = self.config.as_deref();
+        let is_refused_by_all = config.is_some_and(|config| self.is_refused_by_all(config, task));
+        if !is_refused_by_all && self.retry(agent, task, &cause, out) {
+            return;
+        }
+        self.requeue(agent, task, &cause, out);
+        let message = format!("task {} was refused ({reason}): try later", task.task);
+        let reason = FailureReason::RetriesExhausted;
+        self.fail(&task.submission, reason, message, Vec::new(), out);
+    }
+
     fn on_handed_back(&mut self, agent: &AgentId, task: &TaskRef, out: &mut Vec<EntryAction>) {
         let job = self.jobs.get_mut(&task.submission);
         if let Some(handed_back) = job.and_then(|job| job.task_mut(task.task)) {
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -5,7 +5,6 @@
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_wire::session::NotRunReason;
-use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
 
 use super::FencingToken;
@@ -229,11 +228,7 @@
             }
             Refusal::LeaseExpired if may_retry => self.send_start(now, name, out),
             Refusal::NoCapacity => self.end_not_started(now, name, NotRunReason::Busy, out),
-            Refusal::Malformed => {
-                let message = "the target does not accept the task".to_owned();
-                let end = RunEnd::Finished(TaskOutcome::Failed(message));
-                self.end_run(now, name, end, None, out);
-            }
+            Refusal::Malformed => self.end_not_started(now, name, NotRunReason::NotOffered, out),
             Refusal::Fenced
             | Refusal::StaleRun
             | Refusal::LeaseExpired
--- /dev/null
+++ b/crates/policy/tests/policy_failures.rs
@@ -0,0 +1,338 @@
+//! Runs that fail and tasks that targets refuse: what counts towards the failure of a submission and against
+//! a target.
+
+use std::sync::Arc;
+
+use dfs_conf::Config;
+use dfs_conf::Group;
+use dfs_conf::Inventory;
+use dfs_conf::LeaseSettings;
+use dfs_conf::Rules;
+use dfs_conf::Service;
+use dfs_ids::AgentId;
+use dfs_ids::ConfigVersion;
+use dfs_ids::Incarnation;
+use dfs_ids::Label;
+use dfs_ids::Millis;
+use dfs_ids::Moment;
+use dfs_ids::SessionNumber;
+use dfs_ids::Slots;
+use dfs_policy::ConnectionId;
+use dfs_policy::entry::Constraints;
+use dfs_policy::entry::Entry;
+use dfs_policy::entry::EntryAction;
+use dfs_policy::entry::EntryEvent;
+use dfs_policy::entry::Identity;
+use dfs_policy::entry::Observation;
+use dfs_policy::entry::Submission;
+use dfs_wire::api::Failure;
+use dfs_wire::api::FailureReason;
+use dfs_wire::session::AgentItem;
+use dfs_wire::session::Attach;
+use dfs_wire::session::EntryItem;
+use dfs_wire::session::HeldTasks;
+use dfs_wire::session::LoadHint;
+use dfs_wire::session::NotRun;
+use dfs_wire::session::NotRunReason;
+use dfs_wire::session::Report;
+use dfs_wire::session::TargetState;
+use dfs_wire::session::TaskOutcome;
+use dfs_wire::session::TaskRef;
+use dfs_wire::session::TaskResult;
+use dfs_wire::session::Terms;
+use dfs_wire::target::Offer;
+use dfs_wire::target::Resources;
+use googletest::prelude::*;
+use serde_json::value::RawValue;
+
+const AGENTS: u64 = 3;
+const SERVICE: &str = "desk";
+
+fn config(version: u64) -> Arc<Config> {
+    let group = Group {
+        group: "aba".parse().unwrap(),
+        share: 1.0,
+        tokens_sha256: Vec::new(),
+        services: vec![SERVICE.parse().unwrap()],
+        targets: Vec::new(),
+        max_placed: None,
+    };
+    Arc::new(Config {
+        version: ConfigVersion::new(version),
+        inventory: Inventory {
+            domains: vec!["lagos".parse().unwrap()],
+            operators: Vec::new(),
+            services: vec![Service {
+                service: SERVICE.parse().unwrap(),
+                requires: Resources::default(),
+            }],
+            groups: vec![group],
+            queues: Vec::new(),
+            targets: Vec::new(),
+        },
+        rules: Rules::default(),
+    })
+}
+
+fn submission(name: &str, tasks: usize) -> Submission {
+    let body = || Arc::from(RawValue::from_string("1".to_owned()).unwrap());
+    Submission {
+        id: name.parse().unwrap(),
+        group: "aba".parse().unwrap(),
+        service: SERVICE.parse().unwrap(),
+        tasks: (0..tasks).map(|_| body()).collect(),
+        deadline_ms: Some(Millis::new(60_000)),
+        terms: Terms {
+            repeatable: true,
+            ..Terms::default()
+        },
+        objective_ms: None,
+        max_failures: 1,
+        constraints: Constraints::default(),
+        queue: None,
+    }
+}
+
+/// Label that only the target of this agent has.
+fn label(agent: u64) -> Label {
+    format!("only-{agent}").parse().unwrap()
+}
+
+/// An entry with idle agents and what it has done so far.
+struct TestEntry {
+    entry: Entry,
+    now: Moment,
+    next_report_seq: Vec<u64>,
+    failures: Vec<Failure>,
+    /// Tasks that are placed and not reported on yet, with their agents.
+    placed: Vec<(u64, TaskRef)>,
+    ejected: Vec<AgentId>,
+}
+
+impl TestEntry {
+    fn new() -> Self {
+        let identity = Identity {
+            entry: "entry".parse().unwrap(),
+            domain: "lagos".parse().unwrap(),
+            incarnation: Incarnation::new(1),
+            lease: LeaseSettings::default(),
+        };
+        let mut entry = Self {
+            entry: Entry::new(identity, 7),
+            now: Moment::from_millis(1),
+            next_report_seq: vec![0; usize::try_from(AGENTS).unwrap()],
+            failures: Vec::new(),
+            placed: Vec::new(),
+            ejected: Vec::new(),
+        };
+        entry.handle(EntryEvent::Configured(config(1)));
+        for agent in 0..AGENTS {
+            entry.connect(agent);
+        }
+        entry
+    }
+
+    fn connect(&mut self, agent: u64) {
+        let attach = Attach {
+            secret: String::new(),
+            agent: format!("agent-{agent}").parse().unwrap(),
+            incarnation: Incarnation::new(agent + 1),
+            domain: "lagos".parse().unwrap(),
+        };
+        let connection = ConnectionId(agent);
+        self.handle(EntryEvent::Attach { connection, attach });
+        let offer = Offer {
+            target: format!("target-{agent}").parse().unwrap(),
+            services: vec![SERVICE.parse().unwrap()],
+            slots: Slots::new(8),
+            connections: 64,
+            resources: Resources::default(),
+            labels: vec![label(agent)],
+        };
+        let held = HeldTasks {
+            tasks: Vec::new(),
+            may_lack_records: false,
+        };
+        let load = LoadHint {
+            window: 8,
+            ..LoadHint::default()
+        };
+        let items = vec![
+            AgentItem::Held(held),
+            AgentItem::Target(TargetState::Live(offer)),
+            AgentItem::Load(load),
+        ];
+        self.report(agent, items);
+    }
+
+    fn report(&mut self, agent: u64, items: Vec<AgentItem>) {
+        let seq = &mut self.next_report_seq[usize::try_from(agent).unwrap()];
+        let report = Report {
+            session: SessionNumber::new(agent + 1),
+            seq: *seq,
+            items,
+        };
+        *seq += 1;
+        let connection = ConnectionId(agent);
+        self.handle(EntryEvent::Report { connection, report });
+    }
+
+    fn submit(&mut self, submission: Submission) {
+        self.handle(EntryEvent::Submit(submission));
+    }
+
+    /// Submits a task that only the target of this agent may run.
+    fn submit_to(&mut self, name: &str, agent: u64) {
+        let constraints = Constraints {
+            label: Some(label(agent)),
+            max_per_target: None,
+        };
+        self.submit(Submission {
+            constraints,
+            ..submission(name, 1)
+        });
+    }
+
+    /// Reports the only placed task as refused and returns its agent.
+    fn refuse_placed(&mut self) -> u64 {
+        let (agent, task) = self.placed.pop().unwrap();
+        self.refuse(agent, task);
+        agent
+    }
+
+    fn refuse(&mut self, agent: u64, task: TaskRef) {
+        let reason = NotRunReason::NotOffered;
+        self.report(
+            agent,
+            vec![AgentItem::NotRun(vec![NotRun { task, reason }])],
+        );
+    }
+
+    /// Reports the only placed task as ended.
+    fn end_placed(&mut self, outcome: TaskOutcome) {
+        let (agent, task) = self.placed.pop().unwrap();
+        let result = TaskResult {
+            task,
+            wait_us: 0,
+            run_us: 1_000,
+            outcome,
+        };
+        self.report(agent, vec![AgentItem::Results(vec![result])]);
+    }
+
+    fn handle(&mut self, event: EntryEvent) {
+        let mut actions = self.entry.handle(self.now, event);
+        actions.extend(self.entry.flush(self.now));
+        for action in actions {
+            match action {
+                EntryAction::Answer { answer, .. } => self.failures.extend(answer.failure),
+                EntryAction::Send {
+                    connection,
+                    message,
+                } => self.record_placed(connection.0, message.items),
+                EntryAction::Observe(Observation::TargetEjected { agent }) => {
+                    self.ejected.push(agent);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn record_placed(&mut self, agent: u64, items: Vec<EntryItem>) {
+        for item in items {
+            let EntryItem::Place(placement) = item else {
+                continue;
+            };
+            for task in placement.tasks {
+                let task = TaskRef {
+                    submission: placement.submission.clone(),
+                    task: task.task,
+                    attempt: task.attempt,
+                };
+                self.placed.push((agent, task));
+            }
+        }
+    }
+}
+
+fn done() -> TaskOutcome {
+    TaskOutcome::Done(Arc::from(RawValue::from_string("1".to_owned()).unwrap()))
+}
+
+#[googletest::test]
+fn a_task_that_every_target_refuses_is_refused_after_one_attempt_on_each() {
+    let mut entry = TestEntry::new();
+    entry.submit(submission("s", 1));
+    let mut refused_by: Vec<_> = (0..AGENTS).map(|_| entry.refuse_placed()).collect();
+    refused_by.sort_unstable();
+    expect_that!(refused_by, eq(&[0, 1, 2]));
+    expect_that!(entry.placed, is_empty());
+    expect_that!(entry.failures.len(), eq(1));
+    expect_that!(
+        entry.failures[0].reason,
+        eq(FailureReason::RetriesExhausted)
+    );
+    expect_that!(entry.failures[0].not_run, eq(true));
+}
+
+#[googletest::test]
+fn a_task_that_one_target_refuses_runs_on_another() {
+    let mut entry = TestEntry::new();
+    entry.submit(submission("s", 1));
+    entry.refuse_placed();
+    entry.end_placed(done());
+    expect_that!(entry.failures, is_empty());
+}
+
+#[googletest::test]
+fn a_submission_of_which_a_task_is_refused_while_others_run_is_not_answered_as_failed() {
+    let mut entry = TestEntry::new();
+    entry.submit(submission("s", 2));
+    let refused = entry.placed[0].1.task;
+    for _ in 0..AGENTS {
+        let is_refused = |(_, task): &(u64, TaskRef)| task.task == refused;
+        let index = entry.placed.iter().position(is_refused).unwrap();
+        let (agent, task) = entry.placed.swap_remove(index);
+        entry.refuse(agent, task);
+    }
+    expect_that!(entry.failures.len(), eq(1));
+    expect_that!(
+        entry.failures[0].reason,
+        eq(FailureReason::RetriesExhausted)
+    );
+    expect_that!(entry.failures[0].not_run, eq(false));
+}
+
+#[googletest::test]
+fn tasks_that_a_target_refuses_and_no_other_runs_do_not_eject_it() {
+    let mut entry = TestEntry::new();
+    entry.submit_to("good", 1);
+    entry.end_placed(done());
+    for n in 0..40 {
+        entry.submit_to(&format!("bad-{n}"), 0);
+        while !entry.placed.is_empty() {
+            entry.refuse_placed();
+        }
+    }
+    expect_that!(entry.ejected, is_empty());
+}
+
+#[googletest::test]
+fn a_target_that_refuses_what_others_run_is_ejected() {
+    let mut entry = TestEntry::new();
+    for n in 0..200 {
+        entry.submit(submission(&format!("s-{n}"), 1));
+        while let Some((agent, _)) = entry.placed.first().cloned() {
+            if agent == 0 {
+                entry.refuse_placed();
+            } else {
+                entry.end_placed(done());
+            }
+        }
+    }
+    expect_that!(entry.failures, is_empty());
+    expect_that!(
+        entry.ejected,
+        elements_are![eq(&"agent-0".parse::<AgentId>().unwrap())]
+    );
+}
--- a/crates/policy/tests/runs/directed.rs
+++ b/crates/policy/tests/runs/directed.rs
@@ -218,6 +218,17 @@
     expect_true!(is_busy);
 }
 
+#[googletest::test]
+fn a_start_refused_as_malformed_ends_as_not_started_instead_of_failed() {
+    let mut harness = Harness::with_ready_target();
+    harness.start("s", "a");
+    harness.answer_start(refused(Refusal::Malformed));
+    expect_that!(harness.ended.len(), eq(1));
+    let end = &harness.ended[0].1;
+    let is_not_started = matches!(end, RunEnd::NotStarted(NotRunReason::NotOffered));
+    expect_true!(is_not_started);
+}
+
 #[googletest::test]
 fn a_start_with_a_stale_run_number_is_retried_with_a_higher_one() {
     let mut harness = Harness::with_ready_target();
--- a/crates/wire/src/session/report.rs
+++ b/crates/wire/src/session/report.rs
@@ -125,7 +125,7 @@
     /// The agent's queue is full.
     #[display("queue full")]
     QueueFull,
-    /// The target does not offer the service.
+    /// The target does not offer the service, or does not accept the task.
     #[display("service not offered")]
     NotOffered,
 }
