--- a/crates/conf/src/inventory/check.rs
+++ b/crates/conf/src/inventory/check.rs
@@ -197,11 +197,9 @@
     );
     checker.known(path.field("group"), &queue.group, &names.groups);
     checker.known(path.field("service"), &queue.service, &names.services);
-    checker.in_range(
-        path.field("max_failures"),
-        queue.max_failures,
-        &MAX_FAILURES,
-    );
+    if let Some(max_failures) = queue.max_failures {
+        checker.in_range(path.field("max_failures"), max_failures, &MAX_FAILURES);
+    }
     checker.in_range(path.field("stretch"), queue.stretch, &STRETCH);
 }
 
@@ -253,7 +251,7 @@
         group: group.group.clone(),
         service: service.clone(),
         priority: Priority::new(1),
-        max_failures: 1,
+        max_failures: Some(1),
         stretch: 1.0,
         objective_ms: Millis::new(1),
     };
--- a/crates/conf/src/inventory/queue.rs
+++ b/crates/conf/src/inventory/queue.rs
@@ -27,9 +27,10 @@
     /// Priority of the tasks; 0 is the highest.
     #[serde(default)]
     pub priority: Priority,
-    /// Number of failed runs of one task after which the job fails; at least 1.
+    /// Number of failed runs of one task after which the job fails, at least 1; `null` for no limit, so that
+    /// only the deadline ends the job. If absent, it is 1.
     #[serde(default = "default_max_failures")]
-    pub max_failures: u32,
+    pub max_failures: Option<u32>,
     /// Multiple of its run time within which a job should be answered; at least 1.
     #[serde(default = "default_stretch")]
     pub stretch: f64,
@@ -52,8 +53,9 @@
     }
 }
 
-const fn default_max_failures() -> u32 {
-    1
+#[expect(clippy::unnecessary_wraps, reason = "the type of the field")]
+const fn default_max_failures() -> Option<u32> {
+    Some(1)
 }
 
 const fn default_stretch() -> f64 {
--- a/crates/conf/tests/inventory.rs
+++ b/crates/conf/tests/inventory.rs
@@ -1,6 +1,7 @@
 //! Validation of inventories: all errors are reported, each with its path, and also warnings.
 
 use dfs_conf::Inventory;
+use dfs_conf::ValidationErrors;
 use dfs_conf::check_inventory;
 use googletest::prelude::*;
 use serde_json::Value;
@@ -181,6 +182,33 @@
     }
 }
 
+#[googletest::test]
+fn a_queue_without_a_limit_of_failed_runs_differs_from_one_that_does_not_name_it() {
+    let read = |max_failures: Option<Value>| {
+        let mut queue = json!({
+            "queue": "quotes", "host": "desk.example", "prefix": "/quotes/", "group": "printers",
+            "service": "desk",
+        });
+        if let Some(max_failures) = max_failures {
+            queue["max_failures"] = max_failures;
+        }
+        let inventory = check_inventory(&inventory_with("/queues", json!([queue])))?;
+        Ok::<_, ValidationErrors>(inventory.queues[0].clone())
+    };
+    expect_that!(read(None).unwrap().max_failures, some(eq(1)));
+    let limited = read(Some(json!(2))).unwrap();
+    expect_that!(limited.max_failures, some(eq(2)));
+    expect_that!(json!(limited)["max_failures"], eq(&json!(2)));
+    let unlimited = read(Some(Value::Null)).unwrap();
+    expect_that!(unlimited.max_failures, none());
+    expect_that!(json!(unlimited)["max_failures"], eq(&Value::Null));
+    let error = read(Some(json!(0))).unwrap_err().to_string();
+    expect_that!(
+        error,
+        starts_with("queues[0].max_failures: 0 is out of range")
+    );
+}
+
 #[googletest::test]
 fn an_error_lists_at_most_eight_known_names() {
     let domains: Vec<String> = (0..20).map(|n| format!("d{n}")).collect();
--- a/crates/entry/src/request/submit.rs
+++ b/crates/entry/src/request/submit.rs
@@ -55,7 +55,7 @@
             ..Terms::default()
         },
         objective_ms: None,
-        max_failures: 1,
+        max_failures: Some(1),
         constraints: Constraints::default(),
         queue: None,
     };
@@ -82,7 +82,7 @@
             ..Terms::default()
         },
         objective_ms: None,
-        max_failures: 1,
+        max_failures: Some(1),
         constraints: Constraints::default(),
         queue: None,
     };
--- a/crates/log/src/event/request.rs
+++ b/crates/log/src/event/request.rs
@@ -167,9 +167,9 @@
             agent: AgentId,
             /// Failed runs of the task so far, including this one.
             failed_runs: u32,
-            /// Number of failed runs at which the submission fails.
-            max_failures: u32,
-            /// The same limit in the active configuration; absent if the queue is gone.
+            /// Number of failed runs at which the submission fails; absent if there is no limit.
+            max_failures: Option<u32>,
+            /// The same limit in the active configuration; absent if the queue is gone or has no limit.
             active_max_failures: Option<u32>,
             /// Active version of the configuration.
             version: Option<ConfigVersion>,
--- a/crates/policy/benches/cost.rs
+++ b/crates/policy/benches/cost.rs
@@ -159,7 +159,7 @@
             deadline_ms: Some(Millis::new(600_000)),
             terms: Terms::default(),
             objective_ms: None,
-            max_failures: 1,
+            max_failures: Some(1),
             constraints: Constraints::default(),
             queue: None,
         }));
--- a/crates/policy/benches/grid/cluster.rs
+++ b/crates/policy/benches/grid/cluster.rs
@@ -288,7 +288,7 @@
             deadline_ms: Some(Millis::new(job.deadline_ms)),
             terms,
             objective_ms: workload.service_level.map(|u| Millis::new(u.objective_ms)),
-            max_failures: 1,
+            max_failures: Some(1),
             constraints: Constraints::default(),
             queue: None,
         };
--- a/crates/policy/src/entry/event.rs
+++ b/crates/policy/src/entry/event.rs
@@ -90,8 +90,9 @@
     pub terms: Terms,
     /// Latency objective. A submission that can no longer meet it is queued behind those that can.
     pub objective_ms: Option<Millis>,
-    /// Number of failed runs of one task at which the submission fails; 0 counts as 1.
-    pub max_failures: u32,
+    /// Number of failed runs of one task at which the submission fails, where 0 counts as 1; `None` for no
+    /// limit.
+    pub max_failures: Option<u32>,
     /// Restricts the targets on which tasks may be placed.
     pub constraints: Constraints,
     /// Named queue through which it was submitted, if any.
@@ -260,9 +261,9 @@
     pub agent: AgentId,
     /// Failed runs of the task so far, including this one.
     pub failed_runs: u32,
-    /// Number of failed runs at which the submission fails.
-    pub max_failures: u32,
-    /// The same limit in the active configuration; `None` if the queue is gone.
+    /// Number of failed runs at which the submission fails; `None` for no limit.
+    pub max_failures: Option<u32>,
+    /// The same limit in the active configuration; `None` if the queue is gone or has no limit.
     pub active_max_failures: Option<u32>,
     /// Active version of the configuration.
     pub version: Option<ConfigVersion>,
--- a/crates/policy/src/entry/job.rs
+++ b/crates/policy/src/entry/job.rs
@@ -63,8 +63,8 @@
     pub latest_start: Moment,
     /// Whether it is queued behind all others because it can't meet its objective.
     pub is_demoted: bool,
-    /// Number of failed runs of one task at which the submission fails.
-    pub max_failures: u32,
+    /// Number of failed runs of one task at which the submission fails; `None` for no limit.
+    pub max_failures: Option<u32>,
     pub constraints: Constraints,
     pub queue: Option<QueueName>,
     pub tasks: Vec<Task>,
@@ -141,7 +141,7 @@
             objective_at: submission.objective_ms.map(|objective| now + objective),
             latest_start: give_up_at.min(deadline) - submission.terms.declared_ms,
             is_demoted: false,
-            max_failures: submission.max_failures.max(1),
+            max_failures: submission.max_failures.map(|max| max.max(1)),
             constraints: submission.constraints,
             queue: submission.queue,
             tasks: submission.tasks.into_iter().map(task).collect(),
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -202,7 +202,7 @@
         let active_max_failures = config.and_then(|config| {
             let mut queues = config.inventory.queues.iter();
             let queue = queues.find(|queue| Some(&queue.queue) == job.queue.as_ref())?;
-            Some(queue.max_failures)
+            queue.max_failures
         });
         let Some(failed) = job.task_mut(task.task) else {
             return false;
@@ -218,7 +218,7 @@
             version: config.map(|config| config.version),
         };
         out.push(EntryAction::Observe(Observation::FailureCounted(counted)));
-        failed.failed_runs < max_failures
+        max_failures.is_none_or(|max| failed.failed_runs < max)
     }
 
     /// Settles a task whose outcome will never be known: retries it if it is repeatable, else fails the
--- a/crates/policy/tests/matrix/node.rs
+++ b/crates/policy/tests/matrix/node.rs
@@ -118,7 +118,7 @@
                 ..Terms::default()
             },
             objective_ms: None,
-            max_failures: 1,
+            max_failures: Some(1),
             constraints: Constraints::default(),
             queue: None,
         }
--- a/crates/policy/tests/policy_admission.rs
+++ b/crates/policy/tests/policy_admission.rs
@@ -111,7 +111,7 @@
         deadline_ms: Some(Millis::new(DEADLINE_MS)),
         terms: Terms::default(),
         objective_ms: None,
-        max_failures: 1,
+        max_failures: Some(1),
         constraints: Constraints::default(),
         queue: None,
     }
--- a/crates/policy/tests/policy_failures.rs
+++ b/crates/policy/tests/policy_failures.rs
@@ -87,7 +87,7 @@
             ..Terms::default()
         },
         objective_ms: None,
-        max_failures: 1,
+        max_failures: Some(1),
         constraints: Constraints::default(),
         queue: None,
     }
