Count failed runs against the limit of the active configuration

What callers saw: a job shown as `failed` after fewer failed runs than `attempts` of its route says by then.

The limit that decides is now that of the queue of this name in the active configuration when the failure is counted. If the queue is gone there, that of the submission holds. Event 312 has the limit that decided as max_failures, and that at submission as submitted_max_failures instead of active_max_failures.

Failed before: the_limit_of_failed_runs_is_that_of_the_queue_when_they_are_counted (limit 1 at submission, then 3: failed after 1 run; 3, then 1: after 3; 1, then none: after 1; none, then 2: never). Passed before too: the_limit_of_failed_runs_is_that_of_the_submission_once_its_queue_is_gone.

--- a/crates/entry/src/process/observe.rs
+++ b/crates/entry/src/process/observe.rs
@@ -143,7 +143,7 @@
         agent: counted.agent,
         failed_runs: counted.failed_runs,
         max_failures: counted.max_failures,
-        active_max_failures: counted.active_max_failures,
+        submitted_max_failures: counted.submitted_max_failures,
         version: counted.version,
     });
 }
--- a/crates/log/src/event/request.rs
+++ b/crates/log/src/event/request.rs
@@ -169,8 +169,8 @@
             failed_runs: u32,
             /// Number of failed runs at which the submission fails; absent if there is no limit.
             max_failures: Option<u32>,
-            /// The same limit in the active configuration; absent if the queue is gone or has no limit.
-            active_max_failures: Option<u32>,
+            /// The same limit when the submission arrived, which holds once its queue is gone.
+            submitted_max_failures: Option<u32>,
             /// Active version of the configuration.
             version: Option<ConfigVersion>,
         }
--- a/crates/policy/src/entry/event.rs
+++ b/crates/policy/src/entry/event.rs
@@ -91,7 +91,7 @@
     /// Latency objective. A submission that can no longer meet it is queued behind those that can.
     pub objective_ms: Option<Millis>,
     /// Number of failed runs of one task at which the submission fails, where 0 counts as 1; `None` for no
-    /// limit.
+    /// limit. That of its queue in the active configuration goes before it.
     pub max_failures: Option<u32>,
     /// Restricts the targets on which tasks may be placed.
     pub constraints: Constraints,
@@ -263,8 +263,8 @@
     pub failed_runs: u32,
     /// Number of failed runs at which the submission fails; `None` for no limit.
     pub max_failures: Option<u32>,
-    /// The same limit in the active configuration; `None` if the queue is gone or has no limit.
-    pub active_max_failures: Option<u32>,
+    /// The same limit when the submission arrived, which holds once its queue is gone.
+    pub submitted_max_failures: Option<u32>,
     /// Active version of the configuration.
     pub version: Option<ConfigVersion>,
 }
--- a/crates/policy/src/entry/job.rs
+++ b/crates/policy/src/entry/job.rs
@@ -63,7 +63,8 @@
     pub latest_start: Moment,
     /// Whether it is queued behind all others because it can't meet its objective.
     pub is_demoted: bool,
-    /// Number of failed runs of one task at which the submission fails; `None` for no limit.
+    /// Number of failed runs of one task at which the submission fails once its queue is gone; `None` for no
+    /// limit.
     pub max_failures: Option<u32>,
     pub constraints: Constraints,
     pub queue: Option<QueueName>,
@@ -84,7 +85,7 @@
 pub(super) struct Task {
     pub body: Arc<RawValue>,
     pub attempt: Attempt,
-    /// Runs that ended in a failure; limited by [`Job::max_failures`].
+    /// Runs that ended in a failure; limited by the `max_failures` of the queue.
     pub failed_runs: u32,
     /// Attempts that were refused or, if the task is repeatable, had an unknown outcome; limited by the
     /// `max_attempts` rule.
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -185,7 +185,8 @@
         );
     }
 
-    /// Counts a failed run; true if the task may run again.
+    /// Counts a failed run; true if the task may run again. The limit is that of the queue in the active
+    /// configuration, or that of the submission if its queue is gone.
     fn count_failed_run(
         &mut self,
         agent: &AgentId,
@@ -198,12 +199,12 @@
             return false;
         };
         job.longest_run_us = job.longest_run_us.max(run_us);
-        let max_failures = job.max_failures;
-        let active_max_failures = config.and_then(|config| {
+        let submitted_max_failures = job.max_failures;
+        let queue = config.and_then(|config| {
             let mut queues = config.inventory.queues.iter();
-            let queue = queues.find(|queue| Some(&queue.queue) == job.queue.as_ref())?;
-            queue.max_failures
+            queues.find(|queue| Some(&queue.queue) == job.queue.as_ref())
         });
+        let max_failures = queue.map_or(submitted_max_failures, |queue| queue.max_failures);
         let Some(failed) = job.task_mut(task.task) else {
             return false;
         };
@@ -214,7 +215,7 @@
             agent: agent.clone(),
             failed_runs: failed.failed_runs,
             max_failures,
-            active_max_failures,
+            submitted_max_failures,
             version: config.map(|config| config.version),
         };
         out.push(EntryAction::Observe(Observation::FailureCounted(counted)));
--- a/crates/policy/tests/policy_failures.rs
+++ b/crates/policy/tests/policy_failures.rs
@@ -7,6 +7,7 @@
 use dfs_conf::Group;
 use dfs_conf::Inventory;
 use dfs_conf::LeaseSettings;
+use dfs_conf::Queue;
 use dfs_conf::Rules;
 use dfs_conf::Service;
 use dfs_ids::AgentId;
@@ -15,6 +16,7 @@
 use dfs_ids::Label;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
+use dfs_ids::Priority;
 use dfs_ids::SessionNumber;
 use dfs_ids::Slots;
 use dfs_policy::ConnectionId;
@@ -47,6 +49,24 @@
 
 const AGENTS: u64 = 3;
 const SERVICE: &str = "desk";
+const QUEUE: &str = "quotes";
+
+/// A configuration with a queue that has this limit of failed runs.
+fn config_with_queue(version: u64, max_failures: Option<u32>) -> Arc<Config> {
+    let mut config = Config::clone(&config(version));
+    config.inventory.queues.push(Queue {
+        queue: QUEUE.parse().unwrap(),
+        host: "desk.example".to_owned(),
+        prefix: "/quotes/".to_owned(),
+        group: "aba".parse().unwrap(),
+        service: SERVICE.parse().unwrap(),
+        priority: Priority::default(),
+        max_failures,
+        stretch: 1.0,
+        objective_ms: Millis::new(60),
+    });
+    Arc::new(config)
+}
 
 fn config(version: u64) -> Arc<Config> {
     let group = Group {
@@ -255,6 +275,23 @@
     }
 }
 
+/// Submits a task at a queue, puts `later` in force, and lets runs of the task fail. Returns how many have failed
+/// when the submission does; `None` if it still goes on after 5.
+fn failed_runs_until_failure(max_failures: Option<u32>, later: Arc<Config>) -> Option<u32> {
+    let mut entry = TestEntry::new();
+    entry.handle(EntryEvent::Configured(config_with_queue(2, max_failures)));
+    entry.submit(Submission {
+        max_failures,
+        queue: Some(QUEUE.parse().unwrap()),
+        ..submission("s", 1)
+    });
+    entry.handle(EntryEvent::Configured(later));
+    (1..=5).find(|_| {
+        entry.end_placed(TaskOutcome::Failed("failed".to_owned()));
+        !entry.failures.is_empty()
+    })
+}
+
 fn done() -> TaskOutcome {
     TaskOutcome::Done(Arc::from(RawValue::from_string("1".to_owned()).unwrap()))
 }
@@ -336,3 +373,20 @@
         elements_are![eq(&"agent-0".parse::<AgentId>().unwrap())]
     );
 }
+
+#[googletest::test]
+fn the_limit_of_failed_runs_is_that_of_the_queue_when_they_are_counted() {
+    let failed_runs = |at_submission, later| {
+        failed_runs_until_failure(at_submission, config_with_queue(3, later))
+    };
+    expect_that!(failed_runs(Some(1), Some(3)), some(eq(3)));
+    expect_that!(failed_runs(Some(3), Some(1)), some(eq(1)));
+    expect_that!(failed_runs(Some(1), None), none());
+    expect_that!(failed_runs(None, Some(2)), some(eq(2)));
+}
+
+#[googletest::test]
+fn the_limit_of_failed_runs_is_that_of_the_submission_once_its_queue_is_gone() {
+    expect_that!(failed_runs_until_failure(Some(2), config(3)), some(eq(2)));
+    expect_that!(failed_runs_until_failure(None, config(3)), none());
+}
