Send no start to a restarted target before its time is known

Cause: a heartbeat of a new incarnation clears what is known of the target's clock, but the target stayed announced. Since a refused connection withdraws the target, which hides most cases; a worker that is back before the next connection still runs into it.

Failed before: a_restarted_target_gets_no_start_before_it_has_sent_its_time (goodbye_count 0, 1 start). an_outdated_heartbeat_is_ignored started a task on an incarnation that had sent no time; it now answers a poll first and checks as much as before.

--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -167,6 +167,7 @@
         self.incarnation = snapshot.incarnation.or(self.incarnation);
         self.last_snapshot_at = now;
         self.fenced_polls = 0;
+        let had_clock = self.target_clock.is_some();
         self.record_clock(now, Some(snapshot.clock));
         for ended in &snapshot.ended {
             self.on_ended(now, ended, out);
@@ -185,7 +186,7 @@
         if !self.taken_over && self.orphans(&running).next().is_none() {
             self.complete_takeover(out);
             self.announce_if_ready(now, out);
-        } else if was_failing {
+        } else if was_failing || !had_clock {
             self.announce_if_ready(now, out);
         }
     }
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -262,17 +262,26 @@
         self.target_clock = None;
         self.incarnation = None;
         self.interrupt_all(now, "the target has started anew", out);
+        // Without the time of the new incarnation no start can carry a lease end; it refuses such a start.
+        self.send_goodbye(out);
+        self.next_poll_at = now;
     }
 
-    /// Announces the target to the agent if the takeover is complete and the target responds; withdraws the
-    /// announcement if the target is draining or its heartbeat is overdue.
+    /// Announces the target to the agent if the takeover is complete, the target responds and has sent its time,
+    /// and its heartbeat is of the incarnation that responds; withdraws the announcement if the target is draining or its heartbeat is overdue.
     fn announce_if_ready(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
         let Some((heartbeat, received_at)) = &self.heartbeat else {
             return;
         };
         let is_fresh = now.since(*received_at) < self.options.heartbeat_lease_ms;
+        let is_of_other_incarnation = heartbeat
+            .incarnation
+            .zip(self.incarnation)
+            .is_some_and(|(of_heartbeat, current)| of_heartbeat != current);
         if heartbeat.is_draining
             || !self.taken_over
+            || self.target_clock.is_none()
+            || is_of_other_incarnation
             || self.polls_failing_since.is_some()
             || !is_fresh
         {
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -100,7 +100,10 @@
     }
 
     fn send_start(&mut self, now: Moment, name: &Arc<str>, out: &mut Vec<RunsAction>) {
-        let lease_until = self.next_lease_end(now).unwrap_or_default();
+        let Some(lease_until) = self.next_lease_end(now) else {
+            self.end_not_started(now, name, NotRunReason::Leaving, out);
+            return;
+        };
         let target = self.target_id();
         let Some(tracked) = self.tracked.get_mut(name) else {
             return;
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -201,6 +201,13 @@
         self.handle(RunsEvent::PollCompleted { poll, outcome });
     }
 
+    /// Answers the latest poll as an incarnation of the target without runs.
+    pub fn answer_poll_of_incarnation(&mut self, incarnation: u64) {
+        let mut snapshot = self.snapshot(&[], &[]);
+        snapshot.incarnation = Some(TargetIncarnation(incarnation));
+        self.answer_poll(PollOutcome::Runs(snapshot));
+    }
+
     pub fn fail_poll(&mut self) {
         let message = "no answer".to_owned();
         self.answer_poll(PollOutcome::Failed { message });
--- a/crates/policy/tests/runs/directed.rs
+++ b/crates/policy/tests/runs/directed.rs
@@ -252,6 +252,7 @@
 fn an_outdated_heartbeat_is_ignored() {
     let mut harness = Harness::with_ready_target();
     harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 2, 7)));
+    harness.answer_poll_of_incarnation(2);
     harness.start("s", "a");
     harness.accept_start();
     harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 2, 6)));
@@ -431,3 +432,31 @@
     }
     expect_that!(harness.ended.len(), eq(0));
 }
+
+#[googletest::test]
+fn a_restarted_target_gets_no_start_before_it_has_sent_its_time() {
+    let mut harness = Harness::with_ready_target();
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 2, 1)));
+    expect_that!(harness.goodbye_count, eq(1));
+    harness.start("s", "a");
+    expect_that!(harness.starts.len(), eq(0));
+    expect_true!(matches!(harness.ended[0].1, RunEnd::NotStarted(_)));
+    harness.answer_poll_of_incarnation(2);
+    expect_that!(harness.announcement_count, eq(2));
+    harness.start("s", "a");
+    let now_ms = harness.now.as_micros() / 1_000;
+    expect_that!(harness.starts[0].lease_until, gt(TargetTime(now_ms)));
+}
+
+#[googletest::test]
+fn a_restarted_target_is_announced_again_only_with_what_its_new_incarnation_offers() {
+    let mut harness = Harness::with_ready_target();
+    harness.answer_poll_of_incarnation(2);
+    expect_that!(
+        (harness.announcement_count, harness.goodbye_count),
+        eq((1, 1))
+    );
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 2, 1)));
+    harness.answer_poll_of_incarnation(2);
+    expect_that!(harness.announcement_count, eq(2));
+}
