Process a restart of a target once

Callers saw two runs of one task at a time: the agent reported runs as interrupted that still ran. That heartbeat was compared only with the last one, which was of the earlier incarnation, so the restart was processed a second time and the new runs were ended with an unknown outcome.

Its address and offer replace the old ones as before.

Failed before: the_first_heartbeat_of_an_incarnation_that_a_snapshot_showed_ends_no_runs, 'harness.ended, which isn't empty' with Unknown("the target has started anew").

--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -200,7 +200,10 @@
             .heartbeat
             .as_ref()
             .is_some_and(|(known, _)| incarnation_key(known) != incarnation_key(&heartbeat));
-        if is_new_incarnation {
+        // A snapshot may have shown the change before, and runs may have started since.
+        let is_current =
+            heartbeat.incarnation.is_some() && heartbeat.incarnation == self.incarnation;
+        if is_new_incarnation && !is_current {
             self.on_new_incarnation(now, heartbeat.incarnation, out);
         }
         let is_stored = |stored: &Heartbeat| stored.agrees_with(&heartbeat);
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -196,6 +196,24 @@
         }
     }
 
+    /// Answers a poll with the active and ended runs of this incarnation.
+    pub fn answer_poll_from(
+        &mut self,
+        incarnation: u64,
+        poll: PollRequest,
+        running: &[(&str, u32)],
+        ended: &[(u64, &str, u32, RunOutcome)],
+    ) {
+        let mut snapshot = self.snapshot(running, ended);
+        snapshot.incarnation = Some(TargetIncarnation(incarnation));
+        let outcome = PollOutcome::Runs(snapshot);
+        self.handle(RunsEvent::PollCompleted { poll, outcome });
+    }
+
+    pub fn last_poll(&self) -> PollRequest {
+        self.polls.last().unwrap().clone()
+    }
+
     pub fn answer_poll(&mut self, outcome: PollOutcome) {
         let poll = self.polls.last().unwrap().clone();
         self.handle(RunsEvent::PollCompleted { poll, outcome });
--- a/crates/policy/tests/runs/main.rs
+++ b/crates/policy/tests/runs/main.rs
@@ -3,4 +3,5 @@
 mod bench;
 mod directed;
 mod random;
+mod restarts;
 mod target;
