--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -337,7 +337,8 @@
     },
     /// Another incarnation of the target has answered or sent a heartbeat.
     TargetRestarted {
-        /// Incarnation of the last snapshot; `None` if there was none since the last restart.
+        /// Incarnation known before, from a snapshot or a heartbeat; `None` if there was none since the last
+        /// restart.
         previous: Option<TargetIncarnation>,
         /// The new incarnation; `None` if the target has not named it yet.
         current: Option<TargetIncarnation>,
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -158,13 +158,15 @@
         snapshot: &RunSnapshot,
         out: &mut Vec<RunsAction>,
     ) {
-        if self.incarnation.is_some()
-            && snapshot.incarnation.is_some()
-            && snapshot.incarnation != self.incarnation
-        {
-            self.on_new_incarnation(now, snapshot.incarnation, out);
+        if self.is_outdated(poll, snapshot) {
+            return;
+        }
+        if snapshot.incarnation.is_some() && snapshot.incarnation != self.incarnation {
+            if self.incarnation.is_some() {
+                self.on_new_incarnation(now, snapshot.incarnation, out);
+            }
+            self.set_incarnation(now, snapshot.incarnation);
         }
-        self.incarnation = snapshot.incarnation.or(self.incarnation);
         self.last_snapshot_at = now;
         self.fenced_polls = 0;
         self.record_clock(now, Some(snapshot.clock));
@@ -190,6 +192,13 @@
         }
     }
 
+    /// Whether a snapshot may have been taken by an earlier incarnation, and is not known to be of the present
+    /// one. Start times of incarnations are not compared, as the target's time of day may be set back.
+    fn is_outdated(&self, poll: &PollRequest, snapshot: &RunSnapshot) -> bool {
+        let is_current = snapshot.incarnation.is_some() && snapshot.incarnation == self.incarnation;
+        poll.sent_at < self.incarnation_since && !is_current
+    }
+
     fn on_ended(&mut self, now: Moment, ended: &EndedRun, out: &mut Vec<RunsAction>) {
         if ended.sequence <= self.last_end_sequence {
             return;
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -75,8 +75,10 @@
     /// Heartbeat received by an earlier incarnation of the agent. It is used once the target reports the same
     /// incarnation, until its next heartbeat arrives.
     recalled_heartbeat: Option<Heartbeat>,
-    /// Incarnation that the last snapshot came from.
+    /// Incarnation that the last snapshot came from, or a later one that a heartbeat has shown since.
     incarnation: Option<TargetIncarnation>,
+    /// When the present incarnation became known.
+    incarnation_since: Moment,
     /// Sequence number of the last end that was processed.
     last_end_sequence: u64,
     /// Last known time of the target's clock, and when it was received.
@@ -136,6 +138,7 @@
             stored_heartbeat: None,
             recalled_heartbeat: None,
             incarnation: None,
+            incarnation_since: now,
             last_end_sequence: 0,
             target_clock: None,
             lease_expires_at,
@@ -263,10 +266,15 @@
         });
         self.last_end_sequence = 0;
         self.target_clock = None;
-        self.incarnation = None;
+        self.set_incarnation(now, current);
         self.interrupt_all(now, "the target has started anew", out);
     }
 
+    fn set_incarnation(&mut self, now: Moment, current: Option<TargetIncarnation>) {
+        self.incarnation = current;
+        self.incarnation_since = now;
+    }
+
     /// Announces the target to the agent if the takeover is complete and the target responds; withdraws the
     /// announcement if the target is draining or its heartbeat is overdue.
     fn announce_if_ready(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
