Keep starts that the next incarnation of a target may execute

Callers saw two runs of one task at a time. When a target restarted under its old id, the agent reported all its runs as ended at once, also those whose start request was still in flight, was not answered, or was answered by the new incarnation before the restart was noticed. The new incarnation accepts the id and has seen no token, so it may execute them, while the entry has placed the task elsewhere.

Runs end at once only if the previous incarnation answered a poll that was sent after their start was answered. For the others the token is raised and the next poll shows whether they run: the new incarnation has seen the higher token then and refuses the request later. If it doesn't list the run, the outcome is unknown rather than not started, because the run may have been active on the previous incarnation.

Failed before, each with the run ended as Unknown("the target has started anew") at the restart: a_start_that_is_in_flight_when_its_target_restarts_may_run_on_the_new_incarnation, a_start_that_no_incarnation_lists_may_have_run_on_the_one_before, an_unanswered_start_may_run_on_the_new_incarnation, a_run_that_an_unnoticed_incarnation_has_accepted_continues. a_run_that_the_previous_incarnation_has_listed_ends_with_it passed before.

--- a/crates/policy/src/runs/active.rs
+++ b/crates/policy/src/runs/active.rs
@@ -24,6 +24,9 @@
     pub phase: Phase,
     /// Start requests that the target has refused.
     pub refused_starts: u32,
+    /// Whether the target has restarted since the start was requested: even if the run is not listed, it may
+    /// have been active on an earlier incarnation.
+    pub may_have_run: bool,
     /// Set once the agent wants the run to stop.
     pub pending_stop: Option<PendingStop>,
 }
@@ -82,6 +85,28 @@
         }
     }
 
+    /// After a restart of the target, ends the runs that were certainly active on the previous incarnation.
+    /// The requests for the other ones may be executed by the present one, which has not seen any token; a poll
+    /// with a raised token shows whether they were.
+    pub(super) fn end_or_recheck_runs(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
+        self.raise_token(self.token);
+        let resolved_by = self.token;
+        // The previous incarnation has answered a poll that was sent after the start was answered.
+        let poll_sent_at = self.last_answered_poll_sent_at;
+        let mut lost = Vec::new();
+        for (name, tracked) in &mut self.tracked {
+            if matches!(tracked.phase, Phase::Running { since } if since <= poll_sent_at) {
+                lost.push(name.clone());
+            } else {
+                tracked.phase = Phase::Unanswered { resolved_by };
+                tracked.may_have_run = true;
+            }
+        }
+        for name in lost {
+            self.end_run(now, &name, interrupted_end(RESTARTED.to_owned()), None, out);
+        }
+    }
+
     /// Ends all tracked runs with an unknown outcome: none is active any more, but each may have done its
     /// work.
     pub(super) fn interrupt_all(&mut self, now: Moment, reason: &str, out: &mut Vec<RunsAction>) {
@@ -92,6 +117,9 @@
     }
 }
 
+/// Why a run was interrupted by the restart of its target.
+pub(super) const RESTARTED: &str = "the target has started anew";
+
 pub(super) const fn interrupted_end(reason: String) -> RunEnd {
     RunEnd::Finished(TaskOutcome::Unknown(reason))
 }
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -24,6 +24,7 @@
 use super::StopRequest;
 use super::UNREACHABLE_MS;
 use super::active::Phase;
+use super::active::RESTARTED;
 use super::active::TrackedRun;
 use super::active::interrupted_end;
 use crate::agent::RunEnd;
@@ -168,6 +169,7 @@
             self.set_incarnation(now, snapshot.incarnation);
         }
         self.last_snapshot_at = now;
+        self.last_answered_poll_sent_at = self.last_answered_poll_sent_at.max(poll.sent_at);
         self.fenced_polls = 0;
         self.record_clock(now, Some(snapshot.clock));
         for ended in &snapshot.ended {
@@ -248,16 +250,20 @@
             .iter()
             .filter(|(_, tracked)| is_resolved(tracked));
         let resolved: Vec<_> = resolved
-            .map(|(name, tracked)| (name.clone(), tracked.run))
+            .map(|(name, tracked)| (name.clone(), tracked.run, tracked.may_have_run))
             .collect();
-        for (name, run) in resolved {
+        for (name, run, may_have_run) in resolved {
             if running.contains(&(name.clone(), run)) {
                 if let Some(tracked) = self.tracked.get_mut(&name) {
                     tracked.phase = Phase::Running { since: now };
                 }
             } else {
-                let reason = NotRunReason::ConnectionRefused;
-                self.end_run(now, &name, RunEnd::NotStarted(reason), None, out);
+                let end = if may_have_run {
+                    interrupted_end(RESTARTED.to_owned())
+                } else {
+                    RunEnd::NotStarted(NotRunReason::ConnectionRefused)
+                };
+                self.end_run(now, &name, end, None, out);
             }
         }
     }
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -94,6 +94,8 @@
     not_listening_since: Option<Moment>,
     /// When a poll last returned a snapshot.
     last_snapshot_at: Moment,
+    /// When the last of the polls that returned a snapshot was sent.
+    last_answered_poll_sent_at: Moment,
     /// Time of the first failed poll since the last snapshot.
     polls_failing_since: Option<Moment>,
     next_poll_at: Moment,
@@ -147,6 +149,7 @@
             last_poll_token: FencingToken::default(),
             not_listening_since: None,
             last_snapshot_at: now,
+            last_answered_poll_sent_at: now,
             polls_failing_since: None,
             next_poll_at: now,
             taken_over: false,
@@ -251,8 +254,8 @@
         }
     }
 
-    /// Ends all runs: a new incarnation of the target has neither the runs nor the fencing token of the
-    /// previous one.
+    /// Handles the restart of a target, which has lost the runs and the fencing token of the previous
+    /// incarnation.
     fn on_new_incarnation(
         &mut self,
         now: Moment,
@@ -267,7 +270,7 @@
         self.last_end_sequence = 0;
         self.target_clock = None;
         self.set_incarnation(now, current);
-        self.interrupt_all(now, "the target has started anew", out);
+        self.end_or_recheck_runs(now, out);
     }
 
     fn set_incarnation(&mut self, now: Moment, current: Option<TargetIncarnation>) {
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -94,6 +94,7 @@
                 started_at: now,
                 phase: Phase::Requested,
                 refused_starts: 0,
+                may_have_run: false,
                 pending_stop: None,
             },
         );
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -14,6 +14,7 @@
 use dfs_policy::runs::Heartbeat;
 use dfs_policy::runs::PollOutcome;
 use dfs_policy::runs::PollRequest;
+use dfs_policy::runs::Refusal;
 use dfs_policy::runs::RequestOutcome;
 use dfs_policy::runs::RunNumber;
 use dfs_policy::runs::RunOutcome;
@@ -27,6 +28,7 @@
 use dfs_policy::runs::TargetIncarnation;
 use dfs_policy::runs::TargetTime;
 use dfs_policy::runs::TaskSpec;
+use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
 use dfs_wire::target::Offer;
 use dfs_wire::target::Resources;
@@ -224,3 +226,24 @@
         self.answer_poll(PollOutcome::Failed { message });
     }
 }
+
+pub fn unanswered() -> RequestOutcome {
+    RequestOutcome::Unknown {
+        message: "no answer".to_owned(),
+    }
+}
+
+pub fn refused(refusal: Refusal) -> RequestOutcome {
+    RequestOutcome::Refused {
+        refusal,
+        clock: None,
+    }
+}
+
+pub fn is_done(end: &RunEnd) -> bool {
+    matches!(end, RunEnd::Finished(TaskOutcome::Done(_)))
+}
+
+pub fn is_interrupted(end: &RunEnd) -> bool {
+    matches!(end, RunEnd::Finished(TaskOutcome::Unknown(_)))
+}
--- a/crates/policy/tests/runs/directed.rs
+++ b/crates/policy/tests/runs/directed.rs
@@ -5,13 +5,11 @@
 use dfs_policy::runs::FencingToken;
 use dfs_policy::runs::PollOutcome;
 use dfs_policy::runs::Refusal;
-use dfs_policy::runs::RequestOutcome;
 use dfs_policy::runs::RunNumber;
 use dfs_policy::runs::RunOutcome;
 use dfs_policy::runs::RunsEvent;
 use dfs_policy::runs::TargetTime;
 use dfs_wire::session::NotRunReason;
-use dfs_wire::session::TaskOutcome;
 use googletest::prelude::*;
 
 use super::bench::FIRST_TOKEN;
@@ -20,28 +18,11 @@
 use super::bench::RUN_LEASE_MS;
 use super::bench::STOP_MS;
 use super::bench::heartbeat;
+use super::bench::is_done;
+use super::bench::is_interrupted;
+use super::bench::refused;
 use super::bench::task;
-
-fn unanswered() -> RequestOutcome {
-    RequestOutcome::Unknown {
-        message: "no answer".to_owned(),
-    }
-}
-
-fn refused(refusal: Refusal) -> RequestOutcome {
-    RequestOutcome::Refused {
-        refusal,
-        clock: None,
-    }
-}
-
-fn is_done(end: &RunEnd) -> bool {
-    matches!(end, RunEnd::Finished(TaskOutcome::Done(_)))
-}
-
-fn is_interrupted(end: &RunEnd) -> bool {
-    matches!(end, RunEnd::Finished(TaskOutcome::Unknown(_)))
-}
+use super::bench::unanswered;
 
 #[googletest::test]
 fn an_ended_run_is_reported_and_acknowledged_by_the_next_poll() {
--- a/crates/policy/tests/runs/restarts.rs
+++ b/crates/policy/tests/runs/restarts.rs
@@ -6,6 +6,9 @@
 
 use super::bench::Harness;
 use super::bench::heartbeat;
+use super::bench::is_done;
+use super::bench::is_interrupted;
+use super::bench::unanswered;
 
 #[googletest::test]
 fn the_first_heartbeat_of_an_incarnation_that_a_snapshot_showed_ends_no_runs() {
@@ -59,3 +62,72 @@
     harness.answer_poll_from(1, harness.last_poll(), &[], &[]);
     expect_that!(harness.ended.len(), eq(1));
 }
+
+#[googletest::test]
+fn a_start_that_is_in_flight_when_its_target_restarts_may_run_on_the_new_incarnation() {
+    let mut harness = Harness::with_ready_target();
+    harness.advance(10);
+    harness.start("s", "a");
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 2, 1)));
+    expect_that!(harness.ended, is_empty());
+    harness.answer_poll_from(2, harness.last_poll(), &[("a", 1)], &[]);
+    harness.answer_poll_from(
+        2,
+        harness.last_poll(),
+        &[],
+        &[(1, "a", 1, RunOutcome::Done)],
+    );
+    expect_that!(harness.ended.len(), eq(1));
+    expect_true!(is_done(&harness.ended[0].1));
+}
+
+#[googletest::test]
+fn a_start_that_no_incarnation_lists_may_have_run_on_the_one_before() {
+    let mut harness = Harness::with_ready_target();
+    harness.advance(10);
+    harness.start("s", "a");
+    let poll_before = harness.last_poll();
+    harness.answer_poll_from(2, poll_before.clone(), &[], &[]);
+    expect_that!(harness.ended, is_empty());
+    expect_that!(harness.last_poll().token, gt(poll_before.token));
+    harness.answer_poll_from(2, harness.last_poll(), &[], &[]);
+    expect_that!(harness.ended.len(), eq(1));
+    expect_true!(is_interrupted(&harness.ended[0].1));
+}
+
+#[googletest::test]
+fn an_unanswered_start_may_run_on_the_new_incarnation() {
+    let mut harness = Harness::with_ready_target();
+    harness.advance(10);
+    harness.start("s", "a");
+    harness.answer_start(unanswered());
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 2, 1)));
+    expect_that!(harness.ended, is_empty());
+    harness.answer_poll_from(2, harness.last_poll(), &[("a", 1)], &[]);
+    expect_that!(harness.ended, is_empty());
+}
+
+#[googletest::test]
+fn a_run_that_an_unnoticed_incarnation_has_accepted_continues() {
+    let mut harness = Harness::with_ready_target();
+    harness.advance(10);
+    harness.start("s", "a");
+    harness.accept_start();
+    harness.answer_poll_from(2, harness.last_poll(), &[("a", 1)], &[]);
+    harness.answer_poll_from(2, harness.last_poll(), &[("a", 1)], &[]);
+    expect_that!(harness.ended, is_empty());
+}
+
+#[googletest::test]
+fn a_run_that_the_previous_incarnation_has_listed_ends_with_it() {
+    let mut harness = Harness::with_ready_target();
+    harness.advance(10);
+    harness.start("s", "a");
+    harness.accept_start();
+    harness.answer_poll_from(1, harness.last_poll(), &[("a", 1)], &[]);
+    harness.advance(10);
+    harness.answer_poll_from(1, harness.last_poll(), &[("a", 1)], &[]);
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 2, 1)));
+    expect_that!(harness.ended.len(), eq(1));
+    expect_true!(is_interrupted(&harness.ended[0].1));
+}
