Acknowledge no ends to a target that may have restarted

Callers could see a finished task run again, or a failure go uncounted: acknowledging discards ends. After a request that met no listening process, another incarnation or a lost connection, the target may have restarted under its old id, and its numbers of ends start anew. The next poll still acknowledged the last end of the earlier incarnation, so the new one discarded its own ends up to that number before any list had shown them.

From such a request on polls acknowledge nothing until one that was sent later is answered. Ends that are listed again are skipped by their number as before.

Failed before: ends_of_a_target_that_may_have_restarted_are_not_acknowledged, 'Expected: is equal to 0, Actual: 1'; a_start_without_an_answer_stops_acknowledgements_until_a_later_poll_is_answered, 'Expected: is equal to 0, Actual: 7'. The other two tests passed before; they show that on_ended neither counts an end twice nor skips one of a new incarnation.

--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -61,12 +61,19 @@
             target: self.target_id(),
             lease_until,
             token: self.token,
-            last_acked_end: self.last_end_sequence,
+            last_acked_end: self.end_to_acknowledge(),
             wait_ms,
             sent_at: now,
         }));
     }
 
+    const fn end_to_acknowledge(&self) -> u64 {
+        if self.maybe_restarted_at.is_some() {
+            return 0;
+        }
+        self.last_end_sequence
+    }
+
     /// Whether a start was not answered that no poll sent so far resolves. Its task waits until it is certain
     /// that the run never starts here.
     fn may_resolve_start(&self) -> bool {
@@ -91,6 +98,12 @@
         if outcome != PollOutcome::NotListening {
             self.not_listening_since = None;
         }
+        if matches!(
+            outcome,
+            PollOutcome::NotListening | PollOutcome::WrongIncarnation | PollOutcome::Failed { .. }
+        ) {
+            self.maybe_restarted_at = Some(now);
+        }
         match outcome {
             PollOutcome::Runs(snapshot) => self.on_snapshot(now, poll, &snapshot, out),
             PollOutcome::Fenced => self.raise_token_after_fenced_poll(poll.token),
@@ -168,6 +181,7 @@
             }
             self.set_incarnation(now, snapshot.incarnation);
         }
+        self.maybe_restarted_at.take_if(|at| *at <= poll.sent_at);
         self.last_snapshot_at = now;
         self.last_answered_poll_sent_at = self.last_answered_poll_sent_at.max(poll.sent_at);
         self.fenced_polls = 0;
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -81,6 +81,9 @@
     incarnation_since: Moment,
     /// Sequence number of the last end that was processed.
     last_end_sequence: u64,
+    /// When a request last met a target that may have restarted since, if no later poll was answered. Until
+    /// then polls acknowledge no ends, because a new incarnation would discard its own.
+    maybe_restarted_at: Option<Moment>,
     /// Last known time of the target's clock, and when it was received.
     target_clock: Option<(TargetTime, Moment)>,
     /// Latest time, by this process's clock, until which a run may continue if no lease is renewed.
@@ -142,6 +145,7 @@
             incarnation: None,
             incarnation_since: now,
             last_end_sequence: 0,
+            maybe_restarted_at: None,
             target_clock: None,
             lease_expires_at,
             pending_polls: 0,
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -166,6 +166,9 @@
         outcome: RequestOutcome,
         out: &mut Vec<RunsAction>,
     ) {
+        if may_have_restarted(&outcome) {
+            self.maybe_restarted_at = Some(now);
+        }
         let name = &request.spec.name;
         let is_current =
             |tracked: &TrackedRun| tracked.run == request.run && tracked.phase == Phase::Requested;
@@ -278,3 +281,15 @@
         }
     }
 }
+
+/// Whether the outcome of a request leaves open which incarnation of the target is there now.
+const fn may_have_restarted(outcome: &RequestOutcome) -> bool {
+    match outcome {
+        RequestOutcome::Done { .. } => false,
+        RequestOutcome::Unknown { .. } => true,
+        RequestOutcome::Refused { refusal, .. } => matches!(
+            refusal,
+            Refusal::NotListening | Refusal::Unhealthy | Refusal::WrongIncarnation
+        ),
+    }
+}
--- a/crates/policy/tests/runs/restarts.rs
+++ b/crates/policy/tests/runs/restarts.rs
@@ -1,5 +1,7 @@
 //! A target that restarts under the id that it had.
 
+use dfs_policy::runs::PollOutcome;
+use dfs_policy::runs::Refusal;
 use dfs_policy::runs::RunOutcome;
 use dfs_policy::runs::RunsEvent;
 use googletest::prelude::*;
@@ -8,6 +10,7 @@
 use super::bench::heartbeat;
 use super::bench::is_done;
 use super::bench::is_interrupted;
+use super::bench::refused;
 use super::bench::unanswered;
 
 #[googletest::test]
@@ -131,3 +134,74 @@
     expect_that!(harness.ended.len(), eq(1));
     expect_true!(is_interrupted(&harness.ended[0].1));
 }
+
+#[googletest::test]
+fn ends_of_a_target_that_may_have_restarted_are_not_acknowledged() {
+    for failure in [
+        PollOutcome::NotListening,
+        PollOutcome::Failed {
+            message: "connection lost".to_owned(),
+        },
+    ] {
+        let mut harness = Harness::with_ready_target();
+        let end = || (1, "x", 1, RunOutcome::Done);
+        harness.answer_poll_with(&[], &[end()]);
+        expect_that!(harness.last_poll().last_acked_end, eq(1));
+        harness.answer_poll(failure);
+        harness.advance(50);
+        expect_that!(harness.last_poll().last_acked_end, eq(0));
+        harness.answer_poll_with(&[], &[end()]);
+        expect_that!(harness.last_poll().last_acked_end, eq(1));
+    }
+}
+
+#[googletest::test]
+fn a_start_without_an_answer_stops_acknowledgements_until_a_later_poll_is_answered() {
+    for outcome in [unanswered(), refused(Refusal::NotListening)] {
+        let mut harness = Harness::with_ready_target();
+        harness.answer_poll_with(&[], &[(7, "x", 1, RunOutcome::Done)]);
+        let poll_before = harness.last_poll();
+        harness.advance(10);
+        harness.start("s", "a");
+        harness.answer_start(outcome);
+        harness.answer_poll_from(1, poll_before, &[], &[]);
+        harness.advance(300);
+        expect_that!(harness.last_poll().last_acked_end, eq(0));
+        harness.answer_poll_with(&[], &[(7, "x", 1, RunOutcome::Done)]);
+        harness.advance(300);
+        expect_that!(harness.last_poll().last_acked_end, eq(7));
+    }
+}
+
+#[googletest::test]
+fn an_end_that_is_listed_again_does_not_end_a_later_run() {
+    let mut harness = Harness::with_ready_target();
+    let first_end = || (1, "a", 1, RunOutcome::Failed);
+    harness.start("s", "a");
+    harness.accept_start();
+    harness.answer_poll_with(&[], &[first_end()]);
+    harness.start("t", "a");
+    harness.accept_start();
+    harness.answer_poll(PollOutcome::NotListening);
+    harness.advance(50);
+    harness.answer_poll_with(&[("a", 2)], &[first_end()]);
+    expect_that!(harness.ended.len(), eq(1));
+    harness.answer_poll_with(&[], &[first_end(), (2, "a", 2, RunOutcome::Done)]);
+    expect_that!(harness.ended.len(), eq(2));
+    expect_true!(is_done(&harness.ended[1].1));
+}
+
+#[googletest::test]
+fn an_end_of_a_new_incarnation_counts_though_its_number_was_used_before() {
+    let mut harness = Harness::with_ready_target();
+    harness.answer_poll_with(&[], &[(1, "x", 1, RunOutcome::Done)]);
+    harness.advance(10);
+    harness.start("s", "a");
+    harness.accept_start();
+    harness.answer_poll(PollOutcome::NotListening);
+    harness.advance(50);
+    let end = (1, "a", 1, RunOutcome::Done);
+    harness.answer_poll_from(2, harness.last_poll(), &[], &[end]);
+    expect_that!(harness.ended.len(), eq(1));
+    expect_true!(is_done(&harness.ended[0].1));
+}
