Conclude nothing from a list of runs that may be incomplete

Callers could see a task started again that had ended, and a failure counted for the wrong run. A target lists at most 500 ends per answer. A run whose end is on a later page is in neither list, and the agent took it for one that never started or that the target had forgotten. A restarted agent also took over and announced its target after the first page and read the ends that its predecessor had left while it started tasks itself.

Without it, absence resolves no start, ends no run and completes no takeover. The target is announced only once a complete list was read, also if the takeover was completed by lapsed leases, and until then polls do not wait for another end.

The model target of the random test answers with at most two ends; that test passed before.

--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -158,7 +158,7 @@
     },
 }
 
-/// All runs of a target at one point in time.
+/// Runs of a target at one point in time.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunSnapshot {
     /// Time of the target's clock when it took the snapshot.
@@ -169,6 +169,9 @@
     pub running: Vec<ActiveRun>,
     /// Ended runs with a sequence number above [`PollRequest::last_acked_end`], in ascending order.
     pub ended: Vec<EndedRun>,
+    /// Whether `ended` certainly contains all these ends. If it does not, nothing follows from a run that is not
+    /// listed.
+    pub is_complete: bool,
 }
 
 /// A run that has not ended.
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -51,8 +51,8 @@
             self.extend_lease_bound(now);
         }
         // Until the takeover is complete, the clock and the runs of earlier incarnations are needed at once, and
-        // so is the answer that resolves a start.
-        let wait_ms = if self.taken_over && !resolves_start {
+        // so are further ends and the answer that resolves a start.
+        let wait_ms = if self.taken_over && self.has_read_all_ends && !resolves_start {
             self.options.poll_wait_ms
         } else {
             dfs_ids::Millis::default()
@@ -191,19 +191,23 @@
         }
         let runs = snapshot.running.iter();
         let running: HashSet<_> = runs.map(|run| (run.name.clone(), run.run)).collect();
-        self.resolve_unanswered_starts(now, poll, &running, out);
-        self.end_missing_runs(now, poll, &running, out);
+        self.resolve_unanswered_starts(now, poll, snapshot.is_complete, &running, out);
+        if snapshot.is_complete {
+            self.end_missing_runs(now, poll, &running, out);
+        }
         self.stop_orphans(&running, out);
         self.resend_stops(now, out);
         self.report_progress(snapshot, out);
         self.last_run_numbers
             .retain(|_, (_, ended_at)| now < *ended_at + RUN_NUMBER_RETENTION_MS);
         let was_failing = self.polls_failing_since.take().is_some();
+        let had_read_all_ends =
+            std::mem::replace(&mut self.has_read_all_ends, snapshot.is_complete);
         self.use_recalled_heartbeat(now, out);
-        if !self.taken_over && self.orphans(&running).next().is_none() {
+        if !self.taken_over && snapshot.is_complete && self.orphans(&running).next().is_none() {
             self.complete_takeover(out);
             self.announce_if_ready(now, out);
-        } else if was_failing {
+        } else if was_failing || !had_read_all_ends {
             self.announce_if_ready(now, out);
         }
     }
@@ -246,12 +250,13 @@
             .is_some_and(|tracked| tracked.run == run)
     }
 
-    /// Resolves unanswered starts after a poll with a token that fences them: a run that the snapshot does
-    /// not list never starts.
+    /// Resolves unanswered starts after a poll with a token that fences them: a run that a complete snapshot
+    /// does not list never starts.
     fn resolve_unanswered_starts(
         &mut self,
         now: Moment,
         poll: &PollRequest,
+        is_complete: bool,
         running: &HashSet<(Arc<str>, RunNumber)>,
         out: &mut Vec<RunsAction>,
     ) {
@@ -271,7 +276,7 @@
                 if let Some(tracked) = self.tracked.get_mut(&name) {
                     tracked.phase = Phase::Running { since: now };
                 }
-            } else {
+            } else if is_complete {
                 let end = if may_have_run {
                     interrupted_end(RESTARTED.to_owned())
                 } else {
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -104,6 +104,8 @@
     next_poll_at: Moment,
     /// Whether all runs of earlier incarnations of the agent have certainly ended.
     taken_over: bool,
+    /// Whether the last snapshot listed all ends.
+    has_read_all_ends: bool,
     /// Stop requests sent to runs of earlier incarnations of the agent.
     orphans_stopped: usize,
     is_announced: bool,
@@ -157,6 +159,7 @@
             polls_failing_since: None,
             next_poll_at: now,
             taken_over: false,
+            has_read_all_ends: false,
             orphans_stopped: 0,
             is_announced: false,
             fenced_polls: 0,
@@ -282,8 +285,8 @@
         self.incarnation_since = now;
     }
 
-    /// Announces the target to the agent if the takeover is complete and the target responds; withdraws the
-    /// announcement if the target is draining or its heartbeat is overdue.
+    /// Announces the target to the agent if the takeover is complete, all ends are read and the target responds;
+    /// withdraws the announcement if the target is draining or its heartbeat is overdue.
     fn announce_if_ready(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
         let Some((heartbeat, received_at)) = &self.heartbeat else {
             return;
@@ -291,6 +294,7 @@
         let is_fresh = now.since(*received_at) < self.options.heartbeat_lease_ms;
         if heartbeat.is_draining
             || !self.taken_over
+            || !self.has_read_all_ends
             || self.polls_failing_since.is_some()
             || !is_fresh
         {
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -195,6 +195,7 @@
                     outcome: outcome.clone(),
                 })
                 .collect(),
+            is_complete: true,
         }
     }
 
--- a/crates/policy/tests/runs/main.rs
+++ b/crates/policy/tests/runs/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod directed;
+mod incomplete;
 mod random;
 mod restarts;
 mod target;
--- a/crates/policy/tests/runs/target.rs
+++ b/crates/policy/tests/runs/target.rs
@@ -22,6 +22,8 @@
 use dfs_policy::runs::TargetTime;
 
 const RUN_DURATION_MS: u64 = 120;
+/// Largest number of ends in one answer.
+const MAX_ENDS_PER_ANSWER: usize = 2;
 
 /// State of the target; each call passes the current time.
 #[derive(Default)]
@@ -139,6 +141,8 @@
         }
         let running = self.running.iter();
         let unseen = |ended: &&EndedRun| ended.sequence > poll.last_acked_end;
+        let ended = self.ended.iter().filter(unseen);
+        let ended: Vec<_> = ended.take(MAX_ENDS_PER_ANSWER).cloned().collect();
         PollOutcome::Runs(RunSnapshot {
             clock: TargetTime(now_ms),
             incarnation: Some(TargetIncarnation(1)),
@@ -149,7 +153,8 @@
                     percent: 0,
                 })
                 .collect(),
-            ended: self.ended.iter().filter(unseen).cloned().collect(),
+            is_complete: ended.len() < MAX_ENDS_PER_ANSWER,
+            ended,
         })
     }
 
