Ignore wrong-incarnation answers for a target id that was replaced

Callers could see two runs of one task at a time. Answers overtake each other: a poll sent for the earlier id of a target is answered 421 when the heartbeat of the later id is known already. The agent took it for one more restart, ended the runs of the present incarnation and withdrew it until its next heartbeat; the same with a start refused this way.

Such an answer says something new only if the request was sent for the id known now. The refused start itself ends as before.

--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -107,6 +107,8 @@
         match outcome {
             PollOutcome::Runs(snapshot) => self.on_snapshot(now, poll, &snapshot, out),
             PollOutcome::Fenced => self.raise_token_after_fenced_poll(poll.token),
+            // The poll was sent for a target id that is known to be replaced.
+            PollOutcome::WrongIncarnation if poll.target != self.target_id() => {}
             PollOutcome::WrongIncarnation => {
                 self.on_incarnation_lost(now, out);
                 self.next_poll_at = now + POLL_RETRY_DELAY_MS;
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -247,7 +247,10 @@
             }
             Refusal::WrongIncarnation => {
                 self.end_not_started(now, name, NotRunReason::Leaving, out);
-                self.on_incarnation_lost(now, out);
+                // Otherwise the request was sent for a target id that is known to be replaced.
+                if request.target == self.target_id() {
+                    self.on_incarnation_lost(now, out);
+                }
             }
         }
     }
--- a/crates/policy/tests/runs/restarts.rs
+++ b/crates/policy/tests/runs/restarts.rs
@@ -205,3 +205,40 @@
     expect_that!(harness.ended.len(), eq(1));
     expect_true!(is_done(&harness.ended[0].1));
 }
+
+#[googletest::test]
+fn an_answer_to_a_poll_for_an_earlier_id_does_not_end_the_runs_of_the_present_one() {
+    let mut harness = Harness::with_ready_target();
+    let late_poll = harness.last_poll();
+    harness.advance(300);
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-2", 2, 1)));
+    harness.answer_poll_from(2, harness.last_poll(), &[], &[]);
+    harness.start("s", "a");
+    harness.accept_start();
+    harness.answer_poll_from(2, harness.last_poll(), &[("a", 1)], &[]);
+    harness.advance(10);
+    harness.answer_poll_from(2, harness.last_poll(), &[("a", 1)], &[]);
+    let outcome = PollOutcome::WrongIncarnation;
+    let poll = late_poll;
+    harness.handle(RunsEvent::PollCompleted { poll, outcome });
+    expect_that!(harness.ended, is_empty());
+    expect_that!(harness.goodbye_count, eq(0));
+}
+
+#[googletest::test]
+fn a_start_refused_for_an_earlier_id_ends_alone() {
+    let mut harness = Harness::with_ready_target();
+    harness.advance(10);
+    harness.start("s", "a");
+    let late_start = harness.starts[0].clone();
+    let target = "t-1".parse().unwrap();
+    harness.handle(RunsEvent::Deregistered { target });
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-2", 2, 1)));
+    let goodbyes = harness.goodbye_count;
+    harness.handle(RunsEvent::StartCompleted {
+        request: late_start,
+        outcome: refused(Refusal::WrongIncarnation),
+    });
+    expect_that!(harness.ended.len(), eq(1));
+    expect_that!(harness.goodbye_count, eq(goodbyes));
+}
