Accept heartbeats of an incarnation whose clock was set back

Callers saw a healthy worker without tasks. A target whose time of day is set back before a restart reports an earlier start time. Its heartbeats were ignored as outdated for good, so that its announcement expired and never came back.

Failed before: an_incarnation_whose_clock_was_set_back_is_announced_again, announcement_count 1 instead of 2. a_late_heartbeat_of_an_incarnation_with_a_later_start_time_ends_no_runs passed before, because the first heartbeat was ignored; it guards the second rule.

--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -30,7 +30,7 @@
 pub struct RunNumber(pub u32);
 
 /// Identifies one incarnation of a target: the time at which it started, as reported by the target. A
-/// later incarnation has a higher value.
+/// later incarnation has a higher value, unless the target's time of day was set back in between.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From)]
 pub struct TargetIncarnation(pub u64);
 
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -77,6 +77,8 @@
     recalled_heartbeat: Option<Heartbeat>,
     /// Incarnation that the last snapshot came from, or a later one that a heartbeat has shown since.
     incarnation: Option<TargetIncarnation>,
+    /// Incarnation that the present one has replaced.
+    previous_incarnation: Option<TargetIncarnation>,
     /// When the present incarnation became known.
     incarnation_since: Moment,
     /// Sequence number of the last end that was processed.
@@ -145,6 +147,7 @@
             stored_heartbeat: None,
             recalled_heartbeat: None,
             incarnation: None,
+            previous_incarnation: None,
             incarnation_since: now,
             last_end_sequence: 0,
             maybe_restarted_at: None,
@@ -205,7 +208,7 @@
 
     fn on_heartbeat(&mut self, now: Moment, heartbeat: Heartbeat, out: &mut Vec<RunsAction>) {
         if let Some((known, _)) = &self.heartbeat
-            && is_outdated(&heartbeat, known)
+            && self.is_outdated_heartbeat(&heartbeat, known)
         {
             return;
         }
@@ -228,6 +231,21 @@
         self.announce_if_ready(now, out);
     }
 
+    /// Whether a heartbeat was sent before `known`, by the same incarnation or an earlier one. What snapshots
+    /// have shown comes before start times, as the target's time of day may be set back.
+    fn is_outdated_heartbeat(&self, heartbeat: &Heartbeat, known: &Heartbeat) -> bool {
+        if incarnation_key(heartbeat) == incarnation_key(known) {
+            return heartbeat.sequence <= known.sequence;
+        }
+        let Some(incarnation) = heartbeat.incarnation else {
+            return false;
+        };
+        if self.incarnation == Some(incarnation) {
+            return false;
+        }
+        self.previous_incarnation == Some(incarnation) || Some(incarnation) < known.incarnation
+    }
+
     fn on_heartbeat_recalled(
         &mut self,
         now: Moment,
@@ -276,6 +294,7 @@
         });
         self.last_end_sequence = 0;
         self.target_clock = None;
+        self.previous_incarnation = self.incarnation.or(self.previous_incarnation);
         self.set_incarnation(now, current);
         self.end_or_recheck_runs(now, out);
     }
@@ -360,11 +379,3 @@
 fn incarnation_key(heartbeat: &Heartbeat) -> (&dfs_ids::TargetId, Option<TargetIncarnation>) {
     (&heartbeat.target, heartbeat.incarnation)
 }
-
-/// Whether a heartbeat was sent before `known`, by the same incarnation or an earlier one.
-fn is_outdated(heartbeat: &Heartbeat, known: &Heartbeat) -> bool {
-    if incarnation_key(heartbeat) == incarnation_key(known) {
-        return heartbeat.sequence <= known.sequence;
-    }
-    heartbeat.incarnation.is_some() && heartbeat.incarnation < known.incarnation
-}
--- a/crates/policy/tests/runs/restarts.rs
+++ b/crates/policy/tests/runs/restarts.rs
@@ -242,3 +242,32 @@
     expect_that!(harness.ended.len(), eq(1));
     expect_that!(harness.goodbye_count, eq(goodbyes));
 }
+
+#[googletest::test]
+fn an_incarnation_whose_clock_was_set_back_is_announced_again() {
+    let mut harness = Harness::new();
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 5, 9)));
+    harness.answer_poll_from(5, harness.last_poll(), &[], &[]);
+    harness.advance(10);
+    harness.answer_poll_from(3, harness.last_poll(), &[], &[]);
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 3, 1)));
+    expect_that!(harness.announcement_count, eq(2));
+}
+
+#[googletest::test]
+fn a_late_heartbeat_of_an_incarnation_with_a_later_start_time_ends_no_runs() {
+    let mut harness = Harness::new();
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 5, 9)));
+    harness.answer_poll_from(5, harness.last_poll(), &[], &[]);
+    harness.advance(10);
+    harness.answer_poll_from(3, harness.last_poll(), &[], &[]);
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 3, 1)));
+    harness.start("s", "a");
+    harness.accept_start();
+    harness.advance(10);
+    harness.answer_poll_from(3, harness.last_poll(), &[("a", 1)], &[]);
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 5, 10)));
+    harness.advance(300);
+    harness.answer_poll_from(3, harness.last_poll(), &[("a", 1)], &[]);
+    expect_that!(harness.ended, is_empty());
+}
