Wait for the longest lease after a target has restarted

Callers could see two runs of one task at a time. The end of a lease is a time on the target's clock, which starts anew with the target. A start with a lease end of the old clock that the new incarnation executes gets the longest lease that the target grants, but the agent ended the runs of an unreachable target after the shorter lease it had asked for.

A restart extends the time after which runs have certainly ended by the longest lease.

Failed before: runs_kept_over_a_restart_end_only_after_the_longest_lease, run ended as Unknown("its lease has lapsed") before the longest lease was over.

--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -135,7 +135,7 @@
     /// of earlier incarnations of the agent; if it is not, it is raised when the target refuses it.
     #[must_use]
     pub fn new(options: RunsOptions, token: FencingToken, now: Moment) -> Self {
-        let lease_expires_at = now + with_clock_drift(options.max_lease_ms) + options.stop_ms;
+        let lease_expires_at = longest_lease_end(&options, now);
         Self {
             options,
             token,
@@ -296,6 +296,10 @@
         self.target_clock = None;
         self.previous_incarnation = self.incarnation.or(self.previous_incarnation);
         self.set_incarnation(now, current);
+        // A lease end on the clock of the previous incarnation is so late on the new one's that the target
+        // shortens the lease to the longest that it grants.
+        let until = longest_lease_end(&self.options, now);
+        self.lease_expires_at = self.lease_expires_at.max(until);
         self.end_or_recheck_runs(now, out);
     }
 
@@ -370,6 +374,11 @@
     }
 }
 
+/// Latest time, by this process's clock, until which a run continues whose lease begins now.
+fn longest_lease_end(options: &RunsOptions, now: Moment) -> Moment {
+    now + with_clock_drift(options.max_lease_ms) + options.stop_ms
+}
+
 /// Longest time, by this process's clock, that a lease can last on another instance.
 fn with_clock_drift(lease_ms: Millis) -> Millis {
     let (numerator, denominator) = MAX_CLOCK_DRIFT;
--- a/crates/policy/tests/runs/restarts.rs
+++ b/crates/policy/tests/runs/restarts.rs
@@ -1,5 +1,6 @@
 //! A target that restarts under the id that it had.
 
+use dfs_ids::Millis;
 use dfs_policy::runs::PollOutcome;
 use dfs_policy::runs::Refusal;
 use dfs_policy::runs::RunOutcome;
@@ -7,6 +8,7 @@
 use googletest::prelude::*;
 
 use super::bench::Harness;
+use super::bench::MAX_LEASE_MS;
 use super::bench::heartbeat;
 use super::bench::is_done;
 use super::bench::is_interrupted;
@@ -271,3 +273,23 @@
     harness.answer_poll_from(3, harness.last_poll(), &[("a", 1)], &[]);
     expect_that!(harness.ended, is_empty());
 }
+
+#[googletest::test]
+fn runs_kept_over_a_restart_end_only_after_the_longest_lease() {
+    let mut harness = Harness::with_ready_target();
+    harness.advance(2 * MAX_LEASE_MS);
+    harness.start("s", "a");
+    let lease_sent_at = harness.now;
+    harness.answer_poll_from(2, harness.last_poll(), &[("a", 1)], &[]);
+    harness.fail_poll();
+    while harness.now < lease_sent_at + Millis::new(MAX_LEASE_MS) {
+        let polls = harness.polls.len();
+        expect_that!(harness.ended, is_empty());
+        harness.advance(10);
+        if harness.polls.len() > polls {
+            harness.fail_poll();
+        }
+    }
+    harness.advance(MAX_LEASE_MS);
+    expect_that!(harness.ended.len(), eq(1));
+}
