Wait for the answer to a start in flight over a restart

Callers could see two runs of one task at a time if a target restarted twice while a start was in flight: the poll that resolved the start was answered by the incarnation in between, and the last one, which has seen no token, executed the request.

A start in flight keeps waiting for its answer or timeout over a restart; only what is unanswered then is resolved by a poll. Starts that the new incarnation accepts also are no longer fenced by that poll. The target's clock in such an answer is not used, because the earlier incarnation may have sent it. A start that was refused has certainly not run.

Failed before: a_start_in_flight_over_two_restarts_may_run_on_the_last_incarnation, 'harness.ended' not empty with Unknown("the target has started anew").

--- a/crates/policy/src/runs/active.rs
+++ b/crates/policy/src/runs/active.rs
@@ -86,8 +86,8 @@
     }
 
     /// After a restart of the target, ends the runs that were certainly active on the previous incarnation.
-    /// The requests for the other ones may be executed by the present one, which has not seen any token; a poll
-    /// with a raised token shows whether they were.
+    /// The requests for the other ones may be executed by the present one, which has not seen any token. Those
+    /// in flight are still answered or time out; for the rest, a poll with a raised token shows whether they run.
     pub(super) fn end_or_recheck_runs(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
         self.raise_token(self.token);
         let resolved_by = self.token;
@@ -98,7 +98,9 @@
             if matches!(tracked.phase, Phase::Running { since } if since <= poll_sent_at) {
                 lost.push(name.clone());
             } else {
-                tracked.phase = Phase::Unanswered { resolved_by };
+                if tracked.phase != Phase::Requested {
+                    tracked.phase = Phase::Unanswered { resolved_by };
+                }
                 tracked.may_have_run = true;
             }
         }
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -172,19 +172,21 @@
         let name = &request.spec.name;
         let is_current =
             |tracked: &TrackedRun| tracked.run == request.run && tracked.phase == Phase::Requested;
-        if !self.tracked.get(name).is_some_and(is_current) {
+        let Some(tracked) = self.tracked.get(name).filter(|tracked| is_current(tracked)) else {
             return;
-        }
+        };
+        // The earlier incarnation may have answered, whose clock the present one does not continue.
+        let is_clock_usable = !tracked.may_have_run;
         match outcome {
             RequestOutcome::Done { clock } => {
-                self.record_clock(now, clock);
+                self.record_clock(now, clock.filter(|_| is_clock_usable));
                 if let Some(tracked) = self.tracked.get_mut(name) {
                     tracked.phase = Phase::Running { since: now };
                 }
                 self.send_stop(now, name, out);
             }
             RequestOutcome::Refused { refusal, clock } => {
-                self.record_clock(now, clock);
+                self.record_clock(now, clock.filter(|_| is_clock_usable));
                 self.on_start_refused(now, request, refusal, out);
             }
             RequestOutcome::Unknown { message } => {
@@ -214,6 +216,7 @@
             return;
         };
         tracked.refused_starts += 1;
+        tracked.may_have_run = false;
         out.push(RunsAction::StartRefused {
             task: tracked.task.clone(),
             name: name.clone(),
--- a/crates/policy/tests/runs/restarts.rs
+++ b/crates/policy/tests/runs/restarts.rs
@@ -95,6 +95,7 @@
     harness.answer_poll_from(2, poll_before.clone(), &[], &[]);
     expect_that!(harness.ended, is_empty());
     expect_that!(harness.last_poll().token, gt(poll_before.token));
+    harness.answer_start(unanswered());
     harness.answer_poll_from(2, harness.last_poll(), &[], &[]);
     expect_that!(harness.ended.len(), eq(1));
     expect_true!(is_interrupted(&harness.ended[0].1));
@@ -293,3 +294,19 @@
     harness.advance(MAX_LEASE_MS);
     expect_that!(harness.ended.len(), eq(1));
 }
+
+#[googletest::test]
+fn a_start_in_flight_over_two_restarts_may_run_on_the_last_incarnation() {
+    let mut harness = Harness::with_ready_target();
+    harness.advance(10);
+    harness.start("s", "a");
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 2, 1)));
+    let poll = harness.last_poll();
+    harness.accept_start();
+    harness.answer_poll_from(2, poll, &[], &[]);
+    expect_that!(harness.ended, is_empty());
+    harness.advance(10);
+    harness.answer_poll_from(3, harness.last_poll(), &[("a", 1)], &[]);
+    harness.answer_poll_from(3, harness.last_poll(), &[("a", 1)], &[]);
+    expect_that!(harness.ended, is_empty());
+}
