--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -30,7 +30,7 @@
 pub struct RunNumber(pub u32);
 
 /// Identifies one incarnation of a target: the time at which it started, as reported by the target. A
-/// later incarnation has a higher value.
+/// later incarnation has a higher value, unless the target's time of day was set back in between.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From)]
 pub struct TargetIncarnation(pub u64);
 
@@ -158,7 +158,7 @@
     },
 }
 
-/// All runs of a target at one point in time.
+/// Runs of a target at one point in time.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunSnapshot {
     /// Time of the target's clock when it took the snapshot.
@@ -169,6 +169,9 @@
     pub running: Vec<ActiveRun>,
     /// Ended runs with a sequence number above [`PollRequest::last_acked_end`], in ascending order.
     pub ended: Vec<EndedRun>,
+    /// Whether `ended` certainly contains all these ends. If it does not, nothing follows from a run that is not
+    /// listed.
+    pub is_complete: bool,
 }
 
 /// A run that has not ended.
@@ -337,7 +340,8 @@
     },
     /// Another incarnation of the target has answered or sent a heartbeat.
     TargetRestarted {
-        /// Incarnation of the last snapshot; `None` if there was none since the last restart.
+        /// Incarnation known before, from a snapshot or a heartbeat; `None` if there was none since the last
+        /// restart.
         previous: Option<TargetIncarnation>,
         /// The new incarnation; `None` if the target has not named it yet.
         current: Option<TargetIncarnation>,
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -24,6 +24,7 @@
 use super::StopRequest;
 use super::UNREACHABLE_MS;
 use super::active::Phase;
+use super::active::RESTARTED;
 use super::active::TrackedRun;
 use super::active::interrupted_end;
 use crate::agent::RunEnd;
@@ -36,7 +37,8 @@
 impl Runs {
     pub(super) fn send_poll_if_due(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
         let resolves_start = self.may_resolve_start();
-        if !resolves_start && (now < self.next_poll_at || !self.may_poll(now)) {
+        let is_urgent = resolves_start || self.awaits_snapshot_after_restart();
+        if !is_urgent && (now < self.next_poll_at || !self.may_poll(now)) {
             return;
         }
         self.pending_polls += 1;
@@ -50,8 +52,9 @@
             self.extend_lease_bound(now);
         }
         // Until the takeover is complete, the clock and the runs of earlier incarnations are needed at once, and
-        // so is the answer that resolves a start.
-        let wait_ms = if self.taken_over && !resolves_start {
+        // so are the clock of a restarted target, further ends and the answer that resolves a start.
+        let may_wait = self.taken_over && self.has_read_all_ends && self.target_clock.is_some();
+        let wait_ms = if may_wait && !resolves_start {
             self.options.poll_wait_ms
         } else {
             dfs_ids::Millis::default()
@@ -60,12 +63,19 @@
             target: self.target_id(),
             lease_until,
             token: self.token,
-            last_acked_end: self.last_end_sequence,
+            last_acked_end: self.end_to_acknowledge(),
             wait_ms,
             sent_at: now,
         }));
     }
 
+    const fn end_to_acknowledge(&self) -> u64 {
+        if self.maybe_restarted_at.is_some() {
+            return 0;
+        }
+        self.last_end_sequence
+    }
+
     /// Whether a start was not answered that no poll sent so far resolves. Its task waits until it is certain
     /// that the run never starts here.
     fn may_resolve_start(&self) -> bool {
@@ -73,6 +83,13 @@
         self.pending_polls < MAX_PENDING_POLLS && self.tracked.values().any(is_unresolved)
     }
 
+    /// Whether the target has restarted and no poll was sent since. Nothing starts there until one is answered.
+    fn awaits_snapshot_after_restart(&self) -> bool {
+        self.pending_polls < MAX_PENDING_POLLS
+            && self.target_clock.is_none()
+            && self.last_poll_sent_at < self.incarnation_since
+    }
+
     /// Allows one poll at a time, and a further one when the last answer is overdue.
     fn may_poll(&self, now: Moment) -> bool {
         let overdue_at = self.last_poll_sent_at + self.options.poll_wait_ms + POLL_OVERDUE_MS;
@@ -90,9 +107,17 @@
         if outcome != PollOutcome::NotListening {
             self.not_listening_since = None;
         }
+        if matches!(
+            outcome,
+            PollOutcome::NotListening | PollOutcome::WrongIncarnation | PollOutcome::Failed { .. }
+        ) {
+            self.maybe_restarted_at = Some(now);
+        }
         match outcome {
             PollOutcome::Runs(snapshot) => self.on_snapshot(now, poll, &snapshot, out),
             PollOutcome::Fenced => self.raise_token_after_fenced_poll(poll.token),
+            // The poll was sent for a target id that is known to be replaced.
+            PollOutcome::WrongIncarnation if poll.target != self.target_id() => {}
             PollOutcome::WrongIncarnation => {
                 self.on_incarnation_lost(now, out);
                 self.next_poll_at = now + POLL_RETRY_DELAY_MS;
@@ -158,14 +183,18 @@
         snapshot: &RunSnapshot,
         out: &mut Vec<RunsAction>,
     ) {
-        if self.incarnation.is_some()
-            && snapshot.incarnation.is_some()
-            && snapshot.incarnation != self.incarnation
-        {
-            self.on_new_incarnation(now, snapshot.incarnation, out);
+        if self.is_outdated(poll, snapshot) {
+            return;
+        }
+        if snapshot.incarnation.is_some() && snapshot.incarnation != self.incarnation {
+            if self.incarnation.is_some() {
+                self.on_new_incarnation(now, snapshot.incarnation, out);
+            }
+            self.set_incarnation(now, snapshot.incarnation);
         }
-        self.incarnation = snapshot.incarnation.or(self.incarnation);
+        self.maybe_restarted_at.take_if(|at| *at <= poll.sent_at);
         self.last_snapshot_at = now;
+        self.last_answered_poll_sent_at = self.last_answered_poll_sent_at.max(poll.sent_at);
         self.fenced_polls = 0;
         let had_clock = self.target_clock.is_some();
         self.record_clock(now, Some(snapshot.clock));
@@ -174,23 +203,34 @@
         }
         let runs = snapshot.running.iter();
         let running: HashSet<_> = runs.map(|run| (run.name.clone(), run.run)).collect();
-        self.resolve_unanswered_starts(now, poll, &running, out);
-        self.end_missing_runs(now, poll, &running, out);
+        self.resolve_unanswered_starts(now, poll, snapshot.is_complete, &running, out);
+        if snapshot.is_complete {
+            self.end_missing_runs(now, poll, &running, out);
+        }
         self.stop_orphans(&running, out);
         self.resend_stops(now, out);
         self.report_progress(snapshot, out);
         self.last_run_numbers
             .retain(|_, (_, ended_at)| now < *ended_at + RUN_NUMBER_RETENTION_MS);
         let was_failing = self.polls_failing_since.take().is_some();
+        let had_read_all_ends =
+            std::mem::replace(&mut self.has_read_all_ends, snapshot.is_complete);
         self.use_recalled_heartbeat(now, out);
-        if !self.taken_over && self.orphans(&running).next().is_none() {
+        if !self.taken_over && snapshot.is_complete && self.orphans(&running).next().is_none() {
             self.complete_takeover(out);
             self.announce_if_ready(now, out);
-        } else if was_failing || !had_clock {
+        } else if was_failing || !had_clock || !had_read_all_ends {
             self.announce_if_ready(now, out);
         }
     }
 
+    /// Whether a snapshot may have been taken by an earlier incarnation, and is not known to be of the present
+    /// one. Start times of incarnations are not compared, as the target's time of day may be set back.
+    fn is_outdated(&self, poll: &PollRequest, snapshot: &RunSnapshot) -> bool {
+        let is_current = snapshot.incarnation.is_some() && snapshot.incarnation == self.incarnation;
+        poll.sent_at < self.incarnation_since && !is_current
+    }
+
     fn on_ended(&mut self, now: Moment, ended: &EndedRun, out: &mut Vec<RunsAction>) {
         if ended.sequence <= self.last_end_sequence {
             return;
@@ -222,12 +262,13 @@
             .is_some_and(|tracked| tracked.run == run)
     }
 
-    /// Resolves unanswered starts after a poll with a token that fences them: a run that the snapshot does
-    /// not list never starts.
+    /// Resolves unanswered starts after a poll with a token that fences them: a run that a complete snapshot
+    /// does not list never starts.
     fn resolve_unanswered_starts(
         &mut self,
         now: Moment,
         poll: &PollRequest,
+        is_complete: bool,
         running: &HashSet<(Arc<str>, RunNumber)>,
         out: &mut Vec<RunsAction>,
     ) {
@@ -240,16 +281,20 @@
             .iter()
             .filter(|(_, tracked)| is_resolved(tracked));
         let resolved: Vec<_> = resolved
-            .map(|(name, tracked)| (name.clone(), tracked.run))
+            .map(|(name, tracked)| (name.clone(), tracked.run, tracked.may_have_run))
             .collect();
-        for (name, run) in resolved {
+        for (name, run, may_have_run) in resolved {
             if running.contains(&(name.clone(), run)) {
                 if let Some(tracked) = self.tracked.get_mut(&name) {
                     tracked.phase = Phase::Running { since: now };
                 }
-            } else {
-                let reason = NotRunReason::ConnectionRefused;
-                self.end_run(now, &name, RunEnd::NotStarted(reason), None, out);
+            } else if is_complete {
+                let end = if may_have_run {
+                    interrupted_end(RESTARTED.to_owned())
+                } else {
+                    RunEnd::NotStarted(NotRunReason::ConnectionRefused)
+                };
+                self.end_run(now, &name, end, None, out);
             }
         }
     }
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -75,10 +75,17 @@
     /// Heartbeat received by an earlier incarnation of the agent. It is used once the target reports the same
     /// incarnation, until its next heartbeat arrives.
     recalled_heartbeat: Option<Heartbeat>,
-    /// Incarnation that the last snapshot came from.
+    /// Incarnation that the last snapshot came from, or a later one that a heartbeat has shown since.
     incarnation: Option<TargetIncarnation>,
+    /// Incarnation that the present one has replaced.
+    previous_incarnation: Option<TargetIncarnation>,
+    /// When the present incarnation became known.
+    incarnation_since: Moment,
     /// Sequence number of the last end that was processed.
     last_end_sequence: u64,
+    /// When a request last met a target that may have restarted since, if no later poll was answered. Until
+    /// then polls acknowledge no ends, because a new incarnation would discard its own.
+    maybe_restarted_at: Option<Moment>,
     /// Last known time of the target's clock, and when it was received.
     target_clock: Option<(TargetTime, Moment)>,
     /// Latest time, by this process's clock, until which a run may continue if no lease is renewed.
@@ -92,11 +99,15 @@
     not_listening_since: Option<Moment>,
     /// When a poll last returned a snapshot.
     last_snapshot_at: Moment,
+    /// When the last of the polls that returned a snapshot was sent.
+    last_answered_poll_sent_at: Moment,
     /// Time of the first failed poll since the last snapshot.
     polls_failing_since: Option<Moment>,
     next_poll_at: Moment,
     /// Whether all runs of earlier incarnations of the agent have certainly ended.
     taken_over: bool,
+    /// Whether the last snapshot listed all ends.
+    has_read_all_ends: bool,
     /// Stop requests sent to runs of earlier incarnations of the agent.
     orphans_stopped: usize,
     is_announced: bool,
@@ -124,7 +135,7 @@
     /// of earlier incarnations of the agent; if it is not, it is raised when the target refuses it.
     #[must_use]
     pub fn new(options: RunsOptions, token: FencingToken, now: Moment) -> Self {
-        let lease_expires_at = now + with_clock_drift(options.max_lease_ms) + options.stop_ms;
+        let lease_expires_at = longest_lease_end(&options, now);
         Self {
             options,
             token,
@@ -136,7 +147,10 @@
             stored_heartbeat: None,
             recalled_heartbeat: None,
             incarnation: None,
+            previous_incarnation: None,
+            incarnation_since: now,
             last_end_sequence: 0,
+            maybe_restarted_at: None,
             target_clock: None,
             lease_expires_at,
             pending_polls: 0,
@@ -144,9 +158,11 @@
             last_poll_token: FencingToken::default(),
             not_listening_since: None,
             last_snapshot_at: now,
+            last_answered_poll_sent_at: now,
             polls_failing_since: None,
             next_poll_at: now,
             taken_over: false,
+            has_read_all_ends: false,
             orphans_stopped: 0,
             is_announced: false,
             fenced_polls: 0,
@@ -192,7 +208,7 @@
 
     fn on_heartbeat(&mut self, now: Moment, heartbeat: Heartbeat, out: &mut Vec<RunsAction>) {
         if let Some((known, _)) = &self.heartbeat
-            && is_outdated(&heartbeat, known)
+            && self.is_outdated_heartbeat(&heartbeat, known)
         {
             return;
         }
@@ -200,7 +216,10 @@
             .heartbeat
             .as_ref()
             .is_some_and(|(known, _)| incarnation_key(known) != incarnation_key(&heartbeat));
-        if is_new_incarnation {
+        // A snapshot may have shown the change before, and runs may have started since.
+        let is_current =
+            heartbeat.incarnation.is_some() && heartbeat.incarnation == self.incarnation;
+        if is_new_incarnation && !is_current {
             self.on_new_incarnation(now, heartbeat.incarnation, out);
         }
         let is_stored = |stored: &Heartbeat| stored.agrees_with(&heartbeat);
@@ -212,6 +231,21 @@
         self.announce_if_ready(now, out);
     }
 
+    /// Whether a heartbeat was sent before `known`, by the same incarnation or an earlier one. What snapshots
+    /// have shown comes before start times, as the target's time of day may be set back.
+    fn is_outdated_heartbeat(&self, heartbeat: &Heartbeat, known: &Heartbeat) -> bool {
+        if incarnation_key(heartbeat) == incarnation_key(known) {
+            return heartbeat.sequence <= known.sequence;
+        }
+        let Some(incarnation) = heartbeat.incarnation else {
+            return false;
+        };
+        if self.incarnation == Some(incarnation) {
+            return false;
+        }
+        self.previous_incarnation == Some(incarnation) || Some(incarnation) < known.incarnation
+    }
+
     fn on_heartbeat_recalled(
         &mut self,
         now: Moment,
@@ -245,8 +279,8 @@
         }
     }
 
-    /// Ends all runs: a new incarnation of the target has neither the runs nor the fencing token of the
-    /// previous one.
+    /// Handles the restart of a target, which has lost the runs and the fencing token of the previous
+    /// incarnation.
     fn on_new_incarnation(
         &mut self,
         now: Moment,
@@ -260,15 +294,25 @@
         });
         self.last_end_sequence = 0;
         self.target_clock = None;
-        self.incarnation = None;
-        self.interrupt_all(now, "the target has started anew", out);
+        self.previous_incarnation = self.incarnation.or(self.previous_incarnation);
+        self.set_incarnation(now, current);
+        // A lease end on the clock of the previous incarnation is so late on the new one's that the target
+        // shortens the lease to the longest that it grants.
+        let until = longest_lease_end(&self.options, now);
+        self.lease_expires_at = self.lease_expires_at.max(until);
+        self.end_or_recheck_runs(now, out);
         // Without the time of the new incarnation no start can carry a lease end; it refuses such a start.
         self.send_goodbye(out);
-        self.next_poll_at = now;
     }
 
-    /// Announces the target to the agent if the takeover is complete, the target responds and has sent its time,
-    /// and its heartbeat is of the incarnation that responds; withdraws the announcement if the target is draining or its heartbeat is overdue.
+    fn set_incarnation(&mut self, now: Moment, current: Option<TargetIncarnation>) {
+        self.incarnation = current;
+        self.incarnation_since = now;
+    }
+
+    /// Announces the target to the agent if the takeover is complete, all ends are read, the target responds
+    /// and has sent its time, and its heartbeat is of the incarnation that responds. Withdraws the
+    /// announcement if the target is draining or its heartbeat is overdue.
     fn announce_if_ready(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
         let Some((heartbeat, received_at)) = &self.heartbeat else {
             return;
@@ -280,6 +324,7 @@
             .is_some_and(|(of_heartbeat, current)| of_heartbeat != current);
         if heartbeat.is_draining
             || !self.taken_over
+            || !self.has_read_all_ends
             || self.target_clock.is_none()
             || is_of_other_incarnation
             || self.polls_failing_since.is_some()
@@ -338,6 +383,11 @@
     }
 }
 
+/// Latest time, by this process's clock, until which a run continues whose lease begins now.
+fn longest_lease_end(options: &RunsOptions, now: Moment) -> Moment {
+    now + with_clock_drift(options.max_lease_ms) + options.stop_ms
+}
+
 /// Longest time, by this process's clock, that a lease can last on another instance.
 fn with_clock_drift(lease_ms: Millis) -> Millis {
     let (numerator, denominator) = MAX_CLOCK_DRIFT;
@@ -347,11 +397,3 @@
 fn incarnation_key(heartbeat: &Heartbeat) -> (&dfs_ids::TargetId, Option<TargetIncarnation>) {
     (&heartbeat.target, heartbeat.incarnation)
 }
-
-/// Whether a heartbeat was sent before `known`, by the same incarnation or an earlier one.
-fn is_outdated(heartbeat: &Heartbeat, known: &Heartbeat) -> bool {
-    if incarnation_key(heartbeat) == incarnation_key(known) {
-        return heartbeat.sequence <= known.sequence;
-    }
-    heartbeat.incarnation.is_some() && heartbeat.incarnation < known.incarnation
-}
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -93,6 +93,7 @@
                 started_at: now,
                 phase: Phase::Requested,
                 refused_starts: 0,
+                may_have_run: false,
                 pending_stop: None,
             },
         );
@@ -167,22 +168,27 @@
         outcome: RequestOutcome,
         out: &mut Vec<RunsAction>,
     ) {
+        if may_have_restarted(&outcome) {
+            self.maybe_restarted_at = Some(now);
+        }
         let name = &request.spec.name;
         let is_current =
             |tracked: &TrackedRun| tracked.run == request.run && tracked.phase == Phase::Requested;
-        if !self.tracked.get(name).is_some_and(is_current) {
+        let Some(tracked) = self.tracked.get(name).filter(|tracked| is_current(tracked)) else {
             return;
-        }
+        };
+        // The earlier incarnation may have answered, whose clock the present one does not continue.
+        let is_clock_usable = !tracked.may_have_run;
         match outcome {
             RequestOutcome::Done { clock } => {
-                self.record_clock(now, clock);
+                self.record_clock(now, clock.filter(|_| is_clock_usable));
                 if let Some(tracked) = self.tracked.get_mut(name) {
                     tracked.phase = Phase::Running { since: now };
                 }
                 self.send_stop(now, name, out);
             }
             RequestOutcome::Refused { refusal, clock } => {
-                self.record_clock(now, clock);
+                self.record_clock(now, clock.filter(|_| is_clock_usable));
                 self.on_start_refused(now, request, refusal, out);
             }
             RequestOutcome::Unknown { message } => {
@@ -212,6 +218,7 @@
             return;
         };
         tracked.refused_starts += 1;
+        tracked.may_have_run = false;
         out.push(RunsAction::StartRefused {
             task: tracked.task.clone(),
             name: name.clone(),
@@ -241,7 +248,10 @@
             }
             Refusal::WrongIncarnation => {
                 self.end_not_started(now, name, NotRunReason::Leaving, out);
-                self.on_incarnation_lost(now, out);
+                // Otherwise the request was sent for a target id that is known to be replaced.
+                if request.target == self.target_id() {
+                    self.on_incarnation_lost(now, out);
+                }
             }
         }
     }
@@ -275,3 +285,15 @@
         }
     }
 }
+
+/// Whether the outcome of a request leaves open which incarnation of the target is there now.
+const fn may_have_restarted(outcome: &RequestOutcome) -> bool {
+    match outcome {
+        RequestOutcome::Done { .. } => false,
+        RequestOutcome::Unknown { .. } => true,
+        RequestOutcome::Refused { refusal, .. } => matches!(
+            refusal,
+            Refusal::NotListening | Refusal::Unhealthy | Refusal::WrongIncarnation
+        ),
+    }
+}
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -14,6 +14,7 @@
 use dfs_policy::runs::Heartbeat;
 use dfs_policy::runs::PollOutcome;
 use dfs_policy::runs::PollRequest;
+use dfs_policy::runs::Refusal;
 use dfs_policy::runs::RequestOutcome;
 use dfs_policy::runs::RunNumber;
 use dfs_policy::runs::RunOutcome;
@@ -27,6 +28,7 @@
 use dfs_policy::runs::TargetIncarnation;
 use dfs_policy::runs::TargetTime;
 use dfs_policy::runs::TaskSpec;
+use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
 use dfs_wire::target::Offer;
 use dfs_wire::target::Resources;
@@ -193,9 +195,28 @@
                     outcome: outcome.clone(),
                 })
                 .collect(),
+            is_complete: true,
         }
     }
 
+    /// Answers a poll with the active and ended runs of this incarnation.
+    pub fn answer_poll_from(
+        &mut self,
+        incarnation: u64,
+        poll: PollRequest,
+        running: &[(&str, u32)],
+        ended: &[(u64, &str, u32, RunOutcome)],
+    ) {
+        let mut snapshot = self.snapshot(running, ended);
+        snapshot.incarnation = Some(TargetIncarnation(incarnation));
+        let outcome = PollOutcome::Runs(snapshot);
+        self.handle(RunsEvent::PollCompleted { poll, outcome });
+    }
+
+    pub fn last_poll(&self) -> PollRequest {
+        self.polls.last().unwrap().clone()
+    }
+
     pub fn answer_poll(&mut self, outcome: PollOutcome) {
         let poll = self.polls.last().unwrap().clone();
         self.handle(RunsEvent::PollCompleted { poll, outcome });
@@ -213,3 +234,24 @@
         self.answer_poll(PollOutcome::Failed { message });
     }
 }
+
+pub fn unanswered() -> RequestOutcome {
+    RequestOutcome::Unknown {
+        message: "no answer".to_owned(),
+    }
+}
+
+pub fn refused(refusal: Refusal) -> RequestOutcome {
+    RequestOutcome::Refused {
+        refusal,
+        clock: None,
+    }
+}
+
+pub fn is_done(end: &RunEnd) -> bool {
+    matches!(end, RunEnd::Finished(TaskOutcome::Done(_)))
+}
+
+pub fn is_interrupted(end: &RunEnd) -> bool {
+    matches!(end, RunEnd::Finished(TaskOutcome::Unknown(_)))
+}
