Report a target that stays announced beside a task returned as leaving

An entry that gets one task back as leaving takes the target for leaving until its agent reports another state, and the agent reported its state only when the announcement changed. A start that crosses a withdrawal, or is refused for an id that has been replaced, comes back as leaving although the target is announced (again): that entry then never placed anything there.

The agent now reports the state of its target in the report that returns such a task; the entry keeps the state of the same report.

--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -175,6 +175,8 @@
             .get_mut(&entry)
             .filter(|v| v.connection.is_some())
         {
+            // The entry takes the target for leaving; a target that has stayed or returned must be named again.
+            view.is_target_state_pending |= reason == NotRunReason::Leaving;
             view.pending_not_run.push(NotRun { task, reason });
         }
     }
--- a/crates/policy/tests/policy_agent_queue.rs
+++ b/crates/policy/tests/policy_agent_queue.rs
@@ -23,6 +23,7 @@
 use dfs_wire::session::PlacedTask;
 use dfs_wire::session::Placement;
 use dfs_wire::session::SessionParams;
+use dfs_wire::session::TargetState;
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
 use dfs_wire::session::Terms;
@@ -41,6 +42,8 @@
     next_message_seq: u64,
     started: Vec<TaskRef>,
     not_run_reasons: Vec<NotRunReason>,
+    /// Report number and state of each target state that was reported.
+    target_states: Vec<(u64, TargetState)>,
 }
 
 fn body() -> Arc<RawValue> {
@@ -55,6 +58,7 @@
             next_message_seq: 0,
             started: Vec::new(),
             not_run_reasons: Vec::new(),
+            target_states: Vec::new(),
         };
         harness.handle(AgentEvent::TargetAnnounced(Announcement {
             address: ([127, 0, 0, 1], 1).into(),
@@ -132,7 +136,11 @@
             match action {
                 AgentAction::StartRun { task, .. } => self.started.push(task),
                 AgentAction::SendReport { report, .. } => {
+                    let seq = report.seq;
                     for item in report.items {
+                        if let AgentItem::Target(state) = &item {
+                            self.target_states.push((seq, state.clone()));
+                        }
                         if let AgentItem::NotRun(tasks) = item {
                             self.not_run_reasons
                                 .extend(tasks.iter().map(|task| task.reason));
@@ -194,3 +202,20 @@
     let of_lagos = order[..5].iter().filter(|name| name.starts_with("lagos"));
     expect_that!(of_lagos.count(), ge(2));
 }
+
+#[googletest::test]
+fn a_target_that_stays_announced_is_reported_as_live_beside_a_task_returned_as_leaving() {
+    let mut harness = Harness::new();
+    harness.place("s", "aba", 1, 0, IfFull::Queue);
+    let reports_before = harness.target_states.len();
+    let task = harness.started[0].clone();
+    let end = RunEnd::NotStarted(NotRunReason::Leaving);
+    harness.handle(AgentEvent::RunEnded {
+        task,
+        run_us: 0,
+        end,
+    });
+    expect_that!(harness.not_run_reasons, eq(&[NotRunReason::Leaving]));
+    let reported = &harness.target_states[reports_before..];
+    expect_true!(matches!(reported, [(_, TargetState::Live(_))]));
+}
