Ignore heartbeats without an incarnation for a target that names its own

A report of another writer, which the platform allows to lack fields, ended all runs of a sound target as those of an earlier incarnation, and their tasks were placed elsewhere while they still ran.

Failed before: a_heartbeat_without_incarnation_ends_no_runs_of_a_target_that_names_it (one run ended as unknown).

--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -234,6 +234,10 @@
     /// Whether a heartbeat was sent before `known`, by the same incarnation or an earlier one. What snapshots
     /// have shown comes before start times, as the target's time of day may be set back.
     fn is_outdated_heartbeat(&self, heartbeat: &Heartbeat, known: &Heartbeat) -> bool {
+        if heartbeat.incarnation.is_none() && known.incarnation.is_some() {
+            // The target names its incarnation, so this is from another writer.
+            return true;
+        }
         if incarnation_key(heartbeat) == incarnation_key(known) {
             return heartbeat.sequence <= known.sequence;
         }
--- a/crates/policy/tests/runs/restarts.rs
+++ b/crates/policy/tests/runs/restarts.rs
@@ -315,3 +315,15 @@
     harness.answer_poll_from(3, harness.last_poll(), &[("a", 1)], &[]);
     expect_that!(harness.ended, is_empty());
 }
+
+#[googletest::test]
+fn a_heartbeat_without_incarnation_ends_no_runs_of_a_target_that_names_it() {
+    let mut harness = Harness::with_ready_target();
+    harness.start("s", "a");
+    harness.accept_start();
+    let mut foreign = heartbeat("t-1", 1, 7);
+    foreign.incarnation = None;
+    harness.handle(RunsEvent::Heartbeat(foreign));
+    expect_that!(harness.ended, is_empty());
+    expect_that!(harness.goodbye_count, eq(0));
+}
