Fence starts in flight when their target has exited

Once two refused connections show that a target has exited, its tasks are placed anew. A start still in flight could be executed by the next process of the target under the same id, as the polls went on with the same token. Found in review.

The token is raised, so that the first poll that the next process answers fences such a start. One that it executes before that poll is stopped by it, as before.

--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -173,6 +173,8 @@
         if !self.taken_over {
             self.complete_takeover(out);
         }
+        // Fences starts in flight, which the target's next process could execute under the same id.
+        self.raise_token(self.token);
         self.interrupt_all(now, "the target has exited", out);
     }
 
--- a/crates/policy/tests/runs/restarts.rs
+++ b/crates/policy/tests/runs/restarts.rs
@@ -327,3 +327,16 @@
     expect_that!(harness.ended, is_empty());
     expect_that!(harness.goodbye_count, eq(0));
 }
+
+#[googletest::test]
+fn a_start_in_flight_is_fenced_once_its_target_has_exited() {
+    let mut harness = Harness::with_ready_target();
+    harness.advance(10);
+    harness.start("s", "a");
+    let start_token = harness.starts[0].token;
+    harness.answer_poll(PollOutcome::NotListening);
+    harness.advance(60);
+    harness.answer_poll(PollOutcome::NotListening);
+    harness.advance(60);
+    expect_that!(harness.last_poll().token, gt(start_token));
+}
