Keep the delay between polls that another incarnation answers

The poll that is sent at once after a restart ignored the delay after a failed one: 20 polls in 20 ms to a target that answers each as another incarnation.

Failed before: polls_that_another_incarnation_answers_are_not_repeated_without_delay (20 polls).

--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -37,8 +37,8 @@
 impl Runs {
     pub(super) fn send_poll_if_due(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
         let resolves_start = self.may_resolve_start();
-        let is_urgent = resolves_start || self.awaits_snapshot_after_restart();
-        if !is_urgent && (now < self.next_poll_at || !self.may_poll(now)) {
+        let may_poll = self.may_poll(now) || self.awaits_snapshot_after_restart();
+        if !resolves_start && (now < self.next_poll_at || !may_poll) {
             return;
         }
         self.pending_polls += 1;
--- a/crates/policy/tests/runs/restarts.rs
+++ b/crates/policy/tests/runs/restarts.rs
@@ -340,3 +340,13 @@
     harness.advance(60);
     expect_that!(harness.last_poll().token, gt(start_token));
 }
+
+#[googletest::test]
+fn polls_that_another_incarnation_answers_are_not_repeated_without_delay() {
+    let mut harness = Harness::new();
+    for _ in 0..20 {
+        harness.answer_poll(PollOutcome::WrongIncarnation);
+        harness.advance(1);
+    }
+    expect_that!(harness.polls.len(), le(2));
+}
