Acknowledge ends while a target refuses starts as unhealthy

A start refused with 429 or 503 counted as a sign that the target may have restarted, so that polls acknowledged nothing until a later one was answered. On a target that refuses much, ends stayed in its list and each poll was answered at once. Such an answer comes from the process that the request names.

Failed before: ends_are_acknowledged_while_a_target_refuses_starts_as_unhealthy (0 instead of 1).

--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -291,9 +291,8 @@
     match outcome {
         RequestOutcome::Done { .. } => false,
         RequestOutcome::Unknown { .. } => true,
-        RequestOutcome::Refused { refusal, .. } => matches!(
-            refusal,
-            Refusal::NotListening | Refusal::Unhealthy | Refusal::WrongIncarnation
-        ),
+        RequestOutcome::Refused { refusal, .. } => {
+            matches!(refusal, Refusal::NotListening | Refusal::WrongIncarnation)
+        }
     }
 }
--- a/crates/policy/tests/runs/restarts.rs
+++ b/crates/policy/tests/runs/restarts.rs
@@ -350,3 +350,14 @@
     }
     expect_that!(harness.polls.len(), le(2));
 }
+
+#[googletest::test]
+fn ends_are_acknowledged_while_a_target_refuses_starts_as_unhealthy() {
+    let mut harness = Harness::with_ready_target();
+    harness.answer_poll_with(&[], &[(1, "x", 1, RunOutcome::Done)]);
+    harness.advance(10);
+    harness.start("s", "a");
+    harness.answer_start(refused(Refusal::Unhealthy));
+    harness.answer_poll_with(&[], &[]);
+    expect_that!(harness.last_poll().last_acked_end, eq(1));
+}
