--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -221,7 +221,7 @@
 /// Periodic self-report of a target.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Heartbeat {
-    /// Id of the target, which changes with each incarnation.
+    /// Id of the target; an incarnation may take over the id of the one before it.
     pub target: TargetId,
     /// Incarnation of the target, if it reports one.
     pub incarnation: Option<TargetIncarnation>,
@@ -284,7 +284,7 @@
     HeartbeatStored(Heartbeat),
     /// The target announced that it shuts down.
     Deregistered {
-        /// Id of the target, which changes with each incarnation.
+        /// Id of the target; an incarnation may take over the id of the one before it.
         target: TargetId,
     },
     /// Periodic timer: leases and timeouts are checked.
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -266,11 +266,10 @@
         self.end_run(now, name, RunEnd::NotStarted(reason), None, out);
     }
 
-    /// Handles an answer of another incarnation of the target, of which nothing is known until its heartbeat.
+    /// Handles an answer of another incarnation of the target, which has another id and is not known yet.
     pub(super) fn on_incarnation_lost(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
         self.heartbeat = None;
         self.on_new_incarnation(now, None, out);
-        self.send_goodbye(out);
     }
 
     /// Makes the token of later requests higher than `above`.
