--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -168,7 +168,13 @@
             )),
             tokio::spawn(presence::maintain(presence, row, clock, handle.clone())),
         ];
-        let router = host.build_router(&settings, state, active_config, &mut background_tasks);
+        let router = host.build_router(
+            &settings,
+            state,
+            clock,
+            active_config,
+            &mut background_tasks,
+        );
         let caller_server = tokio::spawn(serve_callers(
             listener,
             router,
@@ -279,6 +285,7 @@
         self,
         settings: &EntrySettings,
         state: Arc<request::SharedState>,
+        clock: Clock,
         active_config: ActiveConfig,
         background_tasks: &mut Vec<JoinHandle<()>>,
     ) -> Router {
@@ -288,6 +295,7 @@
                 background_tasks.push(tokio::spawn(poll_head(
                     settings.store.clone(),
                     store,
+                    clock,
                     active_config,
                 )));
                 request::router(Arc::new(request::ApiState {
@@ -298,7 +306,11 @@
                 }))
             }
             Self::Adapted(adapter) => {
-                background_tasks.push(tokio::spawn(follow_feed(adapter.feed, active_config)));
+                background_tasks.push(tokio::spawn(follow_feed(
+                    adapter.feed,
+                    clock,
+                    active_config,
+                )));
                 (adapter.router)(Ingress { state })
             }
         }
--- a/crates/entry/src/version/link.rs
+++ b/crates/entry/src/version/link.rs
@@ -1,5 +1,6 @@
 //! Whether the store is reachable.
 
+use dfs_ids::Millis;
 use dfs_log::ConfigEvent;
 use dfs_log::ErrorText;
 use snafu::Error;
@@ -10,20 +11,27 @@
 #[derive(Debug, Default)]
 pub(super) struct StoreHealth {
     is_unreachable: bool,
+    /// Reads that failed or were overdue since the store stopped answering.
+    failed_reads: u64,
 }
 
 impl StoreHealth {
-    /// Records a successful read, which confirms that the active version is the latest.
-    pub fn record_success(&mut self, active_config: &ActiveConfig) {
+    /// Records a successful read that took `read_ms`, which confirms that the active version is the
+    /// latest.
+    pub fn record_success(&mut self, active_config: &ActiveConfig, read_ms: Millis) {
         if std::mem::take(&mut self.is_unreachable) {
-            let outage_ms = active_config.age_ms().unwrap_or_default();
-            dfs_log::emit(ConfigEvent::StoreReachable { outage_ms });
+            dfs_log::emit(ConfigEvent::StoreReachable {
+                outage_ms: active_config.age_ms().unwrap_or_default(),
+                failed_reads: std::mem::take(&mut self.failed_reads),
+                read_ms,
+            });
         }
         active_config.mark_confirmed();
     }
 
     /// Records a failed read.
     pub fn record_failure(&mut self, active_config: &ActiveConfig, error: &dyn Error) {
+        self.failed_reads += 1;
         if !std::mem::replace(&mut self.is_unreachable, true) {
             dfs_log::emit(ConfigEvent::StoreUnreachable {
                 silent_ms: active_config.age_ms().unwrap_or_default(),
--- a/crates/entry/src/version/poll.rs
+++ b/crates/entry/src/version/poll.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use dfs_conf::StoreSettings;
+use dfs_ids::Clock;
 use dfs_ids::Millis;
 use dfs_log::ConfigSource;
 use dfs_store::ConfigReadError;
@@ -20,12 +21,14 @@
 pub(crate) async fn poll_head(
     settings: StoreSettings,
     store: ConfigStore,
+    clock: Clock,
     active_config: ActiveConfig,
 ) {
     let mut health = StoreHealth::default();
     loop {
+        let sent_at = clock.now();
         match refresh(&store, &active_config).await {
-            Ok(()) => health.record_success(&active_config),
+            Ok(()) => health.record_success(&active_config, clock.now().since(sent_at)),
             Err(error) => health.record_failure(&active_config, &error),
         }
         tokio::time::sleep(jittered(settings.poll_ms)).await;
--- a/crates/log/src/event/config.rs
+++ b/crates/log/src/event/config.rs
@@ -75,6 +75,10 @@
         506 Info "store_reachable" StoreReachable {
             /// Time without a response.
             outage_ms: Millis,
+            /// Reads that failed or were overdue meanwhile.
+            failed_reads: u64,
+            /// Time that the read with the response took.
+            read_ms: Millis,
         }
         /// An entry that had no configuration received one from an agent.
         507 Info "config_from_agent" FromAgent {
