Repeat a read of the configuration that gets no answer, well within the bound

Cause: an entry had one long poll at a time and waited 3,100 ms for its answer before it sent the next one 200 ms later. A poll that the store had lost just before it came back hid every version confirmed in the meantime, although the presence reads of the same process were answered. The time was a setting of its own (feed_wait_ms, 2,500) and a constant, tied to nothing that depends on it.

Change: policy::reads decides when to read. All times follow from the bound: a read without an answer is repeated beside the first one after a quarter of it, so two reads in a row may be lost and half of the bound is left; earlier reads are kept for two bounds, so a slow source is still heard; whichever is answered first counts. The feed of an adapter has no state and no time of its own any more.

--- a/crates/entry/src/edge.rs
+++ b/crates/entry/src/edge.rs
@@ -6,6 +6,7 @@
 use axum::Router;
 use dfs_conf::Config;
 use dfs_conf::Queue;
+use dfs_ids::Millis;
 use dfs_ids::QueueName;
 use dfs_ids::SubmissionId;
 use dfs_log::ErrorText;
@@ -14,6 +15,7 @@
 use dfs_policy::entry::Submission;
 use dfs_store::Presence;
 use dfs_store::ResultFuture;
+use dfs_store::Revision;
 use dfs_store::StoreError;
 use dfs_wire::api::Answer;
 use dfs_wire::api::FailureReason;
@@ -32,15 +34,35 @@
     pub router: Box<dyn FnOnce(Ingress) -> Router + Send>,
     /// Source of new versions of the configuration.
     pub feed: Box<dyn ConfigFeed>,
+    /// Time within which a version must be active after the source has confirmed it.
+    pub config_bound_ms: Millis,
 }
 
 /// A source of configuration versions.
-pub trait ConfigFeed: Send {
-    /// Waits for changes and returns the versions they contain.
+pub trait ConfigFeed: Send + Sync {
+    /// Reads the changes after a revision, or the whole configuration if there is none.
     ///
-    /// Returns an empty list when there was no change within the wait of one read, so that a store
-    /// that has stopped answering can be told from one without changes.
-    fn next(&mut self) -> ResultFuture<'_, Vec<Config>, StoreError>;
+    /// Waits for up to `wait_ms` while there is no change, and then returns no configuration. Sets no
+    /// limit to the time of an answer: reads may overlap, and the caller drops those that it no
+    /// longer waits for.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::HistoryLost`] if the source no longer has the changes after the revision.
+    fn read(
+        &self,
+        after: Option<Revision>,
+        wait_ms: Millis,
+    ) -> ResultFuture<'static, ConfigChanges, StoreError>;
+}
+
+/// Result of one read of a [`ConfigFeed`].
+#[derive(Debug, Clone)]
+pub struct ConfigChanges {
+    /// Versions that the changes contain, in the order of the changes.
+    pub configs: Vec<Config>,
+    /// Revision of the source up to which changes were read.
+    pub revision: Revision,
 }
 
 /// Accepts submissions from the HTTP routes of an [`EntryAdapter`].
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod version;
 
 pub use dfs_inbox::ShutdownOutcome;
+pub use edge::ConfigChanges;
 pub use edge::ConfigFeed;
 pub use edge::EntryAdapter;
 pub use edge::Ingress;
--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -23,6 +23,7 @@
 use dfs_policy::entry as policy;
 use dfs_policy::entry::EntryEvent;
 use dfs_policy::entry::Identity;
+use dfs_policy::reads::ReadTiming;
 use dfs_store::ClaimSettings;
 use dfs_store::Claimer;
 use dfs_store::ConfigStore;
@@ -306,11 +307,9 @@
                 }))
             }
             Self::Adapted(adapter) => {
-                background_tasks.push(tokio::spawn(follow_feed(
-                    adapter.feed,
-                    clock,
-                    active_config,
-                )));
+                let timing = ReadTiming::within(adapter.config_bound_ms);
+                let follow = follow_feed(adapter.feed, timing, clock, active_config);
+                background_tasks.push(tokio::spawn(follow));
                 (adapter.router)(Ingress { state })
             }
         }
--- a/crates/entry/tests/startup.rs
+++ b/crates/entry/tests/startup.rs
@@ -8,6 +8,7 @@
 use dfs_conf::EntrySettings;
 use dfs_conf::Inventory;
 use dfs_conf::Rules;
+use dfs_entry::ConfigChanges;
 use dfs_entry::ConfigFeed;
 use dfs_entry::Entry;
 use dfs_entry::EntryAdapter;
@@ -21,6 +22,7 @@
 use dfs_store::HttpTable;
 use dfs_store::Presence;
 use dfs_store::ResultFuture;
+use dfs_store::Revision;
 use dfs_store::StoreError;
 use googletest::prelude::*;
 use http_body_util::BodyExt;
@@ -52,10 +54,15 @@
 }
 
 impl ConfigFeed for TestFeed {
-    fn next(&mut self) -> ResultFuture<'_, Vec<Config>, StoreError> {
-        Box::pin(async {
-            match self.behaviour {
-                FeedBehaviour::DeliversOnRequest => self.request_arrived.notified().await,
+    fn read(
+        &self,
+        _after: Option<Revision>,
+        _wait_ms: Millis,
+    ) -> ResultFuture<'static, ConfigChanges, StoreError> {
+        let (behaviour, request_arrived) = (self.behaviour, Arc::clone(&self.request_arrived));
+        Box::pin(async move {
+            match behaviour {
+                FeedBehaviour::DeliversOnRequest => request_arrived.notified().await,
                 FeedBehaviour::Silent => std::future::pending().await,
                 FeedBehaviour::Fails => {
                     return Err(StoreError::Malformed {
@@ -64,7 +71,7 @@
                     });
                 }
             }
-            Ok(vec![Config {
+            let config = Config {
                 version: ConfigVersion::new(1),
                 inventory: Inventory {
                     domains: Vec::new(),
@@ -75,7 +82,11 @@
                     targets: Vec::new(),
                 },
                 rules: Rules::default(),
-            }])
+            };
+            Ok(ConfigChanges {
+                configs: vec![config],
+                revision: Revision::new(1),
+            })
         })
     }
 }
@@ -116,6 +127,7 @@
         presence: Presence::from_settings(Arc::new(table), &settings.store),
         router: Box::new(router),
         feed: Box::new(feed),
+        config_bound_ms: Millis::new(2_000),
     };
     let entry = Entry::start_with_adapter(settings, metrics, adapter).await;
     (entry.unwrap(), platform)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod membership;
 pub mod order;
 pub mod placement;
+pub mod reads;
 pub mod response;
 pub mod retry;
 pub mod runs;
--- /dev/null
+++ b/crates/policy/src/reads.rs
@@ -0,0 +1,147 @@
+//! When to read a source of the configuration that may stop answering.
+//!
+//! A read that gets no answer is not waited for: another one is sent beside it long before a confirmed
+//! version is due, and whichever is answered first counts. So neither a lost request, a lost answer nor a
+//! connection that has gone silent hides a version for longer than a part of the bound, and a source that
+//! is merely slow is still heard.
+
+use std::collections::VecDeque;
+
+use derive_more::Display;
+use dfs_ids::Millis;
+use dfs_ids::Moment;
+
+/// Parts of the bound after which another read is sent, so that two reads in a row may be lost and half of
+/// the bound is left for the third one and for the pass over sessions.
+const RESENDS_PER_BOUND: u64 = 4;
+/// Parts of the bound for which the source may hold a read that has nothing to report. It is less than the time
+/// until another read is sent; the difference is left for the way there and back.
+const WAITS_PER_BOUND: u64 = 5;
+/// Parts of the bound that pass before another read after a failed one.
+const RETRIES_PER_BOUND: u64 = 10;
+/// Bounds after which the answer to a read is no longer waited for.
+const BOUNDS_UNTIL_ABANDONED: u64 = 2;
+
+/// Times between reads, all derived from the time within which a confirmed version must be active.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadTiming {
+    /// For how long the source may hold a read that has nothing to report.
+    pub wait_ms: Millis,
+    /// Time after which another read is sent if there is no answer; longer than `wait_ms`.
+    pub resend_ms: Millis,
+    /// Time after a failed read until the next one.
+    pub retry_ms: Millis,
+    /// Age at which a read is given up.
+    pub abandon_ms: Millis,
+}
+
+impl ReadTiming {
+    /// Timing with which a version is active within `bound_ms` of its confirmation.
+    #[must_use]
+    pub const fn within(bound_ms: Millis) -> Self {
+        let bound = bound_ms.get();
+        Self {
+            wait_ms: Millis::new(bound / WAITS_PER_BOUND),
+            resend_ms: Millis::new(bound / RESENDS_PER_BOUND),
+            retry_ms: Millis::new(bound / RETRIES_PER_BOUND),
+            abandon_ms: Millis::new(bound * BOUNDS_UNTIL_ABANDONED),
+        }
+    }
+}
+
+/// Number of a read, in the order of sending.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub struct ReadId(u64);
+
+/// A read to send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DueRead {
+    /// Number of the read.
+    pub id: ReadId,
+    /// For how long the source may hold it. Zero while earlier reads are unanswered, since the answer then
+    /// also shows that the source is back.
+    pub wait_ms: Millis,
+}
+
+/// The open reads of one reader, and when to send the next one.
+#[derive(Debug)]
+pub struct ReadSchedule {
+    timing: ReadTiming,
+    /// Open reads with the times at which they were sent, the oldest first.
+    open: VecDeque<(ReadId, Moment)>,
+    next_id: u64,
+    due_at: Moment,
+}
+
+impl ReadSchedule {
+    /// A schedule whose first read is due at `now`.
+    #[must_use]
+    pub const fn new(timing: ReadTiming, now: Moment) -> Self {
+        Self {
+            timing,
+            open: VecDeque::new(),
+            next_id: 0,
+            due_at: now,
+        }
+    }
+
+    /// When the next read is due, unless an answer changes that.
+    #[must_use]
+    pub const fn due_at(&self) -> Moment {
+        self.due_at
+    }
+
+    /// The read to send now, if one is due.
+    pub fn start_due(&mut self, now: Moment) -> Option<DueRead> {
+        if now < self.due_at {
+            return None;
+        }
+        let wait_ms = if self.open.is_empty() {
+            self.timing.wait_ms
+        } else {
+            Millis::default()
+        };
+        let id = ReadId(self.next_id);
+        self.next_id += 1;
+        self.open.push_back((id, now));
+        self.due_at = now + self.timing.resend_ms;
+        Some(DueRead { id, wait_ms })
+    }
+
+    /// Records an answer. It makes all earlier reads superfluous; the next read is due at once unless a
+    /// later one is open.
+    pub fn on_answer(&mut self, now: Moment, id: ReadId) {
+        self.open.retain(|(open, _)| *open > id);
+        if self.open.is_empty() {
+            self.due_at = now;
+        }
+    }
+
+    /// Records a failure. Earlier reads may still be answered.
+    pub fn on_failure(&mut self, now: Moment, id: ReadId) {
+        let is_latest = self.open.back().is_some_and(|(latest, _)| *latest == id);
+        self.open.retain(|(open, _)| *open != id);
+        if is_latest {
+            self.due_at = self.due_at.min(now + self.timing.retry_ms);
+        }
+    }
+
+    /// Gives up the reads that were sent too long ago.
+    pub fn abandon_old(&mut self, now: Moment) {
+        let abandon_ms = self.timing.abandon_ms;
+        self.open
+            .retain(|(_, sent_at)| now.since(*sent_at) < abandon_ms);
+    }
+
+    /// Whether a read is still waited for.
+    #[must_use]
+    pub fn is_open(&self, id: ReadId) -> bool {
+        self.open.iter().any(|(open, _)| *open == id)
+    }
+
+    /// Time since the oldest open read was sent.
+    #[must_use]
+    pub fn oldest_age_ms(&self, now: Moment) -> Option<Millis> {
+        self.open.front().map(|(_, sent_at)| now.since(*sent_at))
+    }
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -5,6 +5,7 @@
 use dfs_ids::Millis;
 use snafu::Snafu;
 
+use crate::Revision;
 use crate::RowKey;
 
 /// Error of a call to the platform. The variants show whether the service may have acted on it.
@@ -43,6 +44,14 @@
         /// HTTP status of the rejection, normally 4xx.
         status: u16,
     },
+    /// The service no longer has all changes after a revision, so the rows must be read in full.
+    #[snafu(display("{address} no longer has the changes after revision {after}"))]
+    HistoryLost {
+        /// Address of the service.
+        address: SocketAddr,
+        /// Revision from which changes were to be read.
+        after: Revision,
+    },
     /// The service reported a failure; it may have acted on the request before.
     #[snafu(display("{address} failed with status {status}"))]
     Failed {
@@ -66,7 +75,7 @@
     #[must_use]
     pub const fn is_certainly_not_applied(&self) -> bool {
         match self {
-            Self::Connect { .. } | Self::Rejected { .. } => true,
+            Self::Connect { .. } | Self::Rejected { .. } | Self::HistoryLost { .. } => true,
             Self::Timeout { .. }
             | Self::ConnectionLost { .. }
             | Self::Failed { .. }
