Refuse store settings with which a single lost poll makes a change late

An entry on the built-in store waits store.timeout_ms for a poll and then up to 1.2 intervals for the next one. The start now fails with both values, the time that they add up to and the bound. Every setting that was accepted and kept the bound still is. The test of settings failed before (no error).

--- a/crates/conf/src/fault/problem.rs
+++ b/crates/conf/src/fault/problem.rs
@@ -1,6 +1,7 @@
 //! Ways in which a value can be invalid, and their texts.
 
 use derive_more::Display;
+use dfs_ids::Millis;
 
 use super::FieldPath;
 
@@ -136,6 +137,19 @@
     /// The first must be at most a third of the second.
     #[display("it must be at most a third")]
     AtMostThird,
+    /// A poll after one that got no answer must come before a change is overdue.
+    #[display(
+        "with {poll_ms} the poll after a lost one comes after up to {poll_after_loss_ms}, and a change must \
+         be active within {bound_ms}"
+    )]
+    PollInTime {
+        /// Interval between polls.
+        poll_ms: Millis,
+        /// Longest time from a lost poll to the next one.
+        poll_after_loss_ms: Millis,
+        /// Time within which a change must be active.
+        bound_ms: Millis,
+    },
     /// The two addresses must not conflict when both are listened on.
     #[display("both use the same port")]
     DistinctPorts,
--- a/crates/conf/src/settings/common.rs
+++ b/crates/conf/src/settings/common.rs
@@ -22,7 +22,7 @@
 const STORE_TIMEOUT_MS: RangeInclusive<Millis> = Millis::new(10)..=Millis::new(60_000);
 /// A change of the configuration has to be active everywhere within 13 s, which a longer interval
 /// does not allow.
-const POLL_MS: RangeInclusive<Millis> = Millis::new(10)..=Millis::new(10_000);
+pub(super) const POLL_MS: RangeInclusive<Millis> = Millis::new(10)..=Millis::new(10_000);
 const WRITES_PER_S: RangeInclusive<u32> = 1..=10_000;
 const MIN_SECRET_BYTES: usize = 16;
 
--- a/crates/conf/src/settings/entry_check.rs
+++ b/crates/conf/src/settings/entry_check.rs
@@ -20,6 +20,8 @@
 use crate::fault::ok_unless_errors;
 use crate::form::Template;
 
+/// Time within which a change of the configuration has to be active everywhere.
+const CONFIG_BOUND_MS: Millis = Millis::new(13_000);
 const LEASE_MS: RangeInclusive<Millis> = Millis::new(30)..=Millis::new(60_000);
 const RENEW_MS: RangeInclusive<Millis> = Millis::new(1)..=Millis::new(60_000);
 const STARTUP_MS: RangeInclusive<Millis> = Millis::new(1)..=Millis::new(60_000);
@@ -81,6 +83,7 @@
         common::check_secret(&mut checker, &self.session_secret);
         common::check_store(&mut checker, &self.store);
         common::check_log(&mut checker, &self.log);
+        check_polls(&mut checker, &self.store);
         check_lease(&mut checker, &self.lease);
         check_limits(&mut checker, &self.limits);
         checker.into_errors()
@@ -116,6 +119,21 @@
     }
 }
 
+/// Refuses times with which a single lost poll makes a change late.
+fn check_polls(checker: &mut Checker, store: &StoreSettings) {
+    let is_in_range = common::POLL_MS.contains(&store.poll_ms);
+    if is_in_range && store.poll_after_loss_ms() > CONFIG_BOUND_MS {
+        let path = FieldPath::new("store").field("timeout_ms");
+        let other = FieldPath::new("store").field("poll_ms");
+        let constraint = Constraint::PollInTime {
+            poll_ms: store.poll_ms,
+            poll_after_loss_ms: store.poll_after_loss_ms(),
+            bound_ms: CONFIG_BOUND_MS,
+        };
+        checker.add_contradiction(path, &store.timeout_ms, other, constraint);
+    }
+}
+
 fn check_lease(checker: &mut Checker, lease: &LeaseSettings) {
     let field = |name| FieldPath::new("lease").field(name);
     checker.in_range(field("lease_ms"), lease.lease_ms, &LEASE_MS);
--- a/crates/conf/src/settings/store.rs
+++ b/crates/conf/src/settings/store.rs
@@ -26,6 +26,18 @@
 }
 
 impl StoreSettings {
+    /// Percentage of `poll_ms` by which each interval is randomly lengthened or shortened, so that entries
+    /// do not poll in step.
+    pub const POLL_JITTER_PERCENT: u32 = 20;
+
+    /// Longest time from a poll that gets no answer until the next one.
+    #[must_use]
+    pub fn poll_after_loss_ms(&self) -> Millis {
+        let poll_ms = self.poll_ms.get();
+        let jitter_ms = poll_ms.saturating_mul(Self::POLL_JITTER_PERCENT.into()) / 100;
+        self.timeout_ms + self.poll_ms + Millis::new(jitter_ms)
+    }
+
     /// Settings with the given addresses and otherwise the defaults.
     #[must_use]
     pub fn new(table_address: SocketAddr, object_address: SocketAddr) -> Self {
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -111,6 +111,12 @@
             json!(60_000),
             "store.poll_ms: 60000 ms is out of range; allowed: 10 ms to 10000 ms",
         ),
+        (
+            "/store/timeout_ms",
+            json!(11_801),
+            "store.timeout_ms: 11801 ms contradicts store.poll_ms: with 1000 ms the poll after a lost one comes \
+             after up to 13001 ms, and a change must be active within 13000 ms",
+        ),
         (
             "/limits/max_headers",
             json!(0),
--- a/crates/entry/src/version/poll.rs
+++ b/crates/entry/src/version/poll.rs
@@ -13,10 +13,6 @@
 use super::ActiveConfig;
 use super::link::StoreHealth;
 
-/// Fraction of the poll interval by which each wait is randomly lengthened or shortened, so that
-/// entries do not poll in step.
-const JITTER: f64 = 0.2;
-
 /// Adopts each newer head version, for as long as the process lives.
 pub(crate) async fn poll_head(
     settings: StoreSettings,
@@ -49,6 +45,7 @@
 }
 
 fn jittered(interval_ms: Millis) -> Duration {
-    let factor = rand::rng().random_range(1.0 - JITTER..1.0 + JITTER);
+    let jitter = f64::from(StoreSettings::POLL_JITTER_PERCENT) / 100.0;
+    let factor = rand::rng().random_range(1.0 - jitter..1.0 + jitter);
     Duration::from(interval_ms).mul_f64(factor)
 }
