Give each cluster of the fault tests a loopback address of its own

The soak of seeds 5000 to 5049 failed on for 5043 and 5049 (once, load 21): 55 tasks of one cluster started twice, 83 submissions of the other were complete without a start. All 55 tasks are among the ones of the other cluster that had no start there: both name their tasks alike, and ran at the same time. Both plans kill a target; its port is free until it is replaced, a new target of the other cluster gets it, and the first cluster's link still leads there. So a target executed another cluster's tasks, and the product did nothing wrong.

Daemons and targets of a cluster now listen on a loopback address that no other cluster uses. No check changes; both seeds are regression cases. Whether entries that got another cluster's port explain the known red of seed 1 is open.

--- a/crates/daemon/tests/faults/soak.rs
+++ b/crates/daemon/tests/faults/soak.rs
@@ -28,7 +28,9 @@
 /// Seeds that CI runs in addition to [`REGRESSIONS`].
 const CI_SEEDS: Range<u64> = 1..5;
 /// Seeds that failed at some time.
-const REGRESSIONS: &[u64] = &[];
+///
+/// - 5043 and 5049: a target of one cluster got the port of a killed target of another, and its tasks.
+const REGRESSIONS: &[u64] = &[5043, 5049];
 const STEPS_PER_PLAN: usize = 9;
 const MAX_GAP_MS: u64 = 700;
 /// Longer than every lease of a test cluster and shorter than the deadline of the load's
--- a/crates/daemon/tests/faults/support/cluster.rs
+++ b/crates/daemon/tests/faults/support/cluster.rs
@@ -1,6 +1,9 @@
 //! A cluster of entries, agents, targets and the platform stand-in, with a relay on every link.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 
 use dfs_conf::TokenDigest;
 use dfs_ids::Millis;
@@ -26,10 +29,17 @@
 pub const OPERATOR_TOKEN: &str = "token-of-operator";
 pub const SERVICE: &str = "price";
 const DOMAINS: [&str; 2] = ["east", "west"];
-const LOOPBACK: &str = "127.0.0.1:0";
 
 /// Limits how many clusters run at once, and so the number of processes.
 static CLUSTER_PERMITS: Semaphore = Semaphore::const_new(4);
+static CLUSTER_COUNT: AtomicU16 = AtomicU16::new(0);
+
+/// A loopback address of its own for each cluster. A link to a process that was killed would otherwise
+/// lead to a process of another cluster that got its port.
+fn next_host() -> Ipv4Addr {
+    let [high, low] = CLUSTER_COUNT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    Ipv4Addr::new(127, 1, high, low)
+}
 
 /// Size, leases and limits of a cluster.
 #[derive(Debug, Clone, Copy)]
@@ -98,6 +108,8 @@
     /// Start logs of all targets, including those that were replaced.
     pub start_logs: Vec<StartLog>,
     pub options: ClusterOptions,
+    /// Address on which the daemons and targets of this cluster listen.
+    host: Ipv4Addr,
     pub files: TempDir,
     /// Unique to this cluster: processes left by a killed test run may still dial a port that was
     /// reused.
@@ -118,6 +130,7 @@
             platform: Platform::spawn().await.unwrap(),
             start_logs: Vec::new(),
             options,
+            host: next_host(),
             secret: format!("secret-of-{}", files.path().display()),
             files,
             spawn_count: 0,
@@ -143,6 +156,10 @@
         cluster
     }
 
+    fn any_port(&self) -> SocketAddr {
+        SocketAddr::new(self.host.into(), 0)
+    }
+
     /// Starts an entry. Agents that already run do not have it in their settings.
     pub async fn add_entry(&mut self, number: usize) {
         let platform = self.platform.addresses();
@@ -153,8 +170,8 @@
         let settings = json!({
             "entry": format!("entry-{number}"),
             "domain": domain(number),
-            "listen_address": LOOPBACK,
-            "session_address": LOOPBACK,
+            "listen_address": self.any_port(),
+            "session_address": self.any_port(),
             "advertised_address": session_link.address,
             "session_secret": self.secret,
             "store": {
@@ -208,7 +225,7 @@
         let settings = json!({
             "agent": format!("agent-{number}"),
             "domain": domain(number),
-            "listen_address": LOOPBACK,
+            "listen_address": self.any_port(),
             "entry_addresses": entries,
             "session_secret": self.secret,
             "redial_ms": 50,
@@ -280,6 +297,7 @@
     pub async fn replace_target(&mut self, number: usize) {
         self.kill_target(number);
         let lease_ms = Millis::new(self.options.target_lease_ms);
+        let listen = self.any_port();
         let node = &mut self.agents[number];
         let offer = Offer {
             target: format!("target-{number}").parse().unwrap(),
@@ -290,6 +308,7 @@
             labels: Vec::new(),
         };
         let target_options = TargetOptions {
+            listen,
             lease_ms,
             advertised: Some(node.task_link.address),
             ..TargetOptions::new(Some(node.announcement_link.address), offer)
