--- a/crates/entry/src/edge.rs
+++ b/crates/entry/src/edge.rs
@@ -42,9 +42,8 @@
 pub trait ConfigFeed: Send + Sync {
     /// Reads the changes after a revision, or the whole configuration if there is none.
     ///
-    /// Waits for up to `wait_ms` while there is no change, and then returns no configuration. Sets no
-    /// limit to the time of an answer: reads may overlap, and the caller drops those that it no
-    /// longer waits for.
+    /// Waits for up to `wait_ms` while there is no change, and then returns no configuration. Reads may
+    /// overlap; the caller drops those that it no longer waits for.
     ///
     /// # Errors
     ///
