Pass versions over sessions within the bound

Cause: an agent takes versions from one entry that it has chosen. If that is the ignored one, the others offer it a version only after 1 s, and then the ignored entry asks for it only after another second.

Change: the wait is a quarter of the bound on an adapted store, so two of them and a read that was lost first fit into three quarters of it. On the built-in store it stays at 1 s, of 13 s.

--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -13,6 +13,7 @@
 use dfs_conf::TokenDigest;
 use dfs_ids::Clock;
 use dfs_ids::Incarnation;
+use dfs_ids::Millis;
 use dfs_inbox::ShutdownOutcome;
 use dfs_inbox::graceful_shutdown;
 use dfs_log::ConfigSource;
@@ -74,6 +75,9 @@
     background_tasks: Vec<JoinHandle<()>>,
 }
 
+/// Default interval of the polls of the table service, after which another entry should have a version too.
+const STANDALONE_PROPAGATION_MS: Millis = Millis::new(1_000);
+
 /// Longest wait for the last answers to be written after a shutdown has timed out.
 const FINAL_ANSWERS_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -120,6 +124,7 @@
             domain: settings.domain.clone(),
             incarnation,
             lease: settings.lease.clone(),
+            propagation_ms: host.propagation_ms(),
         };
         let policy = policy::Entry::new(identity, rand::rng().random());
         let (outgoing, incoming) = mpsc::unbounded_channel();
@@ -274,6 +279,14 @@
 }
 
 impl Host {
+    /// How long this entry and agents wait for a version from their source before they ask each other.
+    fn propagation_ms(&self) -> Millis {
+        match self {
+            Self::Standalone(_) => STANDALONE_PROPAGATION_MS,
+            Self::Adapted(adapter) => ReadTiming::within(adapter.config_bound_ms).resend_ms,
+        }
+    }
+
     fn presence(&self) -> Presence {
         match self {
             Self::Standalone(clients) => clients.presence.clone(),
--- a/crates/policy/benches/cost.rs
+++ b/crates/policy/benches/cost.rs
@@ -84,6 +84,7 @@
             domain: "lagos".parse().expect("the name is valid"),
             incarnation: Incarnation::new(1),
             lease: LeaseSettings::default(),
+            propagation_ms: Millis::new(1_000),
         };
         let mut bench = Self {
             entry: Entry::new(identity, 1),
--- a/crates/policy/benches/grid/cluster.rs
+++ b/crates/policy/benches/grid/cluster.rs
@@ -509,6 +509,7 @@
         domain: domain(),
         incarnation: Incarnation::new(e + 1),
         lease: LeaseSettings::default(),
+        propagation_ms: Millis::new(1_000),
     };
     Entry::new(identity, seed ^ (e << 32))
 }
--- a/crates/policy/src/entry/config.rs
+++ b/crates/policy/src/entry/config.rs
@@ -11,11 +11,6 @@
 use super::EntryAction;
 use super::view::AgentView;
 
-/// Time within which an entry is expected to get a version from the table service that an agent holds
-/// already, and agents to get a version from their configuration source. After it, entry and agents get
-/// the version from each other.
-const PROPAGATION_MS: Millis = Millis::new(1_000);
-
 impl Entry {
     /// Adopts the configuration if its version is higher, and offers it to the agents that fetch it here.
     pub(super) fn on_configured(
@@ -69,7 +64,7 @@
         let Some(version) = self.config.as_ref().map(|config| config.version) else {
             return;
         };
-        if now < self.config_adopted_at + PROPAGATION_MS {
+        if now < self.config_adopted_at + self.identity.propagation_ms {
             return;
         }
         for view in self.agents.values_mut() {
@@ -87,7 +82,8 @@
     }
 
     /// Requests a higher version from an agent if the table service has not delivered it in time, or at
-    /// once while the entry has no configuration. Asks at most one agent in each [`PROPAGATION_MS`].
+    /// once while the entry has no configuration. Asks at most one agent in each
+    /// [`propagation_ms`](super::Identity::propagation_ms).
     pub(super) fn request_newer_config(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
         let own = self.config.as_ref().map(|config| config.version);
         let held = own.unwrap_or_default();
@@ -105,13 +101,13 @@
         };
         let config_stale_since = *self.config_stale_since.get_or_insert(now);
         let grace_ms = if own.is_some() {
-            PROPAGATION_MS
+            self.identity.propagation_ms
         } else {
             Millis::default()
         };
         let requested_recently = self
             .config_requested_at
-            .is_some_and(|at| now < at + PROPAGATION_MS);
+            .is_some_and(|at| now < at + self.identity.propagation_ms);
         if now >= config_stale_since + grace_ms && !requested_recently {
             self.config_requested_at = Some(now);
             self.send_items(connection, vec![EntryItem::WantConfig], out);
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -27,6 +27,7 @@
 use dfs_ids::EntryId;
 use dfs_ids::FailureDomain;
 use dfs_ids::Incarnation;
+use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::SessionNumber;
 use dfs_ids::SubmissionId;
@@ -65,6 +66,10 @@
     pub incarnation: Incarnation,
     /// Lease and renewal times of the sessions with agents.
     pub lease: LeaseSettings,
+    /// Time within which an entry is expected to get a version from its source that an agent holds already, and an
+    /// agent from the entry that it has chosen. After it they get the version from each other, so that two
+    /// such waits and the one of a lost read still fit into the time in which a version must be active.
+    pub propagation_ms: Millis,
 }
 
 /// State of one entry; does no I/O and reads no clock.
--- a/crates/policy/tests/matrix/node.rs
+++ b/crates/policy/tests/matrix/node.rs
@@ -162,6 +162,7 @@
         domain: "aba".parse().unwrap(),
         incarnation,
         lease: LeaseSettings::default(),
+        propagation_ms: Millis::new(1_000),
     };
     let mut entry = Entry::new(identity, incarnation.get());
     entry.handle(Moment::default(), EntryEvent::Configured(config()));
--- a/crates/policy/tests/policy_admission.rs
+++ b/crates/policy/tests/policy_admission.rs
@@ -128,6 +128,7 @@
                 startup_ms: Millis::new(STARTUP_MS),
                 ..LeaseSettings::default()
             },
+            propagation_ms: Millis::new(1_000),
         };
         let mut entry = Self {
             entry: Entry::new(identity, 7),
--- a/crates/policy/tests/policy_config.rs
+++ b/crates/policy/tests/policy_config.rs
@@ -42,6 +42,7 @@
             domain: "lagos".parse().unwrap(),
             incarnation: Incarnation::new(1),
             lease: LeaseSettings::default(),
+            propagation_ms: Millis::new(1_000),
         };
         let mut entry = Self {
             entry: Entry::new(identity, 1),
--- a/crates/policy/tests/policy_failures.rs
+++ b/crates/policy/tests/policy_failures.rs
@@ -136,6 +136,7 @@
             domain: "lagos".parse().unwrap(),
             incarnation: Incarnation::new(1),
             lease: LeaseSettings::default(),
+            propagation_ms: Millis::new(1_000),
         };
         let mut entry = Self {
             entry: Entry::new(identity, 7),
--- a/crates/slopes/tests/renewals.rs
+++ b/crates/slopes/tests/renewals.rs
@@ -43,6 +43,7 @@
         domain: "domain".parse().unwrap(),
         incarnation: Incarnation::new(1),
         lease: LeaseSettings::default(),
+        propagation_ms: Millis::new(1_000),
     };
     let target = |n| {
         json!({
