--- a/crates/daemon/tests/faults/soak.rs
+++ b/crates/daemon/tests/faults/soak.rs
@@ -44,6 +44,8 @@
 ];
 /// Longer than a configuration change takes without a fault; after it the plan continues.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time from which a step is printed when it starts or ends.
+const SLOW_STEP: Duration = Duration::from_millis(500);
 const MAX_LOST_MESSAGES: u32 = 3;
 const SLOW_MS: Millis = Millis::new(300);
 
@@ -181,11 +183,18 @@
         events.sort_by_key(|(at, _, _)| *at);
         for (at, step, is_start) in events {
             tokio::time::sleep(at.saturating_sub(plan_start.elapsed())).await;
+            let began_at = plan_start.elapsed();
             if is_start {
                 self.begin(step.fault).await;
             } else {
                 self.end(step.fault).await;
             }
+            // Steps wait for each other, so a slow one prolongs the faults that end after it.
+            let took = plan_start.elapsed() - began_at;
+            if took > SLOW_STEP {
+                let edge = if is_start { "start" } else { "end" };
+                println!("{edge} of {:?} at {began_at:?} took {took:?}", step.fault);
+            }
         }
         for process in std::mem::take(&mut self.terminating) {
             self.daemon(process).wait_for_exit().await;
