--- a/crates/daemon/tests/faults/soak.rs
+++ b/crates/daemon/tests/faults/soak.rs
@@ -190,7 +190,7 @@
                 self.end(step.fault).await;
             }
             // Steps wait for each other, so a slow one prolongs the faults that end after it.
-            let took = plan_start.elapsed() - began_at;
+            let took = plan_start.elapsed().saturating_sub(began_at);
             if took > SLOW_STEP {
                 let edge = if is_start { "start" } else { "end" };
                 println!("{edge} of {:?} at {began_at:?} took {took:?}", step.fault);
