--- a/crates/daemon/tests/faults/soak.rs
+++ b/crates/daemon/tests/faults/soak.rs
@@ -45,7 +45,7 @@
 /// Longer than a configuration change takes without a fault; after it the plan continues.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time from which a step is printed when it starts or ends.
-const SLOW_STEP: Duration = Duration::from_millis(500);
+const SLOW_STEP: Duration = Duration::from_secs(1);
 const MAX_LOST_MESSAGES: u32 = 3;
 const SLOW_MS: Millis = Millis::new(300);
 
