--- a/crates/agent/src/edge.rs
+++ b/crates/agent/src/edge.rs
@@ -54,6 +54,11 @@
             .send_event(AgentEvent::TargetAnnounced(announcement));
     }
 
+    /// Reports that the target has exited or started anew, unplanned, under the runs of these tasks.
+    pub fn crashed(&self, tasks: Vec<TaskRef>) {
+        self.core.send_event(AgentEvent::TargetCrashed(tasks));
+    }
+
     /// Reports the progress of runs, in percent.
     pub fn progress(&self, progress: Vec<(TaskRef, u8)>) {
         self.core.send_event(AgentEvent::RunProgress(progress));
--- a/crates/agent/src/fenced.rs
+++ b/crates/agent/src/fenced.rs
@@ -252,6 +252,7 @@
                     let _ = end_sender.send((run_us, end));
                 }
             }
+            RunsAction::TargetCrashed(tasks) => target_events.crashed(tasks),
             RunsAction::Progress(progress) => target_events.progress(progress),
             RunsAction::Announce(announcement) => target_events.announced(announcement),
             RunsAction::Goodbye => target_events.goodbye(),
--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -291,6 +291,13 @@
                 reason,
                 load_permille,
             }),
+            Observation::TargetCrashed { runs } => {
+                self.metrics.count(Counter::TargetCrashes, 1);
+                dfs_log::emit(TargetEvent::Crashed {
+                    running_tasks: runs.len(),
+                    tasks: runs.iter().collect(),
+                });
+            }
             Observation::RunStopRequested { task, cause } => {
                 self.metrics.count(Counter::RunsStopped, 1);
                 dfs_log::emit(TargetEvent::RunStopped {
--- a/crates/entry/src/process/observe.rs
+++ b/crates/entry/src/process/observe.rs
@@ -89,6 +89,10 @@
                 });
             }
             Observation::FailureCounted(counted) => log_failure(counted),
+            Observation::CrashReported { .. }
+            | Observation::TaskGivenUp { .. }
+            | Observation::QueueContained { .. }
+            | Observation::QueueReleased { .. } => self.observe_crash(observation),
             Observation::ObjectiveUnreachable { submission, age_ms } => {
                 self.metrics.count(Counter::Late, 1);
                 dfs_log::emit(RequestEvent::Late { submission, age_ms });
@@ -126,6 +130,44 @@
         }
     }
 
+    fn observe_crash(&self, observation: Observation) {
+        match observation {
+            Observation::CrashReported {
+                agent,
+                accused,
+                age_ms,
+            } => dfs_log::emit(TargetEvent::CrashReported {
+                agent,
+                running_tasks: accused,
+                age_ms,
+            }),
+            Observation::TaskGivenUp { task, crashes } => {
+                self.metrics.count(Counter::TasksGivenUp, 1);
+                dfs_log::emit(RequestEvent::TaskGivenUp {
+                    job: task.job,
+                    task: task.task,
+                    crashes,
+                });
+            }
+            Observation::QueueContained {
+                queue,
+                targets,
+                service_targets,
+            } => {
+                self.metrics.count(Counter::QueuesContained, 1);
+                dfs_log::emit(TargetEvent::QueueContained {
+                    queue,
+                    targets,
+                    service_targets,
+                });
+            }
+            Observation::QueueReleased { queue } => {
+                dfs_log::emit(TargetEvent::QueueReleased { queue });
+            }
+            _ => {}
+        }
+    }
+
     fn log_spent_budget(&mut self, now: Moment, group: GroupId) {
         let logged_at = self.spent_budget_logged_at.get(&group);
         if logged_at.is_none_or(|at| now.since(*at) >= SPENT_BUDGET_LOG_INTERVAL_MS) {
--- a/crates/entry/src/request/submit.rs
+++ b/crates/entry/src/request/submit.rs
@@ -57,6 +57,7 @@
         objective_ms: None,
         max_failures: Some(1),
         constraints: Constraints::default(),
+        job: None,
         queue: None,
     };
     run_submission(state, &headers, submission, job.request_key).await
@@ -84,6 +85,7 @@
         objective_ms: None,
         max_failures: Some(1),
         constraints: Constraints::default(),
+        job: None,
         queue: None,
     };
     run_submission(state, &headers, submission, request.request_key).await
--- a/crates/ids/src/id.rs
+++ b/crates/ids/src/id.rs
@@ -126,6 +126,10 @@
     /// One submission: a job or a single request.
     SubmissionId
 );
+id_type!(
+    /// Name of a job, the same when its caller submits it again, at whichever entry.
+    JobName
+);
 id_type!(
     /// Idempotency key with which a caller may resubmit safely.
     RequestKey
@@ -135,6 +139,13 @@
     ChangeId
 );
 
+impl From<&SubmissionId> for JobName {
+    /// The name of a job to which its caller gave none.
+    fn from(submission: &SubmissionId) -> Self {
+        Self(Arc::clone(&submission.0))
+    }
+}
+
 impl SubmissionId {
     /// Identifier of the submission with number `serial` of one entry incarnation.
     ///
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -12,6 +12,7 @@
 pub use id::FailureDomain;
 pub use id::GroupId;
 pub use id::IdError;
+pub use id::JobName;
 pub use id::Label;
 pub use id::QueueName;
 pub use id::RequestKey;
--- a/crates/log/src/event/mod.rs
+++ b/crates/log/src/event/mod.rs
@@ -22,6 +22,7 @@
 pub use request::RequestEvent;
 pub use session::SessionEvent;
 pub use target::TargetEvent;
+pub use value::AccusedTasks;
 pub use value::ErrorText;
 pub use value::TaskList;
 
--- a/crates/log/src/event/request.rs
+++ b/crates/log/src/event/request.rs
@@ -4,6 +4,7 @@
 use dfs_ids::Attempt;
 use dfs_ids::ConfigVersion;
 use dfs_ids::GroupId;
+use dfs_ids::JobName;
 use dfs_ids::Millis;
 use dfs_ids::Priority;
 use dfs_ids::QueueName;
@@ -174,5 +175,14 @@
             /// Active version of the configuration.
             version: Option<ConfigVersion>,
         }
+        /// A task is not run again, because targets have crashed under it; its job fails.
+        313 Warn "task_given_up" TaskGivenUp {
+            /// Name of the job.
+            job: JobName,
+            /// Index of the task.
+            task: TaskIndex,
+            /// Number of targets that have crashed under it.
+            crashes: u32,
+        }
     }
 }
--- a/crates/log/src/event/target.rs
+++ b/crates/log/src/event/target.rs
@@ -6,12 +6,14 @@
 use dfs_ids::Attempt;
 use dfs_ids::GroupId;
 use dfs_ids::Millis;
+use dfs_ids::QueueName;
 use dfs_ids::Slots;
 use dfs_ids::SubmissionId;
 use dfs_ids::TargetId;
 use dfs_ids::TaskIndex;
 use dfs_wire::session::NotRunReason;
 
+use super::AccusedTasks;
 use super::ErrorText;
 use super::catalogue::events;
 
@@ -212,5 +214,35 @@
             /// Number of tasks that were running or may have been running on the previous one.
             running_tasks: usize,
         }
+        /// The target exited or started anew, unplanned, while tasks ran on it.
+        422 Warn "target_crashed" Crashed {
+            /// Number of tasks that ran on it.
+            running_tasks: usize,
+            /// Some of these tasks, each with the number of targets that had crashed under it before.
+            tasks: AccusedTasks,
+        }
+        /// An agent has reported a crash of its target.
+        423 Info "crash_reported" CrashReported {
+            /// Agent of the target.
+            agent: AgentId,
+            /// Number of tasks that ran on the target.
+            running_tasks: usize,
+            /// Time since the agent noticed it.
+            age_ms: Millis,
+        }
+        /// The tasks of a queue may use only some targets, because they crash targets.
+        424 Warn "queue_contained" QueueContained {
+            /// The queue.
+            queue: QueueName,
+            /// Number of targets that its tasks may use.
+            targets: usize,
+            /// Number of targets of its service, as far as known.
+            service_targets: usize,
+        }
+        /// The tasks of a queue may use all targets again.
+        425 Info "queue_released" QueueReleased {
+            /// The queue.
+            queue: QueueName,
+        }
     }
 }
--- a/crates/log/src/event/value.rs
+++ b/crates/log/src/event/value.rs
@@ -20,6 +20,7 @@
 use dfs_ids::TargetId;
 use dfs_ids::TaskIndex;
 use dfs_wire::api::FailureReason;
+use dfs_wire::session::CrashedRun;
 
 /// Length in bytes at which an error text is truncated.
 const MAX_ERROR_BYTES: usize = 1_024;
@@ -66,6 +67,23 @@
     }
 }
 
+/// Tasks that ran on a crashed target, as `job/index:crashes` joined by commas; at most 16 of them.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub struct AccusedTasks(String);
+
+/// Limit on the tasks in one line.
+const MAX_ACCUSED_TASKS: usize = 16;
+
+impl<'a> FromIterator<&'a CrashedRun> for AccusedTasks {
+    fn from_iter<I: IntoIterator<Item = &'a CrashedRun>>(runs: I) -> Self {
+        let tasks = runs
+            .into_iter()
+            .take(MAX_ACCUSED_TASKS)
+            .map(|run| format!("{}/{}:{}", run.job, run.task, run.earlier_crashes));
+        Self(tasks.collect::<Vec<_>>().join(","))
+    }
+}
+
 /// A type that can be a field of an event.
 pub(crate) trait FieldValue {
     /// Returns the unquoted text of the value, or `None` if the field is omitted from the line.
@@ -122,6 +140,8 @@
     ErrorText,
     dfs_wire::session::NotRunReason,
     TaskList,
+    AccusedTasks,
+    dfs_ids::JobName,
     super::ConfigSource,
     super::Listener,
     super::NotReadyCause,
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -7,6 +7,7 @@
 mod logger;
 mod metrics;
 
+pub use event::AccusedTasks;
 pub use event::ConfigEvent;
 pub use event::ConfigSource;
 pub use event::ErrorText;
--- a/crates/log/src/metrics/name.rs
+++ b/crates/log/src/metrics/name.rs
@@ -43,6 +43,12 @@
         RunsStopped = "runs_stopped",
         /// Times that a target was ejected, that is, excluded from placement for a while.
         Ejections = "ejections",
+        /// Crashes of the target while tasks ran on it.
+        TargetCrashes = "target_crashes",
+        /// Tasks that are not run again, because targets have crashed under them.
+        TasksGivenUp = "tasks_given_up",
+        /// Times that a queue was contained.
+        QueuesContained = "queues_contained",
         /// Samples recorded under the group `other` because [`crate::MAX_SERIES_PAIRS`] was reached.
         SeriesOverflow = "series_overflow",
     }
--- a/crates/policy/benches/cost.rs
+++ b/crates/policy/benches/cost.rs
@@ -162,6 +162,7 @@
             objective_ms: None,
             max_failures: Some(1),
             constraints: Constraints::default(),
+            job: None,
             queue: None,
         }));
     }
--- a/crates/policy/benches/grid/cluster.rs
+++ b/crates/policy/benches/grid/cluster.rs
@@ -290,6 +290,7 @@
             objective_ms: workload.service_level.map(|u| Millis::new(u.objective_ms)),
             max_failures: Some(1),
             constraints: Constraints::default(),
+            job: None,
             queue: None,
         };
         let fit_on_arrival = self.tasks_in_system + tasks <= slots;
--- /dev/null
+++ b/crates/policy/src/agent/crash.rs
@@ -0,0 +1,117 @@
+//! Crashes of the target, which every entry learns from the agent: the agent outlives the target, and its
+//! sessions outlive the entry that placed a task.
+
+use std::collections::VecDeque;
+
+use dfs_ids::JobName;
+use dfs_ids::Millis;
+use dfs_ids::Moment;
+use dfs_wire::session::CrashedRun;
+use dfs_wire::session::TargetCrash;
+use dfs_wire::session::TaskRef;
+
+use super::Agent;
+use super::Observation;
+use super::record::TaskRecord;
+
+/// Time for which an entry that opens a session is told of a crash. Callers submit a lost job again within
+/// seconds.
+const RETENTION_MS: Millis = Millis::new(60_000);
+/// Limit on the crashes kept; a target that takes a second to return crashes no more often.
+const MAX_CRASHES: usize = 60;
+/// Limit on the ended runs whose origin is kept until the target shows whether it has restarted.
+const MAX_ENDED_RUNS: usize = 256;
+
+/// Latest crashes of the target.
+#[derive(Debug, Default)]
+pub(super) struct CrashHistory {
+    /// Number of the last crash.
+    last_number: u64,
+    /// Crashes in order, each with the time at which it was noticed.
+    crashes: VecDeque<(Moment, TargetCrash)>,
+    /// Origins of runs that have ended with an unknown outcome, oldest first.
+    ended_runs: VecDeque<(TaskRef, CrashedRun)>,
+}
+
+impl CrashHistory {
+    /// Whether there are crashes after the one with this number.
+    pub const fn has_after(&self, number: u64) -> bool {
+        self.last_number > number
+    }
+
+    pub const fn last_number(&self) -> u64 {
+        self.last_number
+    }
+
+    /// Crashes after the one with this number.
+    pub fn after(&self, now: Moment, number: u64) -> Vec<TargetCrash> {
+        let later = self.crashes.iter();
+        let later = later.filter(|(_, crash)| crash.number > number);
+        later
+            .map(|(at, crash)| TargetCrash {
+                age_ms: now.since(*at),
+                ..crash.clone()
+            })
+            .collect()
+    }
+
+    /// Keeps the origin of a run with an unknown outcome, which may turn out to have ended in a crash.
+    pub fn keep_ended(&mut self, task: &TaskRef, record: &TaskRecord, run_ms: Millis) {
+        if self.ended_runs.len() == MAX_ENDED_RUNS {
+            self.ended_runs.pop_front();
+        }
+        self.ended_runs
+            .push_back((task.clone(), crashed_run(task, record, run_ms)));
+    }
+
+    fn take_ended(&mut self, task: &TaskRef) -> Option<CrashedRun> {
+        let index = self.ended_runs.iter().position(|(t, _)| t == task)?;
+        self.ended_runs.remove(index).map(|(_, run)| run)
+    }
+
+    fn add(&mut self, now: Moment, runs: Vec<CrashedRun>) {
+        self.last_number += 1;
+        let crash = TargetCrash {
+            number: self.last_number,
+            age_ms: Millis::default(),
+            runs,
+        };
+        self.crashes.push_back((now, crash));
+        let is_outdated = |(at, _): &(Moment, TargetCrash)| now >= *at + RETENTION_MS;
+        while self.crashes.len() > MAX_CRASHES || self.crashes.front().is_some_and(is_outdated) {
+            self.crashes.pop_front();
+        }
+    }
+}
+
+impl Agent {
+    pub(super) fn on_target_crashed(&mut self, now: Moment, tasks: &[TaskRef]) {
+        let runs: Vec<_> = tasks
+            .iter()
+            .filter_map(|task| match self.records.get(task) {
+                Some(record) => Some(crashed_run(task, record, record.run_ms(now))),
+                None => self.crashes.take_ended(task),
+            })
+            .collect();
+        if runs.is_empty() {
+            return;
+        }
+        self.observations
+            .push(Observation::TargetCrashed { runs: runs.clone() });
+        self.crashes.add(now, runs);
+    }
+}
+
+fn crashed_run(task: &TaskRef, record: &TaskRecord, run_ms: Millis) -> CrashedRun {
+    let origin = &record.origin;
+    CrashedRun {
+        job: origin
+            .job
+            .clone()
+            .unwrap_or_else(|| JobName::from(&task.submission)),
+        task: task.task,
+        queue: origin.queue.clone(),
+        run_ms,
+        earlier_crashes: origin.crashes,
+    }
+}
--- a/crates/policy/src/agent/event.rs
+++ b/crates/policy/src/agent/event.rs
@@ -11,6 +11,7 @@
 use dfs_ids::Millis;
 use dfs_ids::ServiceName;
 use dfs_wire::session::Ack;
+use dfs_wire::session::CrashedRun;
 use dfs_wire::session::EntryAddress;
 use dfs_wire::session::EntryMessage;
 use dfs_wire::session::NotRunReason;
@@ -51,6 +52,9 @@
     TargetAnnounced(Announcement),
     /// The target withdrew its announcement: it accepts no new tasks.
     TargetGoodbye,
+    /// The target has exited or started anew, unplanned, under these tasks. It comes before their
+    /// [`AgentEvent::RunEnded`], or after it if they had ended for another reason.
+    TargetCrashed(Vec<TaskRef>),
     /// A task that was started has ended, or could not be started.
     RunEnded {
         /// Attempt that the run belongs to.
@@ -186,6 +190,11 @@
         /// Load of the target, in thousandths.
         load_permille: u32,
     },
+    /// The target has crashed.
+    TargetCrashed {
+        /// Runs that ended with it.
+        runs: Vec<CrashedRun>,
+    },
     /// The target was asked to stop a run.
     RunStopRequested {
         /// Attempt that the run belongs to.
--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -1,5 +1,6 @@
 //! State machine of an agent: which tasks start on its target, and what it reports to entries.
 
+mod crash;
 mod event;
 mod lease;
 mod progress;
@@ -24,6 +25,7 @@
 use dfs_wire::target::Announcement;
 use dfs_wire::target::Resources;
 
+use crash::CrashHistory;
 pub use event::AgentAction;
 pub use event::AgentEvent;
 pub use event::Observation;
@@ -53,6 +55,9 @@
     incarnation: Incarnation,
     result_retention_ms: Millis,
     running_tasks: u32,
+    /// Running tasks under which a target has crashed before.
+    running_suspects: u32,
+    crashes: CrashHistory,
     /// Address of the latest target; kept after the target is gone.
     latest_target_address: Option<SocketAddr>,
     /// Tasks running on targets at other addresses, which occupy no slots of the latest one.
@@ -93,6 +98,8 @@
             incarnation,
             result_retention_ms,
             running_tasks: 0,
+            running_suspects: 0,
+            crashes: CrashHistory::default(),
             latest_target_address: None,
             running_on_former_targets: 0,
             used_resources: Resources::default(),
@@ -125,6 +132,7 @@
                 self.on_target_announced(now, announcement);
             }
             AgentEvent::TargetGoodbye => self.on_target_gone(),
+            AgentEvent::TargetCrashed(tasks) => self.on_target_crashed(now, &tasks),
             AgentEvent::RunEnded { task, run_us, end } => {
                 self.on_run_ended(&task, run_us, end, &mut out);
             }
--- a/crates/policy/src/agent/record.rs
+++ b/crates/policy/src/agent/record.rs
@@ -5,8 +5,10 @@
 
 use dfs_ids::GroupId;
 use dfs_ids::Incarnation;
+use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::ServiceName;
+use dfs_wire::session::Origin;
 use dfs_wire::session::TaskResult;
 use dfs_wire::session::Terms;
 use serde_json::value::RawValue;
@@ -20,6 +22,7 @@
     pub entry: Incarnation,
     pub group: GroupId,
     pub service: ServiceName,
+    pub origin: Origin,
     pub accepted_at: Moment,
     /// The task is not started at or after this time.
     pub start_by: Moment,
@@ -30,6 +33,21 @@
     pub is_result_wanted: bool,
 }
 
+impl TaskRecord {
+    /// Whether a target has crashed under the task before, so that it may crash others.
+    pub const fn is_suspect(&self) -> bool {
+        self.origin.crashes > 0
+    }
+
+    /// Time since the task was started; zero if it is not running.
+    pub fn run_ms(&self, now: Moment) -> Millis {
+        match self.stage {
+            Stage::Running { started_at, .. } => now.since(started_at),
+            Stage::Queued { .. } | Stage::Finished { .. } => Millis::default(),
+        }
+    }
+}
+
 /// Latest progress of a run.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Progress {
--- a/crates/policy/src/agent/report.rs
+++ b/crates/policy/src/agent/report.rs
@@ -57,7 +57,7 @@
             };
             let items = match self.entries[&incarnation].phase {
                 Phase::Reconciling if self.entries[&incarnation].next_report_seq == 0 => {
-                    self.opening_items(incarnation)
+                    self.opening_items(now, incarnation)
                 }
                 Phase::Reconciling => continue,
                 Phase::Established => match self.due_items(now, incarnation, fullness_changed) {
@@ -95,7 +95,7 @@
     }
 
     /// Items of the first report of a session: held tasks, target state, load and configuration version.
-    fn opening_items(&mut self, incarnation: Incarnation) -> Vec<AgentItem> {
+    fn opening_items(&mut self, now: Moment, incarnation: Incarnation) -> Vec<AgentItem> {
         let of_entry = |(_, record): &(&TaskRef, &TaskRecord)| record.entry == incarnation;
         let tasks = self
             .records
@@ -108,7 +108,7 @@
             tasks,
             may_lack_records,
         })];
-        items.extend(self.take_changed_items(incarnation));
+        items.extend(self.take_changed_items(now, incarnation));
         items
     }
 
@@ -136,14 +136,16 @@
         };
         // Other entries receive the version with the next report that is due for another reason.
         let is_source_version_due = view.is_version_pending && view.is_config_source;
-        let has_changes =
-            view.is_target_state_pending || is_source_version_due || view.pending_config.is_some();
+        let has_changes = view.is_target_state_pending
+            || is_source_version_due
+            || view.pending_config.is_some()
+            || self.crashes.has_after(view.reported_crash);
         let has_replies =
             !results.is_empty() || !view.pending_not_run.is_empty() || view.is_probe_pending;
         if !(is_renewal_due || is_hint_significant || is_hint_due || has_changes || has_replies) {
             return None;
         }
-        let mut items = self.take_changed_items(incarnation);
+        let mut items = self.take_changed_items(now, incarnation);
         if !results.is_empty() {
             items.push(AgentItem::Results(results));
         }
@@ -179,7 +181,7 @@
     }
 
     /// Returns items for what has changed since the last report to the entry, and marks them as sent.
-    fn take_changed_items(&mut self, incarnation: Incarnation) -> Vec<AgentItem> {
+    fn take_changed_items(&mut self, now: Moment, incarnation: Incarnation) -> Vec<AgentItem> {
         let state = self.target_state();
         let hint = self.load_hint();
         let version = self.config_version;
@@ -190,6 +192,12 @@
         if std::mem::take(&mut view.is_target_state_pending) {
             items.push(AgentItem::Target(state));
         }
+        if self.crashes.has_after(view.reported_crash) {
+            items.push(AgentItem::Crashes(
+                self.crashes.after(now, view.reported_crash),
+            ));
+            view.reported_crash = self.crashes.last_number();
+        }
         if hint != view.sent_hint {
             view.sent_hint = hint;
             items.push(AgentItem::Load(hint));
--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -3,11 +3,13 @@
 use std::collections::btree_map::Entry;
 
 use dfs_ids::Incarnation;
+use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_wire::session::IfFull;
 use dfs_wire::session::NotRun;
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::Placement;
+use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
 use dfs_wire::session::TaskResult;
 use dfs_wire::target::Resources;
@@ -24,6 +26,7 @@
 
 /// Limit on the queue length, far above the sum of the windows of all entries.
 const MAX_QUEUED_TASKS: u32 = 65_536;
+const MICROS_PER_MILLI: u64 = 1_000;
 
 impl Agent {
     pub(super) fn accept(&mut self, now: Moment, entry: Incarnation, placement: Placement) {
@@ -51,6 +54,7 @@
                 entry,
                 group: placement.group.clone(),
                 service: placement.service.clone(),
+                origin: placement.origin.clone(),
                 accepted_at: now,
                 start_by: now + placement.time_left_ms,
                 rank,
@@ -199,13 +203,17 @@
 
     /// Selects the next task by lowest priority number, then lowest usage of the group relative to its share,
     /// then lowest rank. A task for which there is no room does not block smaller ones.
+    ///
+    /// Suspects run one at a time, so that a further crash shows which of them caused it.
     fn next_task(&self, now: Moment) -> Option<TaskRef> {
         let may_start = |task: &&TaskRef| {
             let Some(record) = self.records.get(*task) else {
                 return false;
             };
             let view = self.entries.get(&record.entry);
-            view.is_some_and(|view| view.may_start(now)) && self.has_room(0, &record.terms.demand)
+            view.is_some_and(|view| view.may_start(now))
+                && (self.running_suspects == 0 || !record.is_suspect())
+                && self.has_room(0, &record.terms.demand)
         };
         let sort_key = |lane: &Lane| (lane.priority, self.shares.normalized_usage(&lane.group));
         let candidates = self
@@ -235,6 +243,7 @@
             self.shares.deactivate(&record.group);
         }
         self.running_tasks += 1;
+        self.running_suspects += u32::from(record.is_suspect());
         self.used_resources = self.used_resources.saturating_add(&record.terms.demand);
         let wait_ms = now.since(record.accepted_at);
         out.push(AgentAction::StartRun {
@@ -277,6 +286,7 @@
             run_us,
         }));
         self.running_tasks -= 1;
+        self.running_suspects -= u32::from(record.is_suspect());
         if self.latest_target_address == Some(address) {
             self.used_resources = self.used_resources.saturating_sub(&record.terms.demand);
         } else {
@@ -288,6 +298,10 @@
             reason = "run times stay far below 2^52 µs"
         )]
         self.shares.charge(&group, run_us as f64);
+        if matches!(&end, RunEnd::Finished(TaskOutcome::Unknown(_))) {
+            let duration_ms = Millis::new(run_us / MICROS_PER_MILLI);
+            self.crashes.keep_ended(task, record, duration_ms);
+        }
         if !record.is_result_wanted || !self.entries.contains_key(&record.entry) {
             self.records.remove(task);
             return;
--- a/crates/policy/src/agent/view.rs
+++ b/crates/policy/src/agent/view.rs
@@ -51,6 +51,8 @@
     pub hint_sent_at: Moment,
     /// Minimum time between two reports that are sent only for a load hint, as requested by the entry.
     pub min_hint_interval_ms: Millis,
+    /// Number of the last crash of the target that was reported in this session.
+    pub reported_crash: u64,
     pub is_target_state_pending: bool,
     pub is_version_pending: bool,
     pub is_config_source: bool,
@@ -102,6 +104,7 @@
             sent_hint: LoadHint::default(),
             hint_sent_at: now,
             min_hint_interval_ms: Millis::default(),
+            reported_crash: 0,
             is_target_state_pending: true,
             is_version_pending: true,
             is_config_source: false,
--- a/crates/policy/src/entry/admit.rs
+++ b/crates/policy/src/entry/admit.rs
@@ -7,6 +7,7 @@
 use dfs_ids::GroupId;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
+use dfs_ids::QueueName;
 use dfs_ids::ServiceName;
 use dfs_ids::SubmissionId;
 use dfs_wire::api::Answer;
@@ -40,6 +41,13 @@
         submission: Submission,
         out: &mut Vec<EntryAction>,
     ) {
+        if let Some(answer) = self.given_up_answer(&submission) {
+            out.push(EntryAction::Answer {
+                submission: submission.id,
+                answer,
+            });
+            return;
+        }
         self.evict_for(&submission, out);
         if let Err(failure) = self.admit(now, &submission) {
             let id = submission.id;
@@ -64,7 +72,8 @@
         let after_objectives =
             |objective_ms| now + scaled(objective_ms, config.rules.admission.give_up_objectives);
         let give_up_at = submission.objective_ms.map_or(deadline, after_objectives);
-        let job = Job::new(submission, now, deadline, give_up_at);
+        let mut job = Job::new(submission, now, deadline, give_up_at);
+        self.apply_crashes(&mut job);
         if self.is_starting(now) {
             self.queued_at_start.push(id.clone());
         }
@@ -100,10 +109,13 @@
         if self.is_starting(now) {
             return Ok(());
         }
-        if !self.has_live_target(config, &Needs::of(submission)) {
-            let message = no_live_target(&submission.group, &submission.service);
+        let needs = Needs::of(submission);
+        if !self.has_live_target(config, &needs) {
+            let message = self.no_live_target(&needs);
             let reason = FailureReason::NoTarget;
-            return Err(refusal(reason, message, Some(TRANSIENT_RETRY_AFTER_MS)));
+            let retry_after_ms = self.expected_return(now, &needs);
+            let retry_after_ms = retry_after_ms.unwrap_or(TRANSIENT_RETRY_AFTER_MS);
+            return Err(refusal(reason, message, Some(retry_after_ms)));
         }
         self.check_deadline(now, config, submission)
     }
@@ -226,6 +238,33 @@
         agents
             .filter(move |(_, view)| view.offer().is_some_and(can_run))
             .map(|(agent, _)| agent)
+            .filter(|agent| self.containment.allows(needs.queue, agent))
+    }
+
+    pub(super) fn no_live_target(&self, needs: &Needs) -> String {
+        let (group, service) = (needs.group, needs.service);
+        let contained = needs
+            .queue
+            .filter(|queue| self.containment.contains_queue(queue));
+        if let Some(queue) = contained {
+            return format!(
+                "tasks of queue {queue} crash targets, and none of the targets that are left to it is live: try later"
+            );
+        }
+        format!(
+            "no live target that has what a task takes offers {service} to group {group}: try later"
+        )
+    }
+
+    /// Time until a target that the tasks may use is expected to return from a crash.
+    fn expected_return(&self, now: Moment, needs: &Needs) -> Option<Millis> {
+        let usable = self.agents.iter().filter(|(agent, view)| {
+            view.last_services.contains(needs.service)
+                && self.containment.allows(needs.queue, agent)
+        });
+        let agents = usable.map(|(agent, _)| agent);
+        let return_ms = self.crashes.expected_return(now, agents)?;
+        Some(return_ms.clamp(Millis::new(MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS))
     }
 }
 
@@ -235,6 +274,7 @@
     pub service: &'a ServiceName,
     pub demand: &'a Resources,
     pub constraints: &'a Constraints,
+    pub queue: Option<&'a QueueName>,
 }
 
 impl<'a> Needs<'a> {
@@ -244,6 +284,7 @@
             service: &submission.service,
             demand: &submission.terms.demand,
             constraints: &submission.constraints,
+            queue: submission.queue.as_ref(),
         }
     }
 
@@ -253,16 +294,11 @@
             service: &job.service,
             demand: &job.terms.demand,
             constraints: &job.constraints,
+            queue: job.queue.as_ref(),
         }
     }
 }
 
-pub(super) fn no_live_target(group: &GroupId, service: &ServiceName) -> String {
-    format!(
-        "no live target that has what a task takes offers {service} to group {group}: try later"
-    )
-}
-
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_precision_loss,
--- a/crates/policy/src/entry/config.rs
+++ b/crates/policy/src/entry/config.rs
@@ -46,6 +46,7 @@
         self.config = Some(config);
         self.config_stale_since = None;
         self.config_adopted_at = now;
+        self.update_containment();
     }
 
     /// Whether the entry has started so recently that agents may still have to connect. Until then it doesn't
--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -12,6 +12,7 @@
 use dfs_ids::TaskIndex;
 use dfs_wire::session::EntryItem;
 use dfs_wire::session::IfFull;
+use dfs_wire::session::Origin;
 use dfs_wire::session::PlacedTask;
 use dfs_wire::session::Placement;
 use dfs_wire::session::TaskRef;
@@ -42,6 +43,8 @@
 /// Sort key of lanes: priority, then how much of its share the group has used.
 type LaneOrder = (Priority, u64);
 
+type AgentCandidate = Candidate<AgentId>;
+
 /// Tasks placed in one pass and not sent yet.
 type Batches = BTreeMap<BatchKey, Vec<PlacedTask>>;
 
@@ -51,6 +54,8 @@
     agent: AgentId,
     submission: SubmissionId,
     if_full: IfFull,
+    /// Targets that have crashed under each of the tasks.
+    crashes: u32,
 }
 
 impl Entry {
@@ -69,6 +74,7 @@
         while let Some((_, lane)) = lanes.pop_first() {
             let is_demanding = self.demands_resources(&lane);
             let is_unrestricted = !is_demanding
+                && lane.contained.is_none()
                 && config
                     .group(&lane.group)
                     .is_some_and(|group| group.targets.is_empty());
@@ -128,8 +134,10 @@
         let max_hand_backs = config.rules.placement.max_hand_backs;
         let task_load = self.task_load_on(&agent, &submission);
         let if_full = self.if_full(max_hand_backs, &submission, index, &agent, task_load);
+        let task = self.jobs.get(&submission).and_then(|job| job.task(index));
         let key = BatchKey {
             agent,
+            crashes: task.map_or(0, |task| task.crashes),
             submission,
             if_full,
         };
@@ -190,7 +198,8 @@
             let task_load = offer.fraction_per_task(&demand);
             let has_room =
                 view.has_window_left() && view.load() + task_load <= max_load && task_load <= 1.0;
-            let can_take = is_suitable && view.offers(&lane.service) && has_room;
+            let is_allowed = self.containment.allows(job.queue.as_ref(), agent);
+            let can_take = is_suitable && is_allowed && view.offers(&lane.service) && has_room;
             (can_take && self.is_fresh(now, view) && !self.is_blocked_by_ejection(now, agent, view))
                 .then(|| Candidate {
                     id: agent.clone(),
@@ -204,14 +213,14 @@
         if eligible.is_empty() {
             eligible = self.agents.iter().filter_map(candidate).collect();
         }
-        let others: Vec<_> = eligible
-            .iter()
-            .filter(|c| {
-                Some(&c.id) != task.avoid_agent.as_ref() && !task.refused_by.contains(&c.id)
-            })
-            .cloned()
-            .collect();
-        let eligible = if others.is_empty() { eligible } else { others };
+        let is_avoided = |agent: &AgentId| {
+            Some(agent) == task.avoid_agent.as_ref() || task.refused_by.contains(agent)
+        };
+        let eligible = prefer(eligible, |c| !is_avoided(&c.id));
+        let is_suspect = task.crashes > 0;
+        let has_suspect =
+            |agent: &AgentId| self.agents.get(agent).is_some_and(AgentView::has_suspect);
+        let eligible = prefer(eligible, |c| !is_suspect || !has_suspect(&c.id));
         pick(config.rules.placement.policy, &eligible, &mut self.random)
     }
 
@@ -263,6 +272,7 @@
             load: task_load,
             expected_run_us: job.expected_run_us(charged_us),
             priority: job.terms.priority,
+            is_suspect: key.crashes > 0,
         };
         let Some(task) = job.task_mut(index) else {
             return;
@@ -308,6 +318,11 @@
                 unfinished_tasks: job.unfinished,
                 if_full: key.if_full,
                 terms: job.terms,
+                origin: Origin {
+                    job: Some(job.name.clone()),
+                    queue: job.queue.clone(),
+                    crashes: key.crashes,
+                },
                 tasks,
             };
             if let Some(view) = self.agents.get(&key.agent) {
@@ -356,6 +371,15 @@
     }
 }
 
+/// The candidates that meet a condition, or all if none does.
+fn prefer(
+    all: Vec<AgentCandidate>,
+    is_preferred: impl Fn(&AgentCandidate) -> bool,
+) -> Vec<AgentCandidate> {
+    let preferred: Vec<_> = all.iter().filter(|c| is_preferred(c)).cloned().collect();
+    if preferred.is_empty() { all } else { preferred }
+}
+
 fn tasks_placed(
     now: Moment,
     view: &AgentView,
--- a/crates/policy/src/entry/event.rs
+++ b/crates/policy/src/entry/event.rs
@@ -7,6 +7,7 @@
 use dfs_ids::Attempt;
 use dfs_ids::ConfigVersion;
 use dfs_ids::GroupId;
+use dfs_ids::JobName;
 use dfs_ids::Label;
 use dfs_ids::Millis;
 use dfs_ids::QueueName;
@@ -26,6 +27,7 @@
 use serde_json::value::RawValue;
 
 use crate::ConnectionId;
+use crate::crashes::TaskKey;
 
 /// Input of [`Entry::handle`](super::Entry::handle).
 #[derive(Debug, Clone)]
@@ -95,6 +97,8 @@
     pub max_failures: Option<u32>,
     /// Restricts the targets on which tasks may be placed.
     pub constraints: Constraints,
+    /// Name that its caller gave the job; one that is submitted again has the same.
+    pub job: Option<JobName>,
     /// Named queue through which it was submitted, if any.
     pub queue: Option<QueueName>,
 }
@@ -207,6 +211,36 @@
     },
     /// A failed run counts towards the limit of its submission.
     FailureCounted(CountedFailure),
+    /// The target of an agent has crashed.
+    CrashReported {
+        /// Agent of the target.
+        agent: AgentId,
+        /// Number of tasks that ran on the target.
+        accused: usize,
+        /// Time since the agent noticed the crash.
+        age_ms: Millis,
+    },
+    /// A task is not run again, because targets have crashed under it.
+    TaskGivenUp {
+        /// The task.
+        task: TaskKey,
+        /// Number of targets that have crashed under it.
+        crashes: u32,
+    },
+    /// The tasks of a queue may use only some targets, because they crash targets.
+    QueueContained {
+        /// The queue.
+        queue: QueueName,
+        /// Number of targets that its tasks may use.
+        targets: usize,
+        /// Number of targets of its service, as far as known.
+        service_targets: usize,
+    },
+    /// The tasks of a queue may use all targets again.
+    QueueReleased {
+        /// The queue.
+        queue: QueueName,
+    },
     /// A queued submission can no longer meet its latency objective.
     ObjectiveUnreachable {
         /// Submission that is moved behind those that can.
--- a/crates/policy/src/entry/job.rs
+++ b/crates/policy/src/entry/job.rs
@@ -7,6 +7,7 @@
 use dfs_ids::AgentId;
 use dfs_ids::Attempt;
 use dfs_ids::GroupId;
+use dfs_ids::JobName;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::Priority;
@@ -51,6 +52,8 @@
 /// An admitted submission that is not answered yet.
 #[derive(Debug)]
 pub(super) struct Job {
+    /// Name that its caller gave it, or else the identifier of the submission.
+    pub name: JobName,
     pub group: GroupId,
     pub service: ServiceName,
     pub submitted_at: Moment,
@@ -63,6 +66,8 @@
     pub latest_start: Moment,
     /// Whether it is queued behind all others because it can't meet its objective.
     pub is_demoted: bool,
+    /// Whether its tasks may use only the targets set aside for its queue.
+    pub is_contained: bool,
     /// Number of failed runs of one task at which the submission fails once its queue is gone; `None` for no
     /// limit.
     pub max_failures: Option<u32>,
@@ -92,6 +97,8 @@
     pub failed_attempts: u32,
     /// Times that an agent without a free slot handed it back; limited by the `max_hand_backs` rule.
     pub hand_backs: u32,
+    /// Targets that have crashed under it.
+    pub crashes: u32,
     /// Agent of the last attempt; used again only if no other one is eligible.
     pub avoid_agent: Option<AgentId>,
     /// Agents whose targets do not accept it; used again only if no other one is eligible.
@@ -128,12 +135,15 @@
             failed_runs: 0,
             failed_attempts: 0,
             hand_backs: 0,
+            crashes: 0,
             avoid_agent: None,
             refused_by: BTreeSet::new(),
             may_have_run: false,
             state: TaskState::Queued,
         };
+        let id = &submission.id;
         Self {
+            name: submission.job.unwrap_or_else(|| JobName::from(id)),
             group: submission.group,
             service: submission.service,
             submitted_at: now,
@@ -142,6 +152,7 @@
             objective_at: submission.objective_ms.map(|objective| now + objective),
             latest_start: give_up_at.min(deadline) - submission.terms.declared_ms,
             is_demoted: false,
+            is_contained: false,
             max_failures: submission.max_failures.map(|max| max.max(1)),
             constraints: submission.constraints,
             queue: submission.queue,
@@ -169,6 +180,7 @@
             priority: Priority::new(self.terms.priority.get().saturating_add(offset)),
             group: self.group.clone(),
             service: self.service.clone(),
+            contained: self.queue.clone().filter(|_| self.is_contained),
         }
     }
 
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod answer;
 mod config;
+mod contain;
 mod dispatch;
 mod event;
 mod evict;
@@ -36,6 +37,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use contain::Containment;
+use contain::QueueWork;
 pub use event::Constraints;
 pub use event::CountedFailure;
 pub use event::EntryAction;
@@ -49,6 +52,7 @@
 use view::AgentView;
 
 use crate::ConnectionId;
+use crate::crashes::CrashTracker;
 use crate::ejection::EjectionTracker;
 use crate::retry::RetryBudget;
 use crate::share::ShareLedger;
@@ -95,7 +99,11 @@
     ejection: EjectionTracker,
     speeds: SpeedTracker,
     throughput: ThroughputMeter,
-    /// Repeatable tasks of lost agents, with the time until which their runs may still be going on.
+    crashes: CrashTracker,
+    containment: Containment,
+    queue_work: QueueWork,
+    /// Repeatable tasks of lost agents, with the time until which their runs may still be going on, and tasks whose
+    /// target has crashed, with the time until which they may still be given up.
     orphaned_tasks: BTreeSet<(Moment, AgentId, TaskRef)>,
     /// End of the time for which submissions wait for the agents to connect; `None` before the first
     /// configuration.
@@ -136,6 +144,9 @@
             ejection: EjectionTracker::default(),
             speeds: SpeedTracker::default(),
             throughput: ThroughputMeter::default(),
+            crashes: CrashTracker::default(),
+            containment: Containment::default(),
+            queue_work: QueueWork::default(),
             orphaned_tasks: BTreeSet::new(),
             starting_until: None,
             queued_at_start: Vec::new(),
@@ -195,7 +206,9 @@
     }
 
     fn expire(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
+        self.judge_crashes(now, out);
         self.expire_leases(now, out);
         self.expire_deadlines(now, out);
+        self.expire_crashes(now, out);
     }
 }
--- a/crates/policy/src/entry/queue.rs
+++ b/crates/policy/src/entry/queue.rs
@@ -5,6 +5,7 @@
 
 use dfs_ids::GroupId;
 use dfs_ids::Priority;
+use dfs_ids::QueueName;
 use dfs_ids::ServiceName;
 use dfs_ids::SubmissionId;
 
@@ -21,12 +22,14 @@
     task_count: u32,
 }
 
-/// Key of a subqueue: submissions of one priority and group for one service.
+/// Key of a subqueue: submissions of one priority and group for one service, without those of contained queues.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Lane {
     pub priority: Priority,
     pub group: GroupId,
     pub service: ServiceName,
+    /// Queue of the submissions if it is contained; they must not hold up those that may use other targets.
+    pub contained: Option<QueueName>,
 }
 
 impl Queue {
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -67,8 +67,9 @@
             match item {
                 AgentItem::Held(held) => ack = self.on_held_tasks(&agent, &held, out),
                 AgentItem::Target(state) => {
-                    ack.sent_messages = self.on_target_state(&agent, report.seq, state);
+                    ack.sent_messages = self.on_target_state(now, &agent, report.seq, state);
                 }
+                AgentItem::Crashes(crashes) => self.on_crashes(now, &agent, &crashes, out),
                 AgentItem::Load(hint) => self.on_load_hint(now, &agent, report.seq, hint, out),
                 AgentItem::Results(results) => {
                     for result in results {
@@ -197,13 +198,26 @@
 
     /// Returns the number of messages sent in the session so far; those may have been sent without
     /// knowledge of the new state.
-    fn on_target_state(&mut self, agent: &AgentId, seq: u64, state: TargetState) -> Option<u64> {
+    fn on_target_state(
+        &mut self,
+        now: Moment,
+        agent: &AgentId,
+        seq: u64,
+        state: TargetState,
+    ) -> Option<u64> {
         let view = self.agents.get_mut(agent)?;
-        if view.target_seq <= seq {
-            view.target = state;
-            view.target_seq = seq;
+        let sent_messages = view.next_seq;
+        if view.target_seq > seq {
+            return Some(sent_messages);
+        }
+        view.target_seq = seq;
+        view.target = state;
+        if let TargetState::Live(offer) = &view.target {
+            view.last_services.clone_from(&offer.services);
+            self.crashes.record_return(now, agent);
+            self.update_containment();
         }
-        Some(view.next_seq)
+        Some(sent_messages)
     }
 
     /// Marks a target as leaving on the first task that is returned for that reason. The report with the
--- a/crates/policy/src/entry/review.rs
+++ b/crates/policy/src/entry/review.rs
@@ -9,7 +9,6 @@
 use super::EntryAction;
 use super::Observation;
 use super::admit::Needs;
-use super::admit::no_live_target;
 use super::job::Job;
 use super::job::millis_from_micros;
 use crate::order::rank;
@@ -59,7 +58,7 @@
             };
             let needs = Needs::of_job(job);
             if !self.has_live_target(&config, &needs) {
-                let message = no_live_target(&job.group, &job.service);
+                let message = self.no_live_target(&needs);
                 self.fail(&id, FailureReason::NoTarget, message, Vec::new(), out);
             }
         }
--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -26,7 +26,7 @@
 const RENEWAL_BYTES: u64 = 360;
 /// Bandwidth limit of one entry for the renewals of all idle sessions.
 const RENEWAL_BYTES_PER_S: u64 = 2_048;
-const AGENT_LOST_CAUSE: &str = "the agent was lost";
+const LOST_CAUSE: &str = "the agent or its target was lost";
 const MILLIS_PER_SECOND: u64 = 1_000;
 /// Mean time between renewals as a fraction of the interval: agents renew after half to all of it.
 const MEAN_INTERVAL_FRACTION: (u64, u64) = (3, 4);
@@ -97,9 +97,9 @@
     ) {
         let old = self.agents.remove(&attach.agent);
         // The last known target state holds until the agent reports another.
-        let (outstanding, own_load, target) = match old {
-            Some(old) => (old.outstanding, old.own_load, old.target),
-            None => (BTreeMap::new(), 0.0, TargetState::Absent),
+        let (outstanding, own_load, target, last_services) = match old {
+            Some(old) => (old.outstanding, old.own_load, old.target, old.last_services),
+            None => (BTreeMap::new(), 0.0, TargetState::Absent, Vec::new()),
         };
         let view = AgentView {
             incarnation: attach.incarnation,
@@ -111,6 +111,7 @@
             last_heard_at: now,
             idle_renew_ms,
             target,
+            last_services,
             target_seq: 0,
             hint: LoadHint::default(),
             hint_seq: 0,
@@ -188,6 +189,7 @@
         let Some(view) = self.agents.remove(agent) else {
             return;
         };
+        self.update_containment();
         let outstanding_tasks = view.outstanding.len() as u64;
         let lost = Observation::AgentLost {
             agent: agent.clone(),
@@ -201,7 +203,7 @@
                 self.orphaned_tasks
                     .insert((settled_at, agent.clone(), task));
             } else {
-                self.on_unknown(agent, &task, AGENT_LOST_CAUSE, out);
+                self.on_unknown(agent, &task, LOST_CAUSE, out);
             }
         }
     }
@@ -212,7 +214,7 @@
             && at <= now
         {
             self.orphaned_tasks.pop_first();
-            self.on_unknown(&agent, &task, AGENT_LOST_CAUSE, out);
+            self.on_unknown(&agent, &task, LOST_CAUSE, out);
         }
     }
 
@@ -221,7 +223,7 @@
         let is_of_agent = |orphan: &(Moment, AgentId, TaskRef)| orphan.1 == *agent;
         let orphans: Vec<_> = self.orphaned_tasks.extract_if(.., is_of_agent).collect();
         for (_, agent, task) in orphans {
-            self.on_unknown(&agent, &task, AGENT_LOST_CAUSE, out);
+            self.on_unknown(&agent, &task, LOST_CAUSE, out);
         }
     }
 
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -40,6 +40,7 @@
             self.record_run(now, agent, &result);
         }
         self.correct_charge(agent, &result);
+        self.record_queue_run(now, removed.load, &result, out);
         match result.outcome {
             TaskOutcome::Done(body) => {
                 self.ejection.record_success(agent, now);
@@ -54,7 +55,12 @@
             }
             TaskOutcome::Unknown(message) => {
                 self.record_failure(now, agent, out);
-                self.on_unknown(agent, &result.task, &message, out);
+                match self.judged_at(&result.task) {
+                    Some(at) => {
+                        self.orphaned_tasks.insert((at, agent.clone(), result.task));
+                    }
+                    None => self.on_unknown(agent, &result.task, &message, out),
+                }
             }
         }
     }
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -37,6 +37,8 @@
     /// Renewal interval granted to the agent for while it holds no tasks.
     pub idle_renew_ms: Millis,
     pub target: TargetState,
+    /// Services that the target last offered; kept while it is absent.
+    pub last_services: Vec<ServiceName>,
     /// Sequence number of the report with the target's state; reports may arrive out of order, and an
     /// older one does not replace it.
     pub target_seq: u64,
@@ -73,6 +75,8 @@
     pub expected_run_us: f64,
     /// Priority of its submission.
     pub priority: Priority,
+    /// Whether a target has crashed under it before.
+    pub is_suspect: bool,
 }
 
 impl AgentView {
@@ -88,6 +92,10 @@
             .is_some_and(|offer| offer.services.contains(service))
     }
 
+    pub fn has_suspect(&self) -> bool {
+        self.outstanding.values().any(|task| task.is_suspect)
+    }
+
     pub fn outstanding_tasks(&self) -> u32 {
         u32::try_from(self.outstanding.len()).unwrap_or(u32::MAX)
     }
--- a/crates/policy/src/entry/wait.rs
+++ b/crates/policy/src/entry/wait.rs
@@ -91,6 +91,10 @@
             priority: submission.terms.priority,
             group: submission.group.clone(),
             service: submission.service.clone(),
+            contained: submission
+                .queue
+                .clone()
+                .filter(|queue| self.containment.contains_queue(queue)),
         };
         let rank = rank(&config.rules.placement, now, tasks);
         let ahead = self.queued_ahead(config, &lane, rank, task_load);
@@ -153,9 +157,11 @@
 
     fn capacity_for(&self, group: &Group, submission: &Submission) -> Capacity {
         let mut capacity = Capacity::default();
-        for view in self.agents.values() {
+        for (agent, view) in &self.agents {
             let Some(offer) = view.offer() else { continue };
-            if !view.offers(&submission.service) {
+            if !self.containment.allows(submission.queue.as_ref(), agent)
+                || !view.offers(&submission.service)
+            {
                 continue;
             }
             capacity.service_targets += 1.0;
@@ -171,8 +177,11 @@
     fn queued_ahead(&self, config: &Config, lane: &Lane, limit: Rank, task_load: f64) -> f64 {
         let is_ahead = |job: &&Job| {
             let rank = rank(&config.rules.placement, job.submitted_at, job.unfinished);
-            let by_priority = job.lane().priority.cmp(&lane.priority);
-            job.group == lane.group && by_priority.then(rank.cmp(&limit)).is_le()
+            let job_lane = job.lane();
+            let by_priority = job_lane.priority.cmp(&lane.priority);
+            job.group == lane.group
+                && job_lane.contained == lane.contained
+                && by_priority.then(rank.cmp(&limit)).is_le()
         };
         let pending = self.jobs.values().filter(|job| !job.pending.is_empty());
         let ahead = pending.filter(is_ahead);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,6 +2,7 @@
 //! typed actions come out. Nothing here does I/O, spawns tasks or reads a clock.
 
 pub mod agent;
+pub mod crashes;
 pub mod ejection;
 pub mod entry;
 pub mod membership;
--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -151,6 +151,11 @@
     WrongIncarnation,
     /// No process listens at the target's address.
     NotListening,
+    /// The connection broke while the poll waited for its response.
+    Disconnected {
+        /// Error text for the log.
+        message: String,
+    },
     /// No usable response.
     Failed {
         /// Error text for the log.
@@ -315,6 +320,9 @@
         /// Outcome for the entry.
         end: RunEnd,
     },
+    /// The target has exited or started anew, unplanned, under these attempts. Emitted before the ends of their
+    /// runs, or after them if the leases of the runs had expired first.
+    TargetCrashed(Vec<TaskRef>),
     /// Progress of the active runs in percent.
     Progress(Vec<(TaskRef, u8)>),
     /// Announces the target to the agent, or renews its announcement.
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -109,7 +109,10 @@
         }
         if matches!(
             outcome,
-            PollOutcome::NotListening | PollOutcome::WrongIncarnation | PollOutcome::Failed { .. }
+            PollOutcome::NotListening
+                | PollOutcome::WrongIncarnation
+                | PollOutcome::Disconnected { .. }
+                | PollOutcome::Failed { .. }
         ) {
             self.maybe_restarted_at = Some(now);
         }
@@ -127,7 +130,19 @@
                 self.on_not_listening(now, poll, out);
             }
             // The failure is outdated: a snapshot has arrived since this poll was sent.
-            PollOutcome::Failed { .. } if poll.sent_at < self.last_snapshot_at => {}
+            PollOutcome::Disconnected { .. } | PollOutcome::Failed { .. }
+                if poll.sent_at < self.last_snapshot_at => {}
+            PollOutcome::Disconnected { message } => {
+                // The next poll shows whether the target's process is gone; later ones are not as urgent.
+                let is_first = self.disconnected_at.is_none();
+                self.next_poll_at = if is_first {
+                    now
+                } else {
+                    now + POLL_RETRY_DELAY_MS
+                };
+                self.disconnected_at.get_or_insert(now);
+                self.on_poll_failed(now, message, out);
+            }
             PollOutcome::Failed { message } => {
                 self.next_poll_at = now + POLL_RETRY_DELAY_MS;
                 self.on_poll_failed(now, message, out);
@@ -155,8 +170,9 @@
         });
     }
 
-    /// Withdraws a target at whose address no process listens. Once a poll that was sent later confirms it, the
-    /// target has exited, and its runs with it.
+    /// Withdraws a target at whose address no process listens. The target has exited, and its runs with it, if the
+    /// connection of an earlier poll broke, or once a poll that was sent later confirms it. A target that is about to
+    /// exit may close its connections before it ends its runs.
     fn on_not_listening(&mut self, now: Moment, poll: &PollRequest, out: &mut Vec<RunsAction>) {
         let not_listening_since = *self.not_listening_since.get_or_insert(now);
         self.polls_failing_since.get_or_insert(now);
@@ -167,7 +183,10 @@
                 message: "no process listens at its address".to_owned(),
             });
         }
-        if poll.sent_at <= not_listening_since {
+        let follows_disconnect = self.disconnected_at.is_some_and(|at| poll.sent_at >= at);
+        let is_confirmed =
+            poll.sent_at > not_listening_since || (follows_disconnect && !self.is_exit_planned);
+        if !is_confirmed {
             return;
         }
         if !self.taken_over {
@@ -175,6 +194,7 @@
         }
         // Fences starts in flight, which the target's next process could execute under the same id.
         self.raise_token(self.token);
+        self.report_crash(out);
         self.interrupt_all(now, "the target has exited", out);
     }
 
@@ -195,6 +215,8 @@
             self.set_incarnation(now, snapshot.incarnation);
         }
         self.maybe_restarted_at.take_if(|at| *at <= poll.sent_at);
+        self.expired_tasks.clear();
+        self.disconnected_at = None;
         self.last_snapshot_at = now;
         self.last_answered_poll_sent_at = self.last_answered_poll_sent_at.max(poll.sent_at);
         self.fenced_polls = 0;
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -57,6 +57,10 @@
 }
 
 /// State machine that starts, stops and tracks all runs on one target.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag is set and cleared independently"
+)]
 #[derive(Debug)]
 pub struct Runs {
     options: RunsOptions,
@@ -70,6 +74,11 @@
     /// Last run number of each task name that ended recently, and when it ended.
     last_run_numbers: HashMap<Arc<str>, (RunNumber, Moment)>,
     heartbeat: Option<(Heartbeat, Moment)>,
+    /// Whether the target has said that it is about to exit, so that its exit is no crash.
+    is_exit_planned: bool,
+    /// Runs whose lease has expired since the target last answered. If it turns out to have restarted, it may have
+    /// crashed under them.
+    expired_tasks: Vec<TaskRef>,
     /// Heartbeat that the store holds, as far as known.
     stored_heartbeat: Option<Heartbeat>,
     /// Heartbeat received by an earlier incarnation of the agent. It is used once the target reports the same
@@ -97,6 +106,8 @@
     last_poll_token: FencingToken,
     /// When a poll first met no process that listens at the target's address, if no later one was answered.
     not_listening_since: Option<Moment>,
+    /// When the connection of a poll broke, if none was answered since.
+    disconnected_at: Option<Moment>,
     /// When a poll last returned a snapshot.
     last_snapshot_at: Moment,
     /// When the last of the polls that returned a snapshot was sent.
@@ -144,6 +155,8 @@
             waiting_tasks: HashMap::new(),
             last_run_numbers: HashMap::new(),
             heartbeat: None,
+            is_exit_planned: false,
+            expired_tasks: Vec::new(),
             stored_heartbeat: None,
             recalled_heartbeat: None,
             incarnation: None,
@@ -157,6 +170,7 @@
             last_poll_sent_at: now,
             last_poll_token: FencingToken::default(),
             not_listening_since: None,
+            disconnected_at: None,
             last_snapshot_at: now,
             last_answered_poll_sent_at: now,
             polls_failing_since: None,
@@ -227,6 +241,7 @@
             out.push(RunsAction::StoreHeartbeat(heartbeat.clone()));
         }
         self.recalled_heartbeat = None;
+        self.is_exit_planned = heartbeat.is_draining;
         self.heartbeat = Some((heartbeat, now));
         self.announce_if_ready(now, out);
     }
@@ -278,6 +293,7 @@
     fn on_deregistered(&mut self, target: &dfs_ids::TargetId, out: &mut Vec<RunsAction>) {
         let is_this = |known: &(Heartbeat, Moment)| known.0.target == *target;
         if self.heartbeat.as_ref().is_some_and(is_this) {
+            self.is_exit_planned = true;
             self.heartbeat = None;
             self.send_goodbye(out);
         }
@@ -304,6 +320,7 @@
         // shortens the lease to the longest that it grants.
         let until = longest_lease_end(&self.options, now);
         self.lease_expires_at = self.lease_expires_at.max(until);
+        self.report_crash(out);
         self.end_or_recheck_runs(now, out);
         // Without the time of the new incarnation no start can carry a lease end; it refuses such a start.
         self.send_goodbye(out);
@@ -362,9 +379,31 @@
             // The leases of earlier runs have expired even though the target was never reached.
             self.complete_takeover(out);
         }
+        self.expired_tasks
+            .extend(self.names_by_task.keys().cloned());
         self.interrupt_all(now, "its lease has lapsed", out);
     }
 
+    /// Reports an unplanned exit or restart of the target with all runs that may have been active on it.
+    fn report_crash(&mut self, out: &mut Vec<RunsAction>) {
+        let mut tasks = std::mem::take(&mut self.expired_tasks);
+        if std::mem::take(&mut self.is_exit_planned) {
+            return;
+        }
+        // A start that was sent after the target had gone is refused.
+        let gone_at = self.not_listening_since;
+        let may_have_run = |name| {
+            let tracked = self.tracked.get(name);
+            tracked.is_some_and(|tracked| gone_at.is_none_or(|at| tracked.started_at <= at))
+        };
+        let active = self.names_by_task.iter();
+        let active = active.filter(|(_, name)| may_have_run(*name));
+        tasks.extend(active.map(|(task, _)| task.clone()));
+        if !tasks.is_empty() {
+            out.push(RunsAction::TargetCrashed(tasks));
+        }
+    }
+
     fn complete_takeover(&mut self, out: &mut Vec<RunsAction>) {
         self.taken_over = true;
         out.push(RunsAction::TakenOver {
--- a/crates/policy/tests/matrix/node.rs
+++ b/crates/policy/tests/matrix/node.rs
@@ -120,6 +120,7 @@
             objective_ms: None,
             max_failures: Some(1),
             constraints: Constraints::default(),
+            job: None,
             queue: None,
         }
     }
--- a/crates/policy/tests/policy_admission.rs
+++ b/crates/policy/tests/policy_admission.rs
@@ -113,6 +113,7 @@
         objective_ms: None,
         max_failures: Some(1),
         constraints: Constraints::default(),
+        job: None,
         queue: None,
     }
 }
--- a/crates/policy/tests/policy_agent_queue.rs
+++ b/crates/policy/tests/policy_agent_queue.rs
@@ -20,6 +20,7 @@
 use dfs_wire::session::EntryMessage;
 use dfs_wire::session::IfFull;
 use dfs_wire::session::NotRunReason;
+use dfs_wire::session::Origin;
 use dfs_wire::session::PlacedTask;
 use dfs_wire::session::Placement;
 use dfs_wire::session::SessionParams;
@@ -121,6 +122,7 @@
             unfinished_tasks,
             if_full,
             terms: Terms::default(),
+            origin: Origin::default(),
             tasks: vec![PlacedTask {
                 task: TaskIndex::new(0),
                 attempt: Attempt::new(0),
--- /dev/null
+++ b/crates/policy/tests/policy_crashes.rs
@@ -0,0 +1,239 @@
+//! Which tasks are given up and which queues are contained after crashes of targets.
+
+use dfs_ids::AgentId;
+use dfs_ids::Incarnation;
+use dfs_ids::Millis;
+use dfs_ids::Moment;
+use dfs_ids::QueueName;
+use dfs_ids::TaskIndex;
+use dfs_policy::crashes::CrashTracker;
+use dfs_policy::crashes::TaskKey;
+use dfs_policy::crashes::Verdict;
+use dfs_wire::session::CrashedRun;
+use dfs_wire::session::TargetCrash;
+use googletest::prelude::*;
+
+const QUOTES: &str = "quotes";
+const SLOTS: &str = "slots";
+/// Longer than the time after which a suspect is judged.
+const JUDGED_MS: u64 = 30;
+
+fn run(job: &str, queue: &str, run_ms: u64) -> CrashedRun {
+    CrashedRun {
+        job: job.parse().unwrap(),
+        task: TaskIndex::new(0),
+        queue: Some(queue.parse().unwrap()),
+        run_ms: Millis::new(run_ms),
+        earlier_crashes: 0,
+    }
+}
+
+fn agent(index: u64) -> AgentId {
+    format!("agent-{index}").parse().unwrap()
+}
+
+fn queue(name: &str) -> QueueName {
+    name.parse().unwrap()
+}
+
+struct Scene {
+    tracker: CrashTracker,
+    now: Moment,
+    crashes: u64,
+}
+
+impl Scene {
+    fn new() -> Self {
+        Self {
+            tracker: CrashTracker::default(),
+            now: Moment::from_millis(1_000),
+            crashes: 0,
+        }
+    }
+
+    fn crash(&mut self, on: u64, runs: &[CrashedRun]) -> Verdict {
+        self.crashes += 1;
+        let crash = TargetCrash {
+            number: self.crashes,
+            age_ms: Millis::default(),
+            runs: runs.to_vec(),
+        };
+        let incarnation = Incarnation::new(1);
+        self.tracker
+            .record_crash(self.now, &agent(on), incarnation, &crash, true)
+    }
+
+    fn advance(&mut self, ms: u64) -> Verdict {
+        self.now = self.now + Millis::new(ms);
+        self.tracker.judge(self.now)
+    }
+
+    fn is_given_up(&self, job: &str) -> bool {
+        let job = job.parse().unwrap();
+        self.tracker.given_up_task(&job).is_some()
+    }
+
+    fn is_contained(&self, name: &str) -> bool {
+        self.tracker.is_contained(&queue(name))
+    }
+
+    /// Two crashes under one task, after which it is given up and its queue contained.
+    fn convict(&mut self, job: &str, name: &str, first: u64, second: u64) {
+        self.crash(first, &[run(job, name, 10)]);
+        self.advance(100);
+        self.crash(second, &[run(job, name, 10)]);
+        self.advance(JUDGED_MS);
+    }
+}
+
+#[googletest::test]
+fn a_task_that_crashes_a_second_target_after_the_same_work_is_given_up() {
+    let mut tracker = Scene::new();
+    let bystanders = [run("b", SLOTS, 150), run("c", SLOTS, 90)];
+    tracker.crash(1, &[&bystanders[..], &[run("a", QUOTES, 10)]].concat());
+    tracker.advance(100);
+    let verdict = tracker.crash(2, &[run("d", SLOTS, 400), run("a", QUOTES, 12)]);
+    expect_that!(verdict.contained, eq(&[queue(QUOTES)]));
+    expect_that!(verdict.given_up, is_empty());
+    let verdict = tracker.advance(JUDGED_MS);
+    let key = TaskKey {
+        job: "a".parse().unwrap(),
+        task: TaskIndex::new(0),
+    };
+    expect_that!(verdict.given_up, eq(&[(key, 2)]));
+    expect_false!(tracker.is_given_up("b"));
+    expect_false!(tracker.is_contained(SLOTS));
+}
+
+#[googletest::test]
+fn a_task_beside_one_that_had_just_started_is_not_given_up() {
+    let mut tracker = Scene::new();
+    tracker.crash(1, &[run("b", SLOTS, 150), run("a", QUOTES, 10)]);
+    tracker.advance(300);
+    tracker.crash(2, &[run("b", SLOTS, 140), run("d", QUOTES, 9)]);
+    tracker.advance(JUDGED_MS);
+    expect_false!(tracker.is_given_up("b"));
+    expect_false!(tracker.is_contained(SLOTS));
+}
+
+#[googletest::test]
+fn a_task_that_ran_alone_is_given_up_whatever_its_run_times() {
+    let mut tracker = Scene::new();
+    tracker.crash(1, &[run("a", QUOTES, 10), run("b", SLOTS, 5)]);
+    tracker.advance(100);
+    tracker.crash(1, &[run("a", QUOTES, 300)]);
+    tracker.advance(JUDGED_MS);
+    expect_true!(tracker.is_given_up("a"));
+}
+
+#[googletest::test]
+fn targets_that_crash_together_give_no_task_up() {
+    let mut tracker = Scene::new();
+    tracker.crash(1, &[run("a", QUOTES, 10)]);
+    tracker.advance(500);
+    tracker.crash(2, &[run("a", QUOTES, 10)]);
+    tracker.advance(2);
+    tracker.crash(3, &[run("d", SLOTS, 10)]);
+    tracker.advance(JUDGED_MS);
+    expect_false!(tracker.is_given_up("a"));
+}
+
+#[googletest::test]
+fn four_crashes_give_a_task_up_in_any_case() {
+    let mut tracker = Scene::new();
+    for on in 0..4 {
+        expect_false!(tracker.is_given_up("a"));
+        tracker.crash(on, &[run("a", QUOTES, 900 * on), run("b", SLOTS, 900 * on)]);
+        tracker.advance(500);
+    }
+    expect_true!(tracker.is_given_up("a"));
+}
+
+#[googletest::test]
+fn a_crash_that_several_entries_would_count_is_counted_once() {
+    let mut tracker = Scene::new();
+    let crash = TargetCrash {
+        number: 1,
+        age_ms: Millis::default(),
+        runs: vec![run("a", QUOTES, 10)],
+    };
+    for _ in 0..5 {
+        let (now, incarnation) = (tracker.now, Incarnation::new(1));
+        tracker
+            .tracker
+            .record_crash(now, &agent(1), incarnation, &crash, true);
+        tracker.advance(JUDGED_MS);
+    }
+    expect_false!(tracker.is_given_up("a"));
+}
+
+#[googletest::test]
+fn a_queue_is_released_after_clean_runs_once_its_targets_are_back() {
+    let mut tracker = Scene::new();
+    tracker.convict("a", QUOTES, 1, 2);
+    expect_true!(tracker.is_contained(QUOTES));
+    for _ in 0..1_000 {
+        expect_false!(tracker.tracker.record_success(&queue(QUOTES)));
+    }
+    tracker.tracker.record_return(tracker.now, &agent(1));
+    tracker.tracker.record_return(tracker.now, &agent(2));
+    expect_true!(tracker.tracker.record_success(&queue(QUOTES)));
+    expect_false!(tracker.is_contained(QUOTES));
+}
+
+#[googletest::test]
+fn a_queue_whose_runs_end_well_between_crashes_needs_more_of_them_to_be_released() {
+    let mut tracker = Scene::new();
+    tracker.convict("a", QUOTES, 1, 2);
+    for _ in 0..500 {
+        tracker.tracker.record_success(&queue(QUOTES));
+    }
+    tracker.crash(3, &[run("e", QUOTES, 10)]);
+    for on in 1..=3 {
+        tracker.tracker.record_return(tracker.now, &agent(on));
+    }
+    let mut runs = 1;
+    while !tracker.tracker.record_success(&queue(QUOTES)) {
+        runs += 1;
+    }
+    expect_that!(runs, ge(1_000));
+}
+
+#[googletest::test]
+fn a_queue_without_traffic_is_released_after_a_minute() {
+    let mut tracker = Scene::new();
+    tracker.convict("a", QUOTES, 1, 2);
+    tracker.advance(59_000);
+    expect_that!(tracker.tracker.expire(tracker.now), is_empty());
+    tracker.advance(2_000);
+    expect_that!(tracker.tracker.expire(tracker.now), eq(&[queue(QUOTES)]));
+}
+
+#[googletest::test]
+fn a_queue_that_was_only_suspected_is_released_when_a_task_of_another_is_given_up() {
+    let mut tracker = Scene::new();
+    tracker.crash(1, &[run("b", SLOTS, 10), run("a", QUOTES, 10)]);
+    tracker.advance(300);
+    tracker.crash(2, &[run("b", SLOTS, 12)]);
+    tracker.crash(3, &[run("d", QUOTES, 10)]);
+    tracker.advance(JUDGED_MS);
+    expect_true!(tracker.is_contained(SLOTS));
+    tracker.advance(300);
+    tracker.crash(4, &[run("a", QUOTES, 10)]);
+    let verdict = tracker.advance(JUDGED_MS);
+    expect_that!(verdict.released, eq(&[queue(SLOTS)]));
+    expect_true!(tracker.is_contained(QUOTES));
+}
+
+#[googletest::test]
+fn the_return_of_a_crashed_target_is_expected_after_the_time_that_others_took() {
+    let mut tracker = Scene::new();
+    tracker.crash(1, &[run("a", QUOTES, 10)]);
+    tracker.advance(3_000);
+    tracker.tracker.record_return(tracker.now, &agent(1));
+    tracker.crash(2, &[run("a", QUOTES, 10)]);
+    tracker.advance(1_000);
+    let agents = [agent(1), agent(2)];
+    let expected = tracker.tracker.expected_return(tracker.now, agents.iter());
+    expect_that!(expected, some(eq(Millis::new(2_000))));
+}
--- a/crates/policy/tests/policy_slow.rs
+++ b/crates/policy/tests/policy_slow.rs
@@ -18,6 +18,7 @@
 use dfs_wire::session::EntryItem;
 use dfs_wire::session::EntryMessage;
 use dfs_wire::session::IfFull;
+use dfs_wire::session::Origin;
 use dfs_wire::session::PlacedTask;
 use dfs_wire::session::Placement;
 use dfs_wire::session::SessionParams;
@@ -145,6 +146,7 @@
                 repeatable: true,
                 ..Terms::default()
             },
+            origin: Origin::default(),
             tasks: vec![placed(task.task)],
         }));
     }
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -91,6 +91,8 @@
     pub ended: Vec<(TaskRef, RunEnd)>,
     pub announcement_count: usize,
     pub goodbye_count: usize,
+    /// Tasks of each reported crash.
+    pub crashes: Vec<Vec<TaskRef>>,
     pub stored: Vec<Heartbeat>,
 }
 
@@ -106,6 +108,7 @@
             ended: Vec::new(),
             announcement_count: 0,
             goodbye_count: 0,
+            crashes: Vec::new(),
             stored: Vec::new(),
         };
         harness.handle(RunsEvent::Tick);
@@ -128,6 +131,7 @@
                 RunsAction::SendPoll(poll) => self.polls.push(poll),
                 RunsAction::TaskEnded { task, end, .. } => self.ended.push((task, end)),
                 RunsAction::Announce(_) => self.announcement_count += 1,
+                RunsAction::TargetCrashed(tasks) => self.crashes.push(tasks),
                 RunsAction::Goodbye => self.goodbye_count += 1,
                 RunsAction::StoreHeartbeat(heartbeat) => self.stored.push(heartbeat),
                 RunsAction::TakenOver { .. }
@@ -241,6 +245,12 @@
     }
 }
 
+pub fn disconnected() -> PollOutcome {
+    PollOutcome::Disconnected {
+        message: "the connection broke".to_owned(),
+    }
+}
+
 pub fn refused(refusal: Refusal) -> RequestOutcome {
     RequestOutcome::Refused {
         refusal,
--- a/crates/wire/src/session/mod.rs
+++ b/crates/wire/src/session/mod.rs
@@ -5,6 +5,7 @@
 //! acknowledges.
 
 mod attach;
+mod crash;
 mod placement;
 mod report;
 mod result;
@@ -15,7 +16,10 @@
 pub use attach::EntryItem;
 pub use attach::EntryMessage;
 pub use attach::SessionParams;
+pub use crash::CrashedRun;
+pub use crash::TargetCrash;
 pub use placement::IfFull;
+pub use placement::Origin;
 pub use placement::PlacedTask;
 pub use placement::Placement;
 pub use placement::TaskRef;
--- a/crates/wire/src/session/placement.rs
+++ b/crates/wire/src/session/placement.rs
@@ -9,7 +9,9 @@
 use derive_more::Display;
 use dfs_ids::Attempt;
 use dfs_ids::GroupId;
+use dfs_ids::JobName;
 use dfs_ids::Millis;
+use dfs_ids::QueueName;
 use dfs_ids::ServiceName;
 use dfs_ids::SubmissionId;
 use dfs_ids::TaskIndex;
@@ -26,6 +28,7 @@
 use serde_json::value::RawValue;
 
 use super::Terms;
+use super::terms::is_default;
 
 /// Identifies one attempt to run one task.
 ///
@@ -44,7 +47,7 @@
 /// Tasks of one submission for one agent.
 ///
 /// On the wire:
-/// `[submission, group, service, time_left_ms, age_ms, left, if_full, terms, index, attempt, body, …]`.
+/// `[submission, group, service, time_left_ms, age_ms, left, if_full, terms, origin, index, attempt, body, …]`.
 #[derive(Debug, Clone)]
 pub struct Placement {
     /// Submission to which the tasks belong.
@@ -65,10 +68,29 @@
     pub if_full: IfFull,
     /// Requirements and priority of each task.
     pub terms: Terms,
+    /// Where the tasks come from.
+    pub origin: Origin,
     /// Tasks to run; never empty.
     pub tasks: Vec<PlacedTask>,
 }
 
+/// Where the tasks of a [`Placement`] come from, and what is known of them.
+///
+/// Fields with their default value are omitted on the wire.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Origin {
+    /// Name of the job; the identifier of the submission if absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub job: Option<JobName>,
+    /// Queue to which the job was submitted, if any.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub queue: Option<QueueName>,
+    /// Number of targets that have crashed under each of the tasks.
+    #[serde(skip_serializing_if = "is_default")]
+    pub crashes: u32,
+}
+
 /// What an agent does with a task for which the target has no free slot or too few resources.
 ///
 /// On the wire: 0 for `Queue`, 1 for `HandBack`.
@@ -92,7 +114,7 @@
 }
 
 const TASK_REF_FIELDS: usize = 3;
-const PLACEMENT_HEADER_FIELDS: usize = 8;
+const PLACEMENT_HEADER_FIELDS: usize = 9;
 const PLACED_TASK_FIELDS: usize = 3;
 const IF_FULL_QUEUE: u8 = 0;
 const IF_FULL_HAND_BACK: u8 = 1;
@@ -165,6 +187,7 @@
         seq.serialize_element(&self.unfinished_tasks)?;
         seq.serialize_element(&self.if_full)?;
         seq.serialize_element(&self.terms)?;
+        seq.serialize_element(&self.origin)?;
         for task in &self.tasks {
             seq.serialize_element(&task.task)?;
             seq.serialize_element(&task.attempt)?;
@@ -181,7 +204,7 @@
 
     fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str(
-            "[submission, group, service, time_left_ms, age_ms, left, if_full, terms, index, attempt, body, …]",
+            "[submission, group, service, time_left_ms, age_ms, left, if_full, terms, origin, index, attempt, body, …]",
         )
     }
 
@@ -195,6 +218,7 @@
             unfinished_tasks: required(&mut seq, "left")?,
             if_full: required(&mut seq, "if_full")?,
             terms: required(&mut seq, "terms")?,
+            origin: required(&mut seq, "origin")?,
             tasks: Vec::new(),
         };
         while let Some(task) = seq.next_element()? {
--- a/crates/wire/src/session/report.rs
+++ b/crates/wire/src/session/report.rs
@@ -9,6 +9,7 @@
 use serde_json::value::RawValue;
 use snafu::Snafu;
 
+use super::TargetCrash;
 use super::TaskRef;
 use super::TaskResult;
 use crate::target::Offer;
@@ -44,6 +45,9 @@
     Target(TargetState),
     /// Load of the target, and the number of tasks that the entry may place there.
     Load(LoadHint),
+    /// Crashes of the target that were not reported in this session, before the results of the runs that they
+    /// ended.
+    Crashes(Vec<TargetCrash>),
     /// Results of tasks that started and have ended.
     Results(Vec<TaskResult>),
     /// Tasks that did not start and never will.
--- a/crates/wire/src/session/terms.rs
+++ b/crates/wire/src/session/terms.rs
@@ -28,6 +28,6 @@
     pub repeatable: bool,
 }
 
-fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+pub(super) fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -6,6 +6,7 @@
 use dfs_ids::Millis;
 use dfs_ids::TaskIndex;
 use dfs_wire::session::IfFull;
+use dfs_wire::session::Origin;
 use dfs_wire::session::PlacedTask;
 use dfs_wire::session::Placement;
 use dfs_wire::session::TaskOutcome;
@@ -34,6 +35,7 @@
         unfinished_tasks: 2,
         if_full: IfFull::HandBack,
         terms: Terms::default(),
+        origin: Origin::default(),
         tasks: vec![task(0), task(7)],
     }
 }
@@ -41,7 +43,7 @@
 #[googletest::test]
 fn placement_is_serialized_as_one_flat_array() {
     let json = serde_json::to_string(&placement()).unwrap();
-    let expected = r#"["s-1","aba","member-desk",900,40,2,1,{},0,1,{"a":1},7,1,{"a":1}]"#;
+    let expected = r#"["s-1","aba","member-desk",900,40,2,1,{},{},0,1,{"a":1},7,1,{"a":1}]"#;
     expect_that!(json, eq(expected));
     let parsed: Placement = serde_json::from_str(&json).unwrap();
     expect_that!(serde_json::to_string(&parsed).unwrap(), eq(expected));
@@ -49,14 +51,15 @@
 
 #[googletest::test]
 fn placement_without_tasks_is_rejected() {
-    let parsed = serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,40,2,0,{}]"#);
+    let parsed =
+        serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,40,2,0,{},{}]"#);
     expect_that!(parsed.unwrap_err().to_string(), contains_substring("index"));
 }
 
 #[googletest::test]
 fn truncated_placement_is_rejected() {
     let parsed =
-        serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,40,2,0,{},0,1]"#);
+        serde_json::from_str::<Placement>(r#"["s-1","aba","member-desk",900,40,2,0,{},{},0,1]"#);
     expect_that!(parsed.unwrap_err().to_string(), contains_substring("body"));
 }
 
