--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -213,6 +213,7 @@
         });
         if is_changed {
             self.mark_target_state_pending();
+            self.hand_back_oversized();
         }
     }
 
--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -156,6 +156,24 @@
         }
     }
 
+    /// Hands back queued tasks that the target can't run any more, however few others run there: its capacity has
+    /// shrunk since they were accepted.
+    pub(super) fn hand_back_oversized(&mut self) {
+        let Some(target) = &self.target else { return };
+        let capacity = target.announcement.offer.resources;
+        let is_oversized = |task: &&TaskRef| {
+            let record = self.records.get(*task);
+            record.is_some_and(|record| {
+                let demand = &record.terms.demand;
+                *demand != Resources::default() && !capacity.covers(demand)
+            })
+        };
+        let tasks: Vec<_> = self.queue.tasks().filter(is_oversized).cloned().collect();
+        for task in tasks {
+            self.hand_back(&task, NotRunReason::Busy);
+        }
+    }
+
     fn hand_back(&mut self, task: &TaskRef, reason: NotRunReason) {
         let Some(record) = self.records.remove(task) else {
             return;
