Count only confirmed runs towards a job that is shown as failed

Cause: the start of the task was in flight when another task crashed its target, and counted as a run. A run now counts only if the target had confirmed its start; unconfirmed ones accuse a task, and after four crashes its job is answered as unknown instead of failed.

A suspicion that is not confirmed ends after half a second, and crashes of idle targets are reported, as they show a common cause. A job that is submitted again while its task is judged is refused. Tests: policy_crashes (two new ones), cluster crashes and faults.

--- a/crates/agent/src/edge.rs
+++ b/crates/agent/src/edge.rs
@@ -7,6 +7,7 @@
 use axum::Router;
 use dfs_policy::agent::AgentEvent;
 use dfs_policy::agent::RunEnd;
+use dfs_policy::runs::CrashedAttempt;
 use dfs_store::Presence;
 use dfs_wire::session::TaskRef;
 use dfs_wire::target::Announcement;
@@ -55,7 +56,7 @@
     }
 
     /// Reports that the target has exited or started anew, unplanned, under the runs of these tasks.
-    pub fn crashed(&self, tasks: Vec<TaskRef>) {
+    pub fn crashed(&self, tasks: Vec<CrashedAttempt>) {
         self.core.send_event(AgentEvent::TargetCrashed(tasks));
     }
 
--- a/crates/policy/src/agent/crash.rs
+++ b/crates/policy/src/agent/crash.rs
@@ -13,6 +13,7 @@
 use super::Agent;
 use super::Observation;
 use super::record::TaskRecord;
+use crate::runs::CrashedAttempt;
 
 /// Time for which an entry that opens a session is told of a crash. Callers submit a lost job again within
 /// seconds.
@@ -85,17 +86,19 @@
 }
 
 impl Agent {
-    pub(super) fn on_target_crashed(&mut self, now: Moment, tasks: &[TaskRef]) {
-        let runs: Vec<_> = tasks
-            .iter()
-            .filter_map(|task| match self.records.get(task) {
+    pub(super) fn on_target_crashed(&mut self, now: Moment, attempts: &[CrashedAttempt]) {
+        let run = |attempt: &CrashedAttempt| {
+            let task = &attempt.task;
+            let run = match self.records.get(task) {
                 Some(record) => Some(crashed_run(task, record, record.run_ms(now))),
                 None => self.crashes.take_ended(task),
+            };
+            run.map(|run| CrashedRun {
+                is_confirmed: attempt.is_confirmed,
+                ..run
             })
-            .collect();
-        if runs.is_empty() {
-            return;
-        }
+        };
+        let runs: Vec<_> = attempts.iter().filter_map(run).collect();
         self.observations
             .push(Observation::TargetCrashed { runs: runs.clone() });
         self.crashes.add(now, runs);
@@ -112,6 +115,7 @@
         task: task.task,
         queue: origin.queue.clone(),
         run_ms,
+        is_confirmed: false,
         earlier_crashes: origin.crashes,
     }
 }
--- a/crates/policy/src/agent/event.rs
+++ b/crates/policy/src/agent/event.rs
@@ -23,6 +23,7 @@
 use serde_json::value::RawValue;
 
 use crate::ConnectionId;
+use crate::runs::CrashedAttempt;
 
 /// Input of [`Agent::handle`](super::Agent::handle).
 #[derive(Debug, Clone)]
@@ -54,7 +55,7 @@
     TargetGoodbye,
     /// The target has exited or started anew, unplanned, under these tasks. It comes before their
     /// [`AgentEvent::RunEnded`], or after it if they had ended for another reason.
-    TargetCrashed(Vec<TaskRef>),
+    TargetCrashed(Vec<CrashedAttempt>),
     /// A task that was started has ended, or could not be started.
     RunEnded {
         /// Attempt that the run belongs to.
--- a/crates/policy/src/crashes.rs
+++ b/crates/policy/src/crashes.rs
@@ -33,6 +33,8 @@
 const NOTICE_SLACK_MS: Millis = Millis::new(10);
 /// Longest time between the reports of crashes that have one cause. Agents notice a broken connection at once.
 const COMMON_CAUSE_MS: Millis = Millis::new(25);
+/// Time for which a queue is contained on suspicion. Tasks that crash targets confirm it sooner.
+const SUSPICION_MS: Millis = Millis::new(500);
 /// Time for which a crash is held against a task or a queue.
 const MEMORY_MS: Millis = Millis::new(60_000);
 /// An event that was not seen in so many times its mean interval has become rarer with 95% confidence.
@@ -60,7 +62,8 @@
     pub given_up: Vec<(TaskKey, u32)>,
     /// Queues that are contained from now on.
     pub contained: Vec<QueueName>,
-    /// Queues that are no longer contained, since a task of another one was given up.
+    /// Queues that are no longer contained, since the suspicion was not confirmed or a task of another one was given
+    /// up.
     pub released: Vec<QueueName>,
 }
 
@@ -101,7 +104,10 @@
 
 #[derive(Debug, Clone)]
 struct AccusedTask {
+    /// All crashes, also those of targets that may not have begun to run it.
     crashes: u32,
+    /// Crashes of targets that had confirmed its start.
+    confirmed_crashes: u32,
     is_given_up: bool,
     last_crash: CrashEvent,
     /// Run time at the last crash.
@@ -113,6 +119,8 @@
     is_contained: bool,
     /// Whether any of its tasks was given up.
     has_convictions: bool,
+    /// When one of its tasks was last alone suspected of a crash.
+    suspected_at: Moment,
     last_crash_at: Moment,
     /// Agents whose targets have crashed under its tasks and may still be down.
     crashed_targets: BTreeSet<AgentId>,
@@ -217,13 +225,22 @@
         let due: Vec<_> = self.pending.extract_if(.., is_due).collect();
         let mut verdict = Verdict::default();
         for pending in due {
-            if !self.has_common_cause(&pending) {
+            if self.is_confirmed(&pending.key) && !self.has_common_cause(&pending) {
                 self.convict(&pending.key, pending.queue.as_ref(), &mut verdict);
             }
         }
+        let released = self.release_suspected(|accused| now >= accused.suspected_at + SUSPICION_MS);
+        verdict.released.extend(released);
         verdict
     }
 
+    /// Whether as many targets have certainly crashed under a task as it takes to show its job as failed.
+    #[must_use]
+    pub fn is_confirmed(&self, key: &TaskKey) -> bool {
+        let task = self.tasks.get(key);
+        task.is_some_and(|task| task.confirmed_crashes >= CONVICTING_CRASHES)
+    }
+
     /// When a task is judged that is alone suspected of the last crash under it; `None` if it is not.
     #[must_use]
     pub fn judged_at(&self, key: &TaskKey) -> Option<Moment> {
@@ -259,17 +276,19 @@
             if let Some(accused) = self.queues.get_mut(queue) {
                 accused.has_convictions = true;
             }
-            verdict.released.extend(self.release_suspected());
+            verdict.released.extend(self.release_suspected(|_| true));
         }
     }
 
-    /// Releases the queues that were contained for a task that is not given up and no longer to be judged.
-    fn release_suspected(&mut self) -> Vec<QueueName> {
+    /// Releases the queues that meet a condition, of those that were contained for a task that is not given up and no
+    /// longer to be judged.
+    fn release_suspected(&mut self, is_due: impl Fn(&AccusedQueue) -> bool) -> Vec<QueueName> {
         let pending = &self.pending;
         let is_pending =
             |queue: &QueueName| pending.iter().any(|p| p.queue.as_ref() == Some(queue));
         let suspected = self.queues.extract_if(.., |queue, accused| {
-            accused.is_contained && !accused.has_convictions && !is_pending(queue)
+            let is_suspected = accused.is_contained && !accused.has_convictions;
+            is_suspected && !is_pending(queue) && is_due(accused)
         });
         suspected.map(|(queue, _)| queue).collect()
     }
@@ -298,11 +317,13 @@
     fn count(&mut self, key: &TaskKey, run: &CrashedRun, event: &CrashEvent) -> u32 {
         let task = self.tasks.entry(key.clone()).or_insert(AccusedTask {
             crashes: 0,
+            confirmed_crashes: 0,
             is_given_up: false,
             last_crash: event.clone(),
             last_run_ms: run.run_ms,
         });
         task.crashes = task.crashes.max(run.earlier_crashes) + 1;
+        task.confirmed_crashes += u32::from(run.is_confirmed);
         task.last_crash = event.clone();
         task.last_run_ms = run.run_ms;
         task.crashes
@@ -316,11 +337,13 @@
         let accused = self.queues.entry(queue.clone()).or_insert(AccusedQueue {
             is_contained: false,
             has_convictions: false,
+            suspected_at: task.last_crash.at,
             last_crash_at: task.last_crash.at,
             crashed_targets: BTreeSet::new(),
             clean_runs: 0,
             interval_runs: 0,
         });
+        accused.suspected_at = accused.suspected_at.max(task.last_crash.at);
         !std::mem::replace(&mut accused.is_contained, true)
     }
 
@@ -381,6 +404,12 @@
         returns.min()
     }
 
+    /// Whether a task of the job is still to be judged.
+    #[must_use]
+    pub fn is_job_pending(&self, job: &JobName) -> bool {
+        self.pending.iter().any(|pending| pending.key.job == *job)
+    }
+
     /// Whether no task is accused.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/policy/src/entry/admit.rs
+++ b/crates/policy/src/entry/admit.rs
@@ -106,6 +106,12 @@
         check_size(config, submission)?;
         check_feasible(config, group, submission)?;
         self.check_queue_limits(config, submission)?;
+        if self.is_judged_soon(submission) {
+            let message = "targets have just crashed under a task of the job: try later";
+            let reason = FailureReason::NotReady;
+            let retry_after_ms = Some(TRANSIENT_RETRY_AFTER_MS);
+            return Err(refusal(reason, message.to_owned(), retry_after_ms));
+        }
         if self.is_starting(now) {
             return Ok(());
         }
--- a/crates/policy/src/entry/contain.rs
+++ b/crates/policy/src/entry/contain.rs
@@ -154,11 +154,17 @@
         let submissions: Vec<_> = of_job.map(|(id, _)| id.clone()).collect();
         for submission in submissions {
             let message = given_up_message(key, crashes);
-            let reason = FailureReason::TaskFailed;
+            let reason = self.given_up_reason(key);
             self.fail(&submission, reason, message, Vec::new(), out);
         }
     }
 
+    /// Whether it is about to be known that a task of the job must not run again.
+    pub(super) fn is_judged_soon(&self, submission: &Submission) -> bool {
+        let job = submission.job.as_ref();
+        job.is_some_and(|job| self.crashes.is_job_pending(job))
+    }
+
     /// Answer to a job that is submitted again after one of its tasks was given up.
     pub(super) fn given_up_answer(&self, submission: &Submission) -> Option<Answer> {
         let job = submission.job.as_ref()?;
@@ -172,7 +178,7 @@
             outcome: Outcome::Failed,
             results: Vec::new(),
             failure: Some(Failure {
-                reason: FailureReason::TaskFailed,
+                reason: self.given_up_reason(&key),
                 message: given_up_message(&key, crashes),
                 not_run: false,
                 may_have_run: vec![task],
@@ -182,6 +188,15 @@
         })
     }
 
+    /// A task is known to have failed only if it has certainly run on the targets that crashed.
+    fn given_up_reason(&self, key: &TaskKey) -> FailureReason {
+        if self.crashes.is_confirmed(key) {
+            FailureReason::TaskFailed
+        } else {
+            FailureReason::OutcomeUnknown
+        }
+    }
+
     /// Applies what is known of crashes to a job that was just submitted, perhaps not for the first time.
     pub(super) fn apply_crashes(&self, job: &mut Job) {
         job.is_contained = job
--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -252,6 +252,15 @@
     }
 }
 
+/// An attempt that ended with its target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashedAttempt {
+    /// Attempt that the run belonged to.
+    pub task: TaskRef,
+    /// Whether the target had confirmed that the run was started; otherwise it may not have begun.
+    pub is_confirmed: bool,
+}
+
 /// Input of [`Runs::handle`](super::Runs::handle).
 #[derive(Debug, Clone)]
 pub enum RunsEvent {
@@ -322,7 +331,7 @@
     },
     /// The target has exited or started anew, unplanned, under these attempts. Emitted before the ends of their
     /// runs, or after them if the leases of the runs had expired first.
-    TargetCrashed(Vec<TaskRef>),
+    TargetCrashed(Vec<CrashedAttempt>),
     /// Progress of the active runs in percent.
     Progress(Vec<(TaskRef, u8)>),
     /// Announces the target to the agent, or renews its announcement.
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -216,6 +216,7 @@
         }
         self.maybe_restarted_at.take_if(|at| *at <= poll.sent_at);
         self.expired_tasks.clear();
+        self.is_crash_reported = false;
         self.disconnected_at = None;
         self.last_snapshot_at = now;
         self.last_answered_poll_sent_at = self.last_answered_poll_sent_at.max(poll.sent_at);
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -21,6 +21,7 @@
 use dfs_wire::target::Announcement;
 
 pub use event::ActiveRun;
+pub use event::CrashedAttempt;
 pub use event::EndedRun;
 pub use event::FencingToken;
 pub use event::Heartbeat;
@@ -76,9 +77,11 @@
     heartbeat: Option<(Heartbeat, Moment)>,
     /// Whether the target has said that it is about to exit, so that its exit is no crash.
     is_exit_planned: bool,
+    /// Whether a crash was reported and the target has not answered since.
+    is_crash_reported: bool,
     /// Runs whose lease has expired since the target last answered. If it turns out to have restarted, it may have
     /// crashed under them.
-    expired_tasks: Vec<TaskRef>,
+    expired_tasks: Vec<CrashedAttempt>,
     /// Heartbeat that the store holds, as far as known.
     stored_heartbeat: Option<Heartbeat>,
     /// Heartbeat received by an earlier incarnation of the agent. It is used once the target reports the same
@@ -156,6 +159,7 @@
             last_run_numbers: HashMap::new(),
             heartbeat: None,
             is_exit_planned: false,
+            is_crash_reported: false,
             expired_tasks: Vec::new(),
             stored_heartbeat: None,
             recalled_heartbeat: None,
@@ -379,11 +383,24 @@
             // The leases of earlier runs have expired even though the target was never reached.
             self.complete_takeover(out);
         }
-        self.expired_tasks
-            .extend(self.names_by_task.keys().cloned());
+        let active = self.active_attempts(None);
+        self.expired_tasks.extend(active);
         self.interrupt_all(now, "its lease has lapsed", out);
     }
 
+    /// Attempts that may have runs on the target which were requested up to a time.
+    fn active_attempts(&self, until: Option<Moment>) -> Vec<CrashedAttempt> {
+        let attempt = |(task, name): (&TaskRef, &Arc<str>)| {
+            let tracked = self.tracked.get(name)?;
+            let may_have_run = until.is_none_or(|until| tracked.started_at <= until);
+            may_have_run.then(|| CrashedAttempt {
+                task: task.clone(),
+                is_confirmed: matches!(tracked.phase, active::Phase::Running { .. }),
+            })
+        };
+        self.names_by_task.iter().filter_map(attempt).collect()
+    }
+
     /// Reports an unplanned exit or restart of the target with all runs that may have been active on it.
     fn report_crash(&mut self, out: &mut Vec<RunsAction>) {
         let mut tasks = std::mem::take(&mut self.expired_tasks);
@@ -391,15 +408,11 @@
             return;
         }
         // A start that was sent after the target had gone is refused.
-        let gone_at = self.not_listening_since;
-        let may_have_run = |name| {
-            let tracked = self.tracked.get(name);
-            tracked.is_some_and(|tracked| gone_at.is_none_or(|at| tracked.started_at <= at))
-        };
-        let active = self.names_by_task.iter();
-        let active = active.filter(|(_, name)| may_have_run(*name));
-        tasks.extend(active.map(|(task, _)| task.clone()));
-        if !tasks.is_empty() {
+        tasks.extend(self.active_attempts(self.not_listening_since));
+        // Also a crash of an idle target shows that others crashed with it for another cause than their tasks.
+        let is_new = self.incarnation.is_some() && !self.is_crash_reported;
+        if is_new || !tasks.is_empty() {
+            self.is_crash_reported = true;
             out.push(RunsAction::TargetCrashed(tasks));
         }
     }
--- a/crates/policy/tests/policy_crashes.rs
+++ b/crates/policy/tests/policy_crashes.rs
@@ -24,6 +24,7 @@
         task: TaskIndex::new(0),
         queue: Some(queue.parse().unwrap()),
         run_ms: Millis::new(run_ms),
+        is_confirmed: true,
         earlier_crashes: 0,
     }
 }
@@ -88,112 +89,143 @@
 
 #[googletest::test]
 fn a_task_that_crashes_a_second_target_after_the_same_work_is_given_up() {
-    let mut tracker = Scene::new();
+    let mut scene = Scene::new();
     let bystanders = [run("b", SLOTS, 150), run("c", SLOTS, 90)];
-    tracker.crash(1, &[&bystanders[..], &[run("a", QUOTES, 10)]].concat());
-    tracker.advance(100);
-    let verdict = tracker.crash(2, &[run("d", SLOTS, 400), run("a", QUOTES, 12)]);
+    scene.crash(1, &[&bystanders[..], &[run("a", QUOTES, 10)]].concat());
+    scene.advance(100);
+    let verdict = scene.crash(2, &[run("d", SLOTS, 400), run("a", QUOTES, 12)]);
     expect_that!(verdict.contained, eq(&[queue(QUOTES)]));
     expect_that!(verdict.given_up, is_empty());
-    let verdict = tracker.advance(JUDGED_MS);
+    let verdict = scene.advance(JUDGED_MS);
     let key = TaskKey {
         job: "a".parse().unwrap(),
         task: TaskIndex::new(0),
     };
     expect_that!(verdict.given_up, eq(&[(key, 2)]));
-    expect_false!(tracker.is_given_up("b"));
-    expect_false!(tracker.is_contained(SLOTS));
+    expect_false!(scene.is_given_up("b"));
+    expect_false!(scene.is_contained(SLOTS));
 }
 
 #[googletest::test]
 fn a_task_beside_one_that_had_just_started_is_not_given_up() {
-    let mut tracker = Scene::new();
-    tracker.crash(1, &[run("b", SLOTS, 150), run("a", QUOTES, 10)]);
-    tracker.advance(300);
-    tracker.crash(2, &[run("b", SLOTS, 140), run("d", QUOTES, 9)]);
-    tracker.advance(JUDGED_MS);
-    expect_false!(tracker.is_given_up("b"));
-    expect_false!(tracker.is_contained(SLOTS));
+    let mut scene = Scene::new();
+    scene.crash(1, &[run("b", SLOTS, 150), run("a", QUOTES, 10)]);
+    scene.advance(300);
+    scene.crash(2, &[run("b", SLOTS, 140), run("d", QUOTES, 9)]);
+    scene.advance(JUDGED_MS);
+    expect_false!(scene.is_given_up("b"));
+    expect_false!(scene.is_contained(SLOTS));
 }
 
 #[googletest::test]
 fn a_task_that_ran_alone_is_given_up_whatever_its_run_times() {
-    let mut tracker = Scene::new();
-    tracker.crash(1, &[run("a", QUOTES, 10), run("b", SLOTS, 5)]);
-    tracker.advance(100);
-    tracker.crash(1, &[run("a", QUOTES, 300)]);
-    tracker.advance(JUDGED_MS);
-    expect_true!(tracker.is_given_up("a"));
+    let mut scene = Scene::new();
+    scene.crash(1, &[run("a", QUOTES, 10), run("b", SLOTS, 5)]);
+    scene.advance(100);
+    scene.crash(1, &[run("a", QUOTES, 300)]);
+    scene.advance(JUDGED_MS);
+    expect_true!(scene.is_given_up("a"));
 }
 
 #[googletest::test]
 fn targets_that_crash_together_give_no_task_up() {
-    let mut tracker = Scene::new();
-    tracker.crash(1, &[run("a", QUOTES, 10)]);
-    tracker.advance(500);
-    tracker.crash(2, &[run("a", QUOTES, 10)]);
-    tracker.advance(2);
-    tracker.crash(3, &[run("d", SLOTS, 10)]);
-    tracker.advance(JUDGED_MS);
-    expect_false!(tracker.is_given_up("a"));
+    let mut scene = Scene::new();
+    scene.crash(1, &[run("a", QUOTES, 10)]);
+    scene.advance(500);
+    scene.crash(2, &[run("a", QUOTES, 10)]);
+    scene.advance(2);
+    scene.crash(3, &[run("d", SLOTS, 10)]);
+    scene.advance(JUDGED_MS);
+    expect_false!(scene.is_given_up("a"));
+}
+
+#[googletest::test]
+fn a_queue_is_contained_only_briefly_when_a_rack_loses_power() {
+    let mut scene = Scene::new();
+    scene.crash(1, &[run("a", QUOTES, 10)]);
+    scene.advance(500);
+    scene.crash(2, &[run("a", QUOTES, 10)]);
+    scene.crash(3, &[run("b", SLOTS, 10)]);
+    scene.crash(4, &[run("c", SLOTS, 10)]);
+    expect_true!(scene.is_contained(QUOTES));
+    scene.advance(JUDGED_MS);
+    scene.advance(500);
+    expect_false!(scene.is_contained(QUOTES));
+}
+
+#[googletest::test]
+fn a_run_that_the_target_had_not_confirmed_gives_no_task_up() {
+    let mut scene = Scene::new();
+    let unconfirmed = CrashedRun {
+        is_confirmed: false,
+        ..run("a", QUOTES, 2)
+    };
+    scene.crash(1, &[unconfirmed]);
+    scene.advance(100);
+    scene.crash(2, &[run("a", QUOTES, 10)]);
+    scene.advance(JUDGED_MS);
+    expect_false!(scene.is_given_up("a"));
+    scene.crash(3, &[run("a", QUOTES, 10)]);
+    scene.advance(JUDGED_MS);
+    expect_true!(scene.is_given_up("a"));
 }
 
 #[googletest::test]
 fn four_crashes_give_a_task_up_in_any_case() {
-    let mut tracker = Scene::new();
+    let mut scene = Scene::new();
     for on in 0..4 {
-        expect_false!(tracker.is_given_up("a"));
-        tracker.crash(on, &[run("a", QUOTES, 900 * on), run("b", SLOTS, 900 * on)]);
-        tracker.advance(500);
+        expect_false!(scene.is_given_up("a"));
+        scene.crash(on, &[run("a", QUOTES, 900 * on), run("b", SLOTS, 900 * on)]);
+        scene.advance(500);
     }
-    expect_true!(tracker.is_given_up("a"));
+    expect_true!(scene.is_given_up("a"));
 }
 
 #[googletest::test]
 fn a_crash_that_several_entries_would_count_is_counted_once() {
-    let mut tracker = Scene::new();
+    let mut scene = Scene::new();
     let crash = TargetCrash {
         number: 1,
         age_ms: Millis::default(),
         runs: vec![run("a", QUOTES, 10)],
     };
     for _ in 0..5 {
-        let (now, incarnation) = (tracker.now, Incarnation::new(1));
-        tracker
+        let (now, incarnation) = (scene.now, Incarnation::new(1));
+        scene
             .tracker
             .record_crash(now, &agent(1), incarnation, &crash, true);
-        tracker.advance(JUDGED_MS);
+        scene.advance(JUDGED_MS);
     }
-    expect_false!(tracker.is_given_up("a"));
+    expect_false!(scene.is_given_up("a"));
 }
 
 #[googletest::test]
 fn a_queue_is_released_after_clean_runs_once_its_targets_are_back() {
-    let mut tracker = Scene::new();
-    tracker.convict("a", QUOTES, 1, 2);
-    expect_true!(tracker.is_contained(QUOTES));
+    let mut scene = Scene::new();
+    scene.convict("a", QUOTES, 1, 2);
+    expect_true!(scene.is_contained(QUOTES));
     for _ in 0..1_000 {
-        expect_false!(tracker.tracker.record_success(&queue(QUOTES)));
+        expect_false!(scene.tracker.record_success(&queue(QUOTES)));
     }
-    tracker.tracker.record_return(tracker.now, &agent(1));
-    tracker.tracker.record_return(tracker.now, &agent(2));
-    expect_true!(tracker.tracker.record_success(&queue(QUOTES)));
-    expect_false!(tracker.is_contained(QUOTES));
+    scene.tracker.record_return(scene.now, &agent(1));
+    scene.tracker.record_return(scene.now, &agent(2));
+    expect_true!(scene.tracker.record_success(&queue(QUOTES)));
+    expect_false!(scene.is_contained(QUOTES));
 }
 
 #[googletest::test]
 fn a_queue_whose_runs_end_well_between_crashes_needs_more_of_them_to_be_released() {
-    let mut tracker = Scene::new();
-    tracker.convict("a", QUOTES, 1, 2);
+    let mut scene = Scene::new();
+    scene.convict("a", QUOTES, 1, 2);
     for _ in 0..500 {
-        tracker.tracker.record_success(&queue(QUOTES));
+        scene.tracker.record_success(&queue(QUOTES));
     }
-    tracker.crash(3, &[run("e", QUOTES, 10)]);
+    scene.crash(3, &[run("e", QUOTES, 10)]);
     for on in 1..=3 {
-        tracker.tracker.record_return(tracker.now, &agent(on));
+        scene.tracker.record_return(scene.now, &agent(on));
     }
     let mut runs = 1;
-    while !tracker.tracker.record_success(&queue(QUOTES)) {
+    while !scene.tracker.record_success(&queue(QUOTES)) {
         runs += 1;
     }
     expect_that!(runs, ge(1_000));
@@ -201,39 +233,39 @@
 
 #[googletest::test]
 fn a_queue_without_traffic_is_released_after_a_minute() {
-    let mut tracker = Scene::new();
-    tracker.convict("a", QUOTES, 1, 2);
-    tracker.advance(59_000);
-    expect_that!(tracker.tracker.expire(tracker.now), is_empty());
-    tracker.advance(2_000);
-    expect_that!(tracker.tracker.expire(tracker.now), eq(&[queue(QUOTES)]));
+    let mut scene = Scene::new();
+    scene.convict("a", QUOTES, 1, 2);
+    scene.advance(59_000);
+    expect_that!(scene.tracker.expire(scene.now), is_empty());
+    scene.advance(2_000);
+    expect_that!(scene.tracker.expire(scene.now), eq(&[queue(QUOTES)]));
 }
 
 #[googletest::test]
 fn a_queue_that_was_only_suspected_is_released_when_a_task_of_another_is_given_up() {
-    let mut tracker = Scene::new();
-    tracker.crash(1, &[run("b", SLOTS, 10), run("a", QUOTES, 10)]);
-    tracker.advance(300);
-    tracker.crash(2, &[run("b", SLOTS, 12)]);
-    tracker.crash(3, &[run("d", QUOTES, 10)]);
-    tracker.advance(JUDGED_MS);
-    expect_true!(tracker.is_contained(SLOTS));
-    tracker.advance(300);
-    tracker.crash(4, &[run("a", QUOTES, 10)]);
-    let verdict = tracker.advance(JUDGED_MS);
+    let mut scene = Scene::new();
+    scene.crash(1, &[run("b", SLOTS, 10), run("a", QUOTES, 10)]);
+    scene.advance(300);
+    scene.crash(2, &[run("b", SLOTS, 12)]);
+    scene.crash(3, &[run("d", QUOTES, 10)]);
+    scene.advance(JUDGED_MS);
+    expect_true!(scene.is_contained(SLOTS));
+    scene.advance(300);
+    scene.crash(4, &[run("a", QUOTES, 10)]);
+    let verdict = scene.advance(JUDGED_MS);
     expect_that!(verdict.released, eq(&[queue(SLOTS)]));
-    expect_true!(tracker.is_contained(QUOTES));
+    expect_true!(scene.is_contained(QUOTES));
 }
 
 #[googletest::test]
 fn the_return_of_a_crashed_target_is_expected_after_the_time_that_others_took() {
-    let mut tracker = Scene::new();
-    tracker.crash(1, &[run("a", QUOTES, 10)]);
-    tracker.advance(3_000);
-    tracker.tracker.record_return(tracker.now, &agent(1));
-    tracker.crash(2, &[run("a", QUOTES, 10)]);
-    tracker.advance(1_000);
+    let mut scene = Scene::new();
+    scene.crash(1, &[run("a", QUOTES, 10)]);
+    scene.advance(3_000);
+    scene.tracker.record_return(scene.now, &agent(1));
+    scene.crash(2, &[run("a", QUOTES, 10)]);
+    scene.advance(1_000);
     let agents = [agent(1), agent(2)];
-    let expected = tracker.tracker.expected_return(tracker.now, agents.iter());
+    let expected = scene.tracker.expected_return(scene.now, agents.iter());
     expect_that!(expected, some(eq(Millis::new(2_000))));
 }
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -9,6 +9,7 @@
 use dfs_ids::TaskIndex;
 use dfs_policy::agent::RunEnd;
 use dfs_policy::runs::ActiveRun;
+use dfs_policy::runs::CrashedAttempt;
 use dfs_policy::runs::EndedRun;
 use dfs_policy::runs::FencingToken;
 use dfs_policy::runs::Heartbeat;
@@ -92,7 +93,7 @@
     pub announcement_count: usize,
     pub goodbye_count: usize,
     /// Tasks of each reported crash.
-    pub crashes: Vec<Vec<TaskRef>>,
+    pub crashes: Vec<Vec<CrashedAttempt>>,
     pub stored: Vec<Heartbeat>,
 }
 
--- a/crates/wire/src/session/crash.rs
+++ b/crates/wire/src/session/crash.rs
@@ -32,6 +32,8 @@
     pub queue: Option<QueueName>,
     /// Time from its start until the agent noticed the crash, or until it ended for another reason before.
     pub run_ms: Millis,
+    /// Whether the target had confirmed that the run was started; otherwise it may not have begun.
+    pub is_confirmed: bool,
     /// Number of targets that had crashed under the task before, as far as its entry knew.
     #[serde(default, skip_serializing_if = "is_default")]
     pub earlier_crashes: u32,
