Report a crash until it is acknowledged

Cause, one of three: reports of an agent may overtake each other. The crash went out in one report and the ends of the runs in the next; an entry that read the second one first placed the task again as if nothing were known of it, even beside another accused task of the job.

Change: each report carries the crashes that the entry has not acknowledged; the entry counts each crash once by its number. A crash is rare, so the bytes are few.

Evidence: the new test failed before (the report with the result carried no crash) and passes.

--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -142,6 +142,7 @@
             return;
         };
         view.lease_renewed_at = view.lease_renewed_at.max(report.sent_at);
+        view.acked_crash = view.acked_crash.max(report.last_crash);
         view.sent_messages = view
             .sent_messages
             .max(ack.sent_messages.unwrap_or_default());
--- a/crates/policy/src/agent/report.rs
+++ b/crates/policy/src/agent/report.rs
@@ -85,6 +85,7 @@
             UnackedReport {
                 sent_at: now,
                 results,
+                last_crash: view.reported_crash,
             },
         );
         Report {
@@ -192,9 +193,9 @@
         if std::mem::take(&mut view.is_target_state_pending) {
             items.push(AgentItem::Target(state));
         }
-        if self.crashes.has_after(view.reported_crash) {
+        if self.crashes.has_after(view.acked_crash) {
             items.push(AgentItem::Crashes(
-                self.crashes.after(now, view.reported_crash),
+                self.crashes.after(now, view.acked_crash),
             ));
             view.reported_crash = self.crashes.last_number();
         }
--- a/crates/policy/src/agent/view.rs
+++ b/crates/policy/src/agent/view.rs
@@ -53,6 +53,9 @@
     pub min_hint_interval_ms: Millis,
     /// Number of the last crash of the target that was reported in this session.
     pub reported_crash: u64,
+    /// Number of the last crash that the entry has acknowledged in this session. Reports may overtake each
+    /// other, so until then each of them carries the crash: the entry must know of it before the ends of the runs.
+    pub acked_crash: u64,
     pub is_target_state_pending: bool,
     pub is_version_pending: bool,
     pub is_config_source: bool,
@@ -74,6 +77,8 @@
     pub sent_at: Moment,
     /// Tasks whose results the report contains.
     pub results: Vec<TaskRef>,
+    /// Number of the last crash that the report contains.
+    pub last_crash: u64,
 }
 
 impl EntryView {
@@ -105,6 +110,7 @@
             hint_sent_at: now,
             min_hint_interval_ms: Millis::default(),
             reported_crash: 0,
+            acked_crash: 0,
             is_target_state_pending: true,
             is_version_pending: true,
             is_config_source: false,
--- a/crates/policy/tests/policy_agent_queue.rs
+++ b/crates/policy/tests/policy_agent_queue.rs
@@ -14,6 +14,7 @@
 use dfs_policy::agent::AgentAction;
 use dfs_policy::agent::AgentEvent;
 use dfs_policy::agent::RunEnd;
+use dfs_policy::runs::CrashedAttempt;
 use dfs_wire::session::Ack;
 use dfs_wire::session::AgentItem;
 use dfs_wire::session::EntryItem;
@@ -45,6 +46,8 @@
     not_run_reasons: Vec<NotRunReason>,
     /// Report number and state of each target state that was reported.
     target_states: Vec<(u64, TargetState)>,
+    /// Report number of each report, with the numbers of the crashes that it contains.
+    reported_crashes: Vec<(u64, Vec<u64>)>,
 }
 
 fn body() -> Arc<RawValue> {
@@ -60,6 +63,7 @@
             started: Vec::new(),
             not_run_reasons: Vec::new(),
             target_states: Vec::new(),
+            reported_crashes: Vec::new(),
         };
         harness.handle(AgentEvent::TargetAnnounced(Announcement {
             address: ([127, 0, 0, 1], 1).into(),
@@ -139,6 +143,12 @@
                 AgentAction::StartRun { task, .. } => self.started.push(task),
                 AgentAction::SendReport { report, .. } => {
                     let seq = report.seq;
+                    let crashes = report.items.iter().filter_map(|item| match item {
+                        AgentItem::Crashes(crashes) => Some(crashes),
+                        _ => None,
+                    });
+                    let numbers = crashes.flatten().map(|crash| crash.number).collect();
+                    self.reported_crashes.push((seq, numbers));
                     for item in report.items {
                         if let AgentItem::Target(state) = &item {
                             self.target_states.push((seq, state.clone()));
@@ -221,3 +231,32 @@
     let reported = &harness.target_states[reports_before..];
     expect_true!(matches!(reported, [(_, TargetState::Live(_))]));
 }
+
+#[googletest::test]
+fn a_crash_is_reported_until_it_is_acknowledged_so_that_no_result_overtakes_it() {
+    let mut harness = Harness::new();
+    harness.place("s", "aba", 1, 0, IfFull::Queue);
+    let task = harness.started[0].clone();
+    let crashed = CrashedAttempt {
+        task: task.clone(),
+        is_confirmed: true,
+    };
+    harness.reported_crashes.clear();
+    harness.handle(AgentEvent::TargetCrashed(vec![crashed]));
+    let end = RunEnd::Finished(TaskOutcome::Unknown("the target has exited".to_owned()));
+    harness.handle(AgentEvent::RunEnded {
+        task,
+        run_us: 10_000,
+        end,
+    });
+    let (with_result, crashes) = harness.reported_crashes.last().unwrap();
+    expect_that!(crashes, eq(&[1]));
+    harness.handle(AgentEvent::ReportAcked {
+        connection: ENTRY_CONNECTION,
+        seq: *with_result,
+        ack: Ack::default(),
+    });
+    harness.send_item(EntryItem::Probe);
+    let (_, crashes) = harness.reported_crashes.last().unwrap();
+    expect_that!(crashes, is_empty());
+}
--- a/crates/wire/src/session/report.rs
+++ b/crates/wire/src/session/report.rs
@@ -45,8 +45,8 @@
     Target(TargetState),
     /// Load of the target, and the number of tasks that the entry may place there.
     Load(LoadHint),
-    /// Crashes of the target that were not reported in this session, before the results of the runs that they
-    /// ended.
+    /// Crashes of the target that were not acknowledged in this session, before the results of the runs that they
+    /// ended. The entry counts each of them once.
     Crashes(Vec<TargetCrash>),
     /// Results of tasks that started and have ended.
     Results(Vec<TaskResult>),
