Don't take crashes under one task for a common cause

Cause: a verdict is dropped if other targets crash within 25 ms, as they do when a rack loses power. Of the crashes under the task itself only the one before was left out; one two before, or one after, counted as such another. The task moves between its crashes, so none of them can share a cause.

Change: a task keeps the events of all its crashes, and none counts as another. A task with several open verdicts is judged after the latest.

Evidence: the new test failed before and passes.

--- a/crates/policy/src/crashes.rs
+++ b/crates/policy/src/crashes.rs
@@ -98,8 +98,6 @@
     key: TaskKey,
     queue: Option<QueueName>,
     crash: CrashEvent,
-    /// The crash before, which can't have a common cause with `crash`: the task has moved in between.
-    earlier_crash: Option<CrashEvent>,
 }
 
 #[derive(Debug, Clone)]
@@ -109,7 +107,9 @@
     /// Crashes of targets that had confirmed its start.
     confirmed_crashes: u32,
     is_given_up: bool,
-    last_crash: CrashEvent,
+    /// Crashes under the task, oldest first; never empty. No two have a common cause, since the task has moved in
+    /// between.
+    events: Vec<CrashEvent>,
     /// Run time at the last crash.
     last_run_ms: Millis,
 }
@@ -130,6 +130,12 @@
     interval_runs: u32,
 }
 
+impl AccusedTask {
+    fn last_crash(&self) -> &CrashEvent {
+        self.events.last().expect("a task is accused by a crash")
+    }
+}
+
 impl AccusedQueue {
     /// Runs that must end well until the queue is released.
     const fn required_runs(&self) -> u32 {
@@ -189,7 +195,6 @@
         let mut verdict = Verdict::default();
         for run in &crash.runs {
             let key = TaskKey::from(run);
-            let earlier_crash = self.tasks.get(&key).map(|task| task.last_crash.clone());
             let crashes = self.count(&key, run, &event);
             if crashes >= MAX_CRASHES {
                 self.convict(&key, run.queue.as_ref(), &mut verdict);
@@ -201,7 +206,6 @@
                     key: key.clone(),
                     queue: run.queue.clone(),
                     crash: event.clone(),
-                    earlier_crash,
                 });
             }
             verdict.accused.push((key, crashes));
@@ -244,9 +248,9 @@
     /// When a task is judged that is alone suspected of the last crash under it; `None` if it is not.
     #[must_use]
     pub fn judged_at(&self, key: &TaskKey) -> Option<Moment> {
-        let mut pending = self.pending.iter();
-        let pending = pending.find(|pending| pending.key == *key)?;
-        Some(pending.crash.at + COMMON_CAUSE_MS)
+        let of_task = self.pending.iter().filter(|pending| pending.key == *key);
+        let last_crash_at = of_task.map(|pending| pending.crash.at).max()?;
+        Some(last_crash_at + COMMON_CAUSE_MS)
     }
 
     fn has_common_cause(&self, pending: &PendingVerdict) -> bool {
@@ -254,9 +258,10 @@
         let is_simultaneous = |event: &&CrashEvent| {
             event.at <= at + COMMON_CAUSE_MS && at <= event.at + COMMON_CAUSE_MS
         };
-        let is_other = |event: &&CrashEvent| {
-            event.agent != pending.crash.agent && Some(*event) != pending.earlier_crash.as_ref()
-        };
+        let of_task = self.tasks.get(&pending.key);
+        let of_task = of_task.map_or(&[][..], |task| &task.events);
+        let is_other =
+            |event: &&CrashEvent| event.agent != pending.crash.agent && !of_task.contains(event);
         let mut others = self.recent.iter().filter(is_simultaneous).filter(is_other);
         others.next().is_some()
     }
@@ -306,7 +311,7 @@
         let key = TaskKey::from(suspect);
         let is_suspect = self.tasks.get(&key).is_some_and(|task| {
             let is_repeated =
-                task.last_crash.agent != *agent && is_same_work(task.last_run_ms, suspect.run_ms);
+                task.last_crash().agent != *agent && is_same_work(task.last_run_ms, suspect.run_ms);
             let mut others = runs.iter();
             let is_youngest = others.all(|run| suspect.run_ms <= with_tolerance(run.run_ms));
             is_repeated && (is_youngest || task.crashes >= CONVICTING_CRASHES)
@@ -319,12 +324,12 @@
             crashes: 0,
             confirmed_crashes: 0,
             is_given_up: false,
-            last_crash: event.clone(),
+            events: Vec::new(),
             last_run_ms: run.run_ms,
         });
         task.crashes = task.crashes.max(run.earlier_crashes) + 1;
         task.confirmed_crashes += u32::from(run.is_confirmed);
-        task.last_crash = event.clone();
+        task.events.push(event.clone());
         task.last_run_ms = run.run_ms;
         task.crashes
     }
@@ -337,13 +342,13 @@
         let accused = self.queues.entry(queue.clone()).or_insert(AccusedQueue {
             is_contained: false,
             has_convictions: false,
-            suspected_at: task.last_crash.at,
-            last_crash_at: task.last_crash.at,
+            suspected_at: task.last_crash().at,
+            last_crash_at: task.last_crash().at,
             crashed_targets: BTreeSet::new(),
             clean_runs: 0,
             interval_runs: 0,
         });
-        accused.suspected_at = accused.suspected_at.max(task.last_crash.at);
+        accused.suspected_at = accused.suspected_at.max(task.last_crash().at);
         !std::mem::replace(&mut accused.is_contained, true)
     }
 
@@ -449,7 +454,7 @@
     /// Forgets crashes that are long ago, and returns the queues that are released for it.
     pub fn expire(&mut self, now: Moment) -> Vec<QueueName> {
         let is_recent = |at: Moment| now < at + MEMORY_MS;
-        self.tasks.retain(|_, task| is_recent(task.last_crash.at));
+        self.tasks.retain(|_, task| is_recent(task.last_crash().at));
         let is_simultaneous =
             |event: &CrashEvent| now < event.at + COMMON_CAUSE_MS + COMMON_CAUSE_MS;
         self.recent.retain(is_simultaneous);
--- a/crates/policy/tests/policy_crashes.rs
+++ b/crates/policy/tests/policy_crashes.rs
@@ -139,6 +139,22 @@
     expect_false!(scene.is_given_up("a"));
 }
 
+#[googletest::test]
+fn a_task_that_crashes_targets_in_quick_succession_is_given_up() {
+    let mut scene = Scene::new();
+    let unconfirmed = CrashedRun {
+        is_confirmed: false,
+        ..run("a", QUOTES, 2)
+    };
+    scene.crash(1, &[run("a", QUOTES, 10)]);
+    scene.advance(11);
+    scene.crash(2, &[unconfirmed]);
+    scene.advance(11);
+    scene.crash(3, &[run("a", QUOTES, 10)]);
+    scene.advance(JUDGED_MS);
+    expect_true!(scene.is_given_up("a"));
+}
+
 #[googletest::test]
 fn a_queue_is_contained_only_briefly_when_a_rack_loses_power() {
     let mut scene = Scene::new();
