Hold a task that is handed back until it is judged for a crash

The same when the agent of its run was given up as lost meanwhile.

Cause: only a run that ended waited for the verdict; a task that came back without a run, or after the settle time of a lost agent, did not look for one.

Change: both wait until the task is judged.

Evidence: the new test failed before (placed again as attempt 2) and passes.

--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -214,7 +214,12 @@
             && at <= now
         {
             self.orphaned_tasks.pop_first();
-            self.on_unknown(&agent, &task, LOST_CAUSE, out);
+            match self.judged_at(&task).filter(|judged_at| *judged_at > now) {
+                Some(judged_at) => {
+                    self.orphaned_tasks.insert((judged_at, agent, task));
+                }
+                None => self.on_unknown(&agent, &task, LOST_CAUSE, out),
+            }
         }
     }
 
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -271,6 +271,11 @@
         if self.remove_outstanding(agent, task).is_none() || !self.is_placed(agent, task) {
             return;
         }
+        if let Some(at) = self.judged_at(task) {
+            self.orphaned_tasks
+                .insert((at, agent.clone(), task.clone()));
+            return;
+        }
         match reason {
             NotRunReason::Leaving | NotRunReason::Withdrawn => {
                 self.requeue(agent, task, &reason.to_string(), out);
--- a/crates/policy/tests/policy_failures.rs
+++ b/crates/policy/tests/policy_failures.rs
@@ -19,6 +19,7 @@
 use dfs_ids::Priority;
 use dfs_ids::SessionNumber;
 use dfs_ids::Slots;
+use dfs_ids::TaskIndex;
 use dfs_policy::ConnectionId;
 use dfs_policy::entry::Constraints;
 use dfs_policy::entry::Entry;
@@ -31,12 +32,14 @@
 use dfs_wire::api::FailureReason;
 use dfs_wire::session::AgentItem;
 use dfs_wire::session::Attach;
+use dfs_wire::session::CrashedRun;
 use dfs_wire::session::EntryItem;
 use dfs_wire::session::HeldTasks;
 use dfs_wire::session::LoadHint;
 use dfs_wire::session::NotRun;
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::Report;
+use dfs_wire::session::TargetCrash;
 use dfs_wire::session::TargetState;
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
@@ -242,6 +245,29 @@
         self.report(agent, vec![AgentItem::Results(vec![result])]);
     }
 
+    /// Reports a crash of the agent's target under the only task of a submission.
+    fn crash(&mut self, agent: u64, submission: &str) {
+        let run = CrashedRun {
+            job: submission.parse().unwrap(),
+            task: TaskIndex::new(0),
+            queue: None,
+            run_ms: Millis::new(10),
+            is_confirmed: true,
+            earlier_crashes: 0,
+        };
+        let crash = TargetCrash {
+            number: 1,
+            age_ms: Millis::default(),
+            runs: vec![run],
+        };
+        self.report(agent, vec![AgentItem::Crashes(vec![crash])]);
+    }
+
+    fn advance(&mut self, ms: u64) {
+        self.now = self.now + Millis::new(ms);
+        self.handle(EntryEvent::Tick);
+    }
+
     fn handle(&mut self, event: EntryEvent) {
         let mut actions = self.entry.handle(self.now, event);
         actions.extend(self.entry.flush(self.now));
@@ -392,3 +418,26 @@
     expect_that!(failed_runs_until_failure(Some(2), config(3)), some(eq(2)));
     expect_that!(failed_runs_until_failure(None, config(3)), none());
 }
+
+#[googletest::test]
+fn a_task_that_is_handed_back_before_it_is_judged_for_a_crash_does_not_start_again() {
+    let mut entry = TestEntry::new();
+    entry.submit(submission("s", 1));
+    let (first, _) = entry.placed[0];
+    entry.crash(first, "s");
+    entry.advance(100);
+    entry.end_placed(TaskOutcome::Unknown("the target has exited".to_owned()));
+    let (second, task) = entry.placed.pop().unwrap();
+    let other = (0..AGENTS).find(|agent| *agent != first && *agent != second);
+    entry.crash(other.unwrap(), "s");
+    let reason = NotRunReason::Withdrawn;
+    entry.report(
+        second,
+        vec![AgentItem::NotRun(vec![NotRun { task, reason }])],
+    );
+    expect_that!(entry.placed, is_empty());
+    entry.advance(100);
+    expect_that!(entry.placed, is_empty());
+    expect_that!(entry.failures.len(), eq(1));
+    expect_that!(entry.failures[0].reason, eq(FailureReason::TaskFailed));
+}
