Keep tasks that one entry has given up from starting for another

Cause: entries learn of crashes only from the agents beside the crashed targets. The second entry had sessions to other agents but not to those yet (its log has no 423; service_targets is 1 to 5 of 6), as an entry has that has just started or is cut off from some agents. It counted from zero.

Change: the entry that gives a task up, and has its job, tells all its agents, and those that attach later. An agent starts such a task for no entry, returns those in its queue, and names the task to the entry that placed it, which answers its job without a start. A crash under such a task, started before, tells all entries of it. This is one message of some 100 bytes for each agent and task given up; crashes themselves aren't passed on.

Evidence: the new tests fail without the messages, which did not exist before.

--- a/crates/policy/src/agent/crash.rs
+++ b/crates/policy/src/agent/crash.rs
@@ -1,12 +1,19 @@
 //! Crashes of the target, which every entry learns from the agent: the agent outlives the target, and its
 //! sessions outlive the entry that placed a task.
+//!
+//! An entry without a session to the agents of the crashed targets does not learn of a crash. So the entry that gives
+//! a task up tells all its agents, which don't start the task for any entry.
 
 use std::collections::VecDeque;
 
 use dfs_ids::JobName;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
+use dfs_ids::TaskIndex;
 use dfs_wire::session::CrashedRun;
+use dfs_wire::session::GivenUpTask;
+use dfs_wire::session::NotRunReason;
+use dfs_wire::session::Origin;
 use dfs_wire::session::TargetCrash;
 use dfs_wire::session::TaskRef;
 
@@ -22,6 +29,8 @@
 const MAX_CRASHES: usize = 60;
 /// Limit on the ended runs whose origin is kept until the target shows whether it has restarted.
 const MAX_ENDED_RUNS: usize = 256;
+/// Limit on the tasks that are kept as given up.
+const MAX_GIVEN_UP: usize = 1_024;
 
 /// Latest crashes of the target.
 #[derive(Debug, Default)]
@@ -32,6 +41,8 @@
     crashes: VecDeque<(Moment, TargetCrash)>,
     /// Origins of runs that have ended with an unknown outcome, oldest first.
     ended_runs: VecDeque<(TaskRef, CrashedRun)>,
+    /// Tasks that entries have given up, oldest first, each with the time at which the agent learnt of it.
+    given_up: VecDeque<(Moment, GivenUpTask)>,
 }
 
 impl CrashHistory {
@@ -65,6 +76,21 @@
             .push_back((task.clone(), crashed_run(task, record, run_ms)));
     }
 
+    /// What is known of a task, if an entry has given it up.
+    pub fn given_up(&self, job: &JobName, task: TaskIndex) -> Option<&GivenUpTask> {
+        let mut given_up = self.given_up.iter().map(|(_, given_up)| given_up);
+        given_up.find(|given_up| given_up.task == task && given_up.job == *job)
+    }
+
+    fn give_up(&mut self, now: Moment, tasks: Vec<GivenUpTask>) {
+        self.given_up
+            .extend(tasks.into_iter().map(|task| (now, task)));
+        let is_outdated = |(at, _): &(Moment, GivenUpTask)| now >= *at + RETENTION_MS;
+        while self.given_up.len() > MAX_GIVEN_UP || self.given_up.front().is_some_and(is_outdated) {
+            self.given_up.pop_front();
+        }
+    }
+
     fn take_ended(&mut self, task: &TaskRef) -> Option<CrashedRun> {
         let index = self.ended_runs.iter().position(|(t, _)| t == task)?;
         self.ended_runs.remove(index).map(|(_, run)| run)
@@ -101,17 +127,43 @@
         let runs: Vec<_> = attempts.iter().filter_map(run).collect();
         self.observations
             .push(Observation::TargetCrashed { runs: runs.clone() });
+        self.report_given_up_runs(&runs);
         self.crashes.add(now, runs);
     }
+
+    /// Tells all entries of the tasks among these runs that one of them has given up: the entry that placed the task
+    /// did not know yet.
+    fn report_given_up_runs(&mut self, runs: &[CrashedRun]) {
+        let given_up = |run: &CrashedRun| self.crashes.given_up(&run.job, run.task).cloned();
+        let given_up: Vec<_> = runs.iter().filter_map(given_up).collect();
+        for view in self.entries.values_mut() {
+            view.pending_given_up.extend_from_slice(&given_up);
+        }
+    }
+
+    /// Keeps tasks that an entry has given up from starting, those in the queue included.
+    pub(super) fn on_given_up(&mut self, now: Moment, tasks: Vec<GivenUpTask>) {
+        self.crashes.give_up(now, tasks);
+        let is_given_up = |task: &&TaskRef| {
+            let record = self.records.get(*task);
+            record.is_some_and(|record| self.given_up(task, &record.origin).is_some())
+        };
+        let queued: Vec<_> = self.queue.tasks().filter(is_given_up).cloned().collect();
+        for task in queued {
+            self.hand_back(&task, NotRunReason::GivenUp);
+        }
+    }
+
+    pub(super) fn given_up(&self, task: &TaskRef, origin: &Origin) -> Option<&GivenUpTask> {
+        let job = origin.job_name(&task.submission);
+        self.crashes.given_up(&job, task.task)
+    }
 }
 
 fn crashed_run(task: &TaskRef, record: &TaskRecord, run_ms: Millis) -> CrashedRun {
     let origin = &record.origin;
     CrashedRun {
-        job: origin
-            .job
-            .clone()
-            .unwrap_or_else(|| JobName::from(&task.submission)),
+        job: origin.job_name(&task.submission),
         task: task.task,
         queue: origin.queue.clone(),
         run_ms,
--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -67,6 +67,7 @@
             EntryItem::Open(_) => {}
             EntryItem::Place(placement) => self.accept(now, incarnation, placement),
             EntryItem::Withdraw(tasks) => self.withdraw(incarnation, &tasks, out),
+            EntryItem::GivenUp(tasks) => self.on_given_up(now, tasks),
             EntryItem::Probe => {
                 if let Some(view) = self.entries.get_mut(&incarnation) {
                     view.is_probe_pending = true;
@@ -168,6 +169,7 @@
             view.phase = Phase::Reconciling;
             view.unacked_reports.clear();
             view.pending_not_run.clear();
+            view.pending_given_up.clear();
         }
         self.mark_results_unsent(incarnation);
         self.choose_config_source();
--- a/crates/policy/src/agent/report.rs
+++ b/crates/policy/src/agent/report.rs
@@ -208,6 +208,10 @@
             items.push(AgentItem::Version(version.unwrap_or_default(), source));
         }
         items.extend(view.pending_config.take().map(AgentItem::Config));
+        if !view.pending_given_up.is_empty() {
+            let given_up = std::mem::take(&mut view.pending_given_up);
+            items.push(AgentItem::GivenUp(given_up));
+        }
         if !view.pending_not_run.is_empty() {
             items.push(AgentItem::NotRun(std::mem::take(&mut view.pending_not_run)));
         }
--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -5,6 +5,7 @@
 use dfs_ids::Incarnation;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
+use dfs_wire::session::GivenUpTask;
 use dfs_wire::session::IfFull;
 use dfs_wire::session::NotRun;
 use dfs_wire::session::NotRunReason;
@@ -43,6 +44,10 @@
                 task: placed.task,
                 attempt: placed.attempt,
             };
+            if let Some(given_up) = self.given_up(&task, &placement.origin).cloned() {
+                self.report_given_up(entry, task, given_up);
+                continue;
+            }
             if let Some(reason) = refusal.or_else(|| self.busy_reason(if_full, &terms.demand)) {
                 self.report_not_run(entry, task, reason);
                 continue;
@@ -174,14 +179,24 @@
         }
     }
 
-    fn hand_back(&mut self, task: &TaskRef, reason: NotRunReason) {
+    pub(super) fn hand_back(&mut self, task: &TaskRef, reason: NotRunReason) {
         let Some(record) = self.records.remove(task) else {
             return;
         };
         if self.queue.remove(task, &record) {
             self.shares.deactivate(&record.group);
         }
-        self.report_not_run(record.entry, task.clone(), reason);
+        match self.given_up(task, &record.origin).cloned() {
+            Some(given_up) => self.report_given_up(record.entry, task.clone(), given_up),
+            None => self.report_not_run(record.entry, task.clone(), reason),
+        }
+    }
+
+    fn report_given_up(&mut self, entry: Incarnation, task: TaskRef, given_up: GivenUpTask) {
+        if let Some(view) = self.entries.get_mut(&entry) {
+            view.pending_given_up.push(given_up);
+        }
+        self.report_not_run(entry, task, NotRunReason::GivenUp);
     }
 
     /// Reports that a task did not run and never will. Nothing is stored for an entry without a session: a
--- a/crates/policy/src/agent/view.rs
+++ b/crates/policy/src/agent/view.rs
@@ -7,6 +7,7 @@
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::SessionNumber;
+use dfs_wire::session::GivenUpTask;
 use dfs_wire::session::LoadHint;
 use dfs_wire::session::NotRun;
 use dfs_wire::session::SessionParams;
@@ -46,6 +47,8 @@
     /// Finished tasks whose results were not sent in this session.
     pub unsent_results: BTreeSet<TaskRef>,
     pub pending_not_run: Vec<NotRun>,
+    /// Tasks that other entries have given up and this one has placed.
+    pub pending_given_up: Vec<GivenUpTask>,
     pub pending_config: Option<Box<RawValue>>,
     pub sent_hint: LoadHint,
     pub hint_sent_at: Moment,
@@ -105,6 +108,7 @@
             may_lack_records: false,
             unsent_results: BTreeSet::new(),
             pending_not_run: Vec::new(),
+            pending_given_up: Vec::new(),
             pending_config: None,
             sent_hint: LoadHint::default(),
             hint_sent_at: now,
--- a/crates/policy/src/crashes.rs
+++ b/crates/policy/src/crashes.rs
@@ -20,6 +20,7 @@
 use dfs_ids::QueueName;
 use dfs_ids::TaskIndex;
 use dfs_wire::session::CrashedRun;
+use dfs_wire::session::GivenUpTask;
 use dfs_wire::session::TargetCrash;
 
 /// Crashes under a task after which it is given up if it was the only accused one on the target.
@@ -222,6 +223,36 @@
         verdict
     }
 
+    /// Records a task that another entry has given up; `None` if it was given up here before.
+    pub fn record_given_up(
+        &mut self,
+        now: Moment,
+        agent: &AgentId,
+        given_up: &GivenUpTask,
+    ) -> Option<TaskKey> {
+        let key = TaskKey {
+            job: given_up.job.clone(),
+            task: given_up.task,
+        };
+        let event = CrashEvent {
+            agent: agent.clone(),
+            at: now,
+        };
+        let task = self.tasks.entry(key.clone()).or_insert(AccusedTask {
+            crashes: 0,
+            confirmed_crashes: 0,
+            is_given_up: false,
+            events: Vec::new(),
+            last_run_ms: Millis::default(),
+        });
+        task.crashes = task.crashes.max(given_up.crashes);
+        if given_up.is_confirmed {
+            task.confirmed_crashes = task.confirmed_crashes.max(CONVICTING_CRASHES);
+        }
+        task.events.push(event);
+        (!std::mem::replace(&mut task.is_given_up, true)).then_some(key)
+    }
+
     /// Gives up the tasks that were alone suspected of a crash, once other crashes of the same cause would be
     /// known.
     pub fn judge(&mut self, now: Moment) -> Verdict {
@@ -427,6 +458,19 @@
         self.tasks.get(key).map_or(0, |task| task.crashes)
     }
 
+    /// All tasks that must not run again.
+    #[must_use]
+    pub fn given_up(&self) -> Vec<GivenUpTask> {
+        let given_up = self.tasks.iter().filter(|(_, task)| task.is_given_up);
+        let given_up = given_up.map(|(key, task)| GivenUpTask {
+            job: key.job.clone(),
+            task: key.task,
+            crashes: task.crashes,
+            is_confirmed: self.is_confirmed(key),
+        });
+        given_up.collect()
+    }
+
     /// A task of the job that must not run again, and the number of targets that have crashed under it.
     #[must_use]
     pub fn given_up_task(&self, job: &JobName) -> Option<(TaskIndex, u32)> {
--- a/crates/policy/src/entry/contain.rs
+++ b/crates/policy/src/entry/contain.rs
@@ -16,6 +16,7 @@
 use dfs_wire::api::FailureReason;
 use dfs_wire::api::Outcome;
 use dfs_wire::session::EntryItem;
+use dfs_wire::session::GivenUpTask;
 use dfs_wire::session::TargetCrash;
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
@@ -141,11 +142,53 @@
             self.release(queue, out);
         }
         for (key, crashes) in &verdict.given_up {
-            out.push(EntryAction::Observe(Observation::TaskGivenUp {
-                task: key.clone(),
-                crashes: *crashes,
-            }));
-            self.fail_given_up(key, *crashes, out);
+            self.pass_on_given_up(key, *crashes, out);
+            self.give_up(key, *crashes, out);
+        }
+    }
+
+    /// Records tasks that another entry has given up and that an agent has returned for it.
+    pub(super) fn on_given_up(
+        &mut self,
+        now: Moment,
+        agent: &AgentId,
+        tasks: &[GivenUpTask],
+        out: &mut Vec<EntryAction>,
+    ) {
+        for task in tasks {
+            if let Some(key) = self.crashes.record_given_up(now, agent, task) {
+                self.give_up(&key, task.crashes, out);
+            }
+        }
+    }
+
+    fn give_up(&mut self, key: &TaskKey, crashes: u32, out: &mut Vec<EntryAction>) {
+        out.push(EntryAction::Observe(Observation::TaskGivenUp {
+            task: key.clone(),
+            crashes,
+        }));
+        self.fail_given_up(key, crashes, out);
+    }
+
+    /// Tells all agents of a task that was given up, if its job is here: an entry to which the caller submits the job
+    /// again may have no session to the agents that saw the crashes.
+    fn pass_on_given_up(&mut self, key: &TaskKey, crashes: u32, out: &mut Vec<EntryAction>) {
+        if !self.jobs.values().any(|job| job.name == key.job) {
+            return;
+        }
+        let task = GivenUpTask {
+            job: key.job.clone(),
+            task: key.task,
+            crashes,
+            is_confirmed: self.crashes.is_confirmed(key),
+        };
+        let connections: Vec<_> = self.connections.keys().copied().collect();
+        for connection in connections {
+            self.send_items(
+                connection,
+                vec![EntryItem::GivenUp(vec![task.clone()])],
+                out,
+            );
         }
     }
 
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -70,6 +70,7 @@
                     ack.sent_messages = self.on_target_state(now, &agent, report.seq, state);
                 }
                 AgentItem::Crashes(crashes) => self.on_crashes(now, &agent, &crashes, out),
+                AgentItem::GivenUp(tasks) => self.on_given_up(now, &agent, &tasks, out),
                 AgentItem::Load(hint) => self.on_load_hint(now, &agent, report.seq, hint, out),
                 AgentItem::Results(results) => {
                     for result in results {
--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -54,7 +54,12 @@
         let agent = attach.agent.clone();
         self.replace_view(now, connection, attach, open.idle_renew_ms);
         self.connections.insert(connection, agent);
-        self.send_items(connection, vec![EntryItem::Open(open)], out);
+        let mut items = vec![EntryItem::Open(open)];
+        let given_up = self.crashes.given_up();
+        if !given_up.is_empty() {
+            items.push(EntryItem::GivenUp(given_up));
+        }
+        self.send_items(connection, items, out);
     }
 
     fn session_params(&self, resumed: bool) -> SessionParams {
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -296,6 +296,7 @@
                 self.record_failure(now, agent, out);
                 self.on_refused(agent, task, reason, out);
             }
+            NotRunReason::GivenUp => self.on_refused(agent, task, reason, out),
             NotRunReason::NotOffered => {
                 let job = self.jobs.get_mut(&task.submission);
                 if let Some(refused) = job.and_then(|job| job.task_mut(task.task)) {
--- a/crates/policy/tests/policy_agent_queue.rs
+++ b/crates/policy/tests/policy_agent_queue.rs
@@ -19,6 +19,7 @@
 use dfs_wire::session::AgentItem;
 use dfs_wire::session::EntryItem;
 use dfs_wire::session::EntryMessage;
+use dfs_wire::session::GivenUpTask;
 use dfs_wire::session::IfFull;
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::Origin;
@@ -48,12 +49,22 @@
     target_states: Vec<(u64, TargetState)>,
     /// Report number of each report, with the numbers of the crashes that it contains.
     reported_crashes: Vec<(u64, Vec<u64>)>,
+    reported_given_up: Vec<GivenUpTask>,
 }
 
 fn body() -> Arc<RawValue> {
     Arc::from(RawValue::from_string("1".to_owned()).unwrap())
 }
 
+fn given_up(job: &str) -> GivenUpTask {
+    GivenUpTask {
+        job: job.parse().unwrap(),
+        task: TaskIndex::new(0),
+        crashes: 2,
+        is_confirmed: true,
+    }
+}
+
 impl Harness {
     fn new() -> Self {
         let mut harness = Self {
@@ -64,6 +75,7 @@
             not_run_reasons: Vec::new(),
             target_states: Vec::new(),
             reported_crashes: Vec::new(),
+            reported_given_up: Vec::new(),
         };
         harness.handle(AgentEvent::TargetAnnounced(Announcement {
             address: ([127, 0, 0, 1], 1).into(),
@@ -150,6 +162,9 @@
                     let numbers = crashes.flatten().map(|crash| crash.number).collect();
                     self.reported_crashes.push((seq, numbers));
                     for item in report.items {
+                        if let AgentItem::GivenUp(tasks) = &item {
+                            self.reported_given_up.extend_from_slice(tasks);
+                        }
                         if let AgentItem::Target(state) = &item {
                             self.target_states.push((seq, state.clone()));
                         }
@@ -260,3 +275,32 @@
     let (_, crashes) = harness.reported_crashes.last().unwrap();
     expect_that!(crashes, is_empty());
 }
+
+#[googletest::test]
+fn a_task_that_any_entry_has_given_up_does_not_start() {
+    let mut harness = Harness::new();
+    harness.place("running", "aba", 1, 0, IfFull::Queue);
+    harness.place("queued", "aba", 1, 0, IfFull::Queue);
+    for job in ["queued", "placed-later"] {
+        harness.send_item(EntryItem::GivenUp(vec![given_up(job)]));
+    }
+    harness.place("placed-later", "aba", 1, 0, IfFull::Queue);
+    expect_that!(harness.run_all(1_000), eq(&vec!["running"]));
+    expect_that!(harness.not_run_reasons, eq(&[NotRunReason::GivenUp; 2]));
+    let expected = vec![given_up("queued"), given_up("placed-later")];
+    expect_that!(harness.reported_given_up, eq(&expected));
+}
+
+#[googletest::test]
+fn a_crash_under_a_task_that_another_entry_has_given_up_tells_that_it_is() {
+    let mut harness = Harness::new();
+    harness.place("s", "aba", 1, 0, IfFull::Queue);
+    harness.send_item(EntryItem::GivenUp(vec![given_up("s")]));
+    expect_that!(harness.reported_given_up, is_empty());
+    let crashed = CrashedAttempt {
+        task: harness.started[0].clone(),
+        is_confirmed: true,
+    };
+    harness.handle(AgentEvent::TargetCrashed(vec![crashed]));
+    expect_that!(harness.reported_given_up, eq(&vec![given_up("s")]));
+}
--- a/crates/policy/tests/policy_failures.rs
+++ b/crates/policy/tests/policy_failures.rs
@@ -34,6 +34,7 @@
 use dfs_wire::session::Attach;
 use dfs_wire::session::CrashedRun;
 use dfs_wire::session::EntryItem;
+use dfs_wire::session::GivenUpTask;
 use dfs_wire::session::HeldTasks;
 use dfs_wire::session::LoadHint;
 use dfs_wire::session::NotRun;
@@ -131,6 +132,8 @@
     /// Tasks that are placed and not reported on yet, with their agents.
     placed: Vec<(u64, TaskRef)>,
     ejected: Vec<AgentId>,
+    /// Agents that were told of a task that was given up.
+    told: Vec<u64>,
 }
 
 impl TestEntry {
@@ -149,6 +152,7 @@
             failures: Vec::new(),
             placed: Vec::new(),
             ejected: Vec::new(),
+            told: Vec::new(),
         };
         entry.handle(EntryEvent::Configured(config(1)));
         for agent in 0..AGENTS {
@@ -288,6 +292,9 @@
 
     fn record_placed(&mut self, agent: u64, items: Vec<EntryItem>) {
         for item in items {
+            if matches!(item, EntryItem::GivenUp(_)) {
+                self.told.push(agent);
+            }
             let EntryItem::Place(placement) = item else {
                 continue;
             };
@@ -441,3 +448,46 @@
     expect_that!(entry.failures.len(), eq(1));
     expect_that!(entry.failures[0].reason, eq(FailureReason::TaskFailed));
 }
+
+#[googletest::test]
+fn all_agents_are_told_of_a_task_that_is_given_up() {
+    let mut entry = TestEntry::new();
+    entry.submit(submission("s", 1));
+    entry.crash(0, "s");
+    entry.advance(100);
+    entry.crash(1, "s");
+    entry.advance(100);
+    expect_that!(entry.failures.len(), eq(1));
+    expect_that!(entry.told, eq(&[0, 1, 2]));
+    entry.next_report_seq[0] = 0;
+    entry.connect(0);
+    expect_that!(entry.told, eq(&[0, 1, 2, 0]));
+}
+
+#[googletest::test]
+fn a_job_is_answered_as_failed_if_another_entry_has_given_its_task_up() {
+    let mut entry = TestEntry::new();
+    let job = Submission {
+        job: Some("s".parse().unwrap()),
+        ..submission("first", 1)
+    };
+    entry.submit(job.clone());
+    let (agent, task) = entry.placed.pop().unwrap();
+    let given_up = GivenUpTask {
+        job: "s".parse().unwrap(),
+        task: task.task,
+        crashes: 2,
+        is_confirmed: true,
+    };
+    let reason = NotRunReason::GivenUp;
+    let not_run = AgentItem::NotRun(vec![NotRun { task, reason }]);
+    entry.report(agent, vec![AgentItem::GivenUp(vec![given_up]), not_run]);
+    expect_that!(entry.placed, is_empty());
+    expect_that!(entry.failures.len(), eq(1));
+    expect_that!(entry.failures[0].reason, eq(FailureReason::TaskFailed));
+    entry.submit(Submission {
+        id: "second".parse().unwrap(),
+        ..job
+    });
+    expect_that!(entry.placed, is_empty());
+}
--- a/crates/wire/src/session/attach.rs
+++ b/crates/wire/src/session/attach.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 use serde_json::value::RawValue;
 
+use super::GivenUpTask;
 use super::Placement;
 use super::TaskRef;
 
@@ -60,6 +61,8 @@
     /// Withdraws tasks: the agent returns those that have not started, and stops running ones that are
     /// repeatable.
     Withdraw(Vec<TaskRef>),
+    /// Tasks that the entry has given up, of jobs that it has; the agent starts them for no entry.
+    GivenUp(Vec<GivenUpTask>),
     /// Requests a report without delay.
     Probe,
     /// A new configuration, complete or as a diff from an earlier version.
--- a/crates/wire/src/session/crash.rs
+++ b/crates/wire/src/session/crash.rs
@@ -1,4 +1,4 @@
-//! Crashes of targets, which each agent reports to all entries.
+//! Crashes of targets, which each agent reports to all entries, and tasks that are given up for them.
 
 use dfs_ids::JobName;
 use dfs_ids::Millis;
@@ -38,3 +38,16 @@
     #[serde(default, skip_serializing_if = "is_default")]
     pub earlier_crashes: u32,
 }
+
+/// A task that must not start again, because targets have crashed under it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GivenUpTask {
+    /// Job of the task.
+    pub job: JobName,
+    /// Position of the task in the job.
+    pub task: TaskIndex,
+    /// Number of targets that have crashed under it.
+    pub crashes: u32,
+    /// Whether enough of these targets had confirmed its start for the job to be shown as failed.
+    pub is_confirmed: bool,
+}
--- a/crates/wire/src/session/mod.rs
+++ b/crates/wire/src/session/mod.rs
@@ -17,6 +17,7 @@
 pub use attach::EntryMessage;
 pub use attach::SessionParams;
 pub use crash::CrashedRun;
+pub use crash::GivenUpTask;
 pub use crash::TargetCrash;
 pub use placement::IfFull;
 pub use placement::Origin;
--- a/crates/wire/src/session/placement.rs
+++ b/crates/wire/src/session/placement.rs
@@ -91,6 +91,15 @@
     pub crashes: u32,
 }
 
+impl Origin {
+    /// Name of the job of a submission.
+    #[must_use]
+    pub fn job_name(&self, submission: &SubmissionId) -> JobName {
+        let job = self.job.clone();
+        job.unwrap_or_else(|| JobName::from(submission))
+    }
+}
+
 /// What an agent does with a task for which the target has no free slot or too few resources.
 ///
 /// On the wire: 0 for `Queue`, 1 for `HandBack`.
--- a/crates/wire/src/session/report.rs
+++ b/crates/wire/src/session/report.rs
@@ -9,6 +9,7 @@
 use serde_json::value::RawValue;
 use snafu::Snafu;
 
+use super::GivenUpTask;
 use super::TargetCrash;
 use super::TaskRef;
 use super::TaskResult;
@@ -48,6 +49,8 @@
     /// Crashes of the target that were not acknowledged in this session, before the results of the runs that they
     /// ended. The entry counts each of them once.
     Crashes(Vec<TargetCrash>),
+    /// Tasks that were given up, before those that the agent returns for this reason.
+    GivenUp(Vec<GivenUpTask>),
     /// Results of tasks that started and have ended.
     Results(Vec<TaskResult>),
     /// Tasks that did not start and never will.
@@ -132,6 +135,9 @@
     /// The target does not offer the service, or does not accept the task.
     #[display("service not offered")]
     NotOffered,
+    /// An entry has given the task up.
+    #[display("given up")]
+    GivenUp,
 }
 
 /// Reply to a report.
