Judge and contain several tasks that crash targets at the same time

Cause: crashes within 25 ms of each other are taken for a common cause, so the two tasks excused each other. The verdict was dropped at the second crash and again at the third, though both tasks had crashed each target 14 to 17 ms after their start. Their queue was contained on suspicion and released after 500 ms, four times in a row, before its targets were back, and its tasks crashed further ones each time.

Change: three crashes under one task after similar run times are no coincidence, whatever else crashes at the time. A queue that is suspected again within a minute is contained for twice as long as the time before. A first suspicion ends as before, so that a rack that loses power holds its queues up no longer.

Evidence: both new tests failed before.

--- a/crates/policy/src/crashes.rs
+++ b/crates/policy/src/crashes.rs
@@ -32,9 +32,12 @@
 /// agents notice a crash within the slack.
 const MAX_SPEED_RATIO: u64 = 2;
 const NOTICE_SLACK_MS: Millis = Millis::new(10);
+/// Crashes after the same work that are not taken for a coincidence, whatever else crashes at the time.
+const CONSISTENT_CRASHES: usize = 3;
 /// Longest time between the reports of crashes that have one cause. Agents notice a broken connection at once.
 const COMMON_CAUSE_MS: Millis = Millis::new(25);
-/// Time for which a queue is contained on suspicion. Tasks that crash targets confirm it sooner.
+/// Time for which a queue is contained on a first suspicion. Tasks that crash targets mostly confirm it sooner. Each
+/// further suspicion lasts twice as long as the one before: several such tasks at a time look like a common cause.
 const SUSPICION_MS: Millis = Millis::new(500);
 /// Time for which a crash is held against a task or a queue.
 const MEMORY_MS: Millis = Millis::new(60_000);
@@ -111,8 +114,8 @@
     /// Crashes under the task, oldest first; never empty. No two have a common cause, since the task has moved in
     /// between.
     events: Vec<CrashEvent>,
-    /// Run time at the last crash.
-    last_run_ms: Millis,
+    /// Run times at the crashes, oldest first.
+    run_times_ms: Vec<Millis>,
 }
 
 #[derive(Debug, Clone)]
@@ -122,6 +125,8 @@
     has_convictions: bool,
     /// When one of its tasks was last alone suspected of a crash.
     suspected_at: Moment,
+    /// How often it was contained on suspicion.
+    suspicions: u32,
     last_crash_at: Moment,
     /// Agents whose targets have crashed under its tasks and may still be down.
     crashed_targets: BTreeSet<AgentId>,
@@ -132,6 +137,12 @@
 }
 
 impl AccusedTask {
+    /// Whether a run may have done the same work as that of the last crash.
+    fn is_same_work(&self, run_ms: Millis) -> bool {
+        let last_ms = self.run_times_ms.last();
+        last_ms.is_some_and(|last_ms| is_same_work(*last_ms, run_ms))
+    }
+
     fn last_crash(&self) -> &CrashEvent {
         self.events.last().expect("a task is accused by a crash")
     }
@@ -148,6 +159,14 @@
         interval_runs.saturating_mul(CLEAN_RUNS_PER_INTERVAL)
     }
 
+    fn suspected_until(&self) -> Moment {
+        let doublings = self
+            .suspicions
+            .saturating_sub(1)
+            .min(MEMORY_MS.get().ilog2());
+        self.suspected_at + Millis::new(SUSPICION_MS.get() << doublings).min(MEMORY_MS)
+    }
+
     fn record_crash(&mut self, event: &CrashEvent) {
         self.interval_runs = self.interval_runs.max(self.clean_runs);
         self.clean_runs = 0;
@@ -243,7 +262,7 @@
             confirmed_crashes: 0,
             is_given_up: false,
             events: vec![event],
-            last_run_ms: Millis::default(),
+            run_times_ms: Vec::new(),
         });
         task.crashes = task.crashes.max(given_up.crashes);
         if given_up.is_confirmed {
@@ -259,11 +278,13 @@
         let due: Vec<_> = self.pending.extract_if(.., is_due).collect();
         let mut verdict = Verdict::default();
         for pending in due {
-            if self.is_confirmed(&pending.key) && !self.has_common_cause(&pending) {
+            let is_consistent = self.is_consistent(&pending.key);
+            let is_caused = is_consistent || !self.has_common_cause(&pending);
+            if self.is_confirmed(&pending.key) && is_caused {
                 self.convict(&pending.key, pending.queue.as_ref(), &mut verdict);
             }
         }
-        let released = self.release_suspected(|accused| now >= accused.suspected_at + SUSPICION_MS);
+        let released = self.release_suspected(|accused| now >= accused.suspected_until());
         verdict.released.extend(released);
         verdict
     }
@@ -283,6 +304,16 @@
         Some(last_crash_at + COMMON_CAUSE_MS)
     }
 
+    /// Whether targets have crashed under the task so regularly that it is no coincidence.
+    fn is_consistent(&self, key: &TaskKey) -> bool {
+        let task = self.tasks.get(key);
+        let run_times_ms = task.map_or(&[][..], |task| &task.run_times_ms);
+        let shortest_and_longest = run_times_ms.iter().min().zip(run_times_ms.iter().max());
+        run_times_ms.len() >= CONSISTENT_CRASHES
+            && shortest_and_longest
+                .is_some_and(|(shortest, longest)| is_same_work(*shortest, *longest))
+    }
+
     fn has_common_cause(&self, pending: &PendingVerdict) -> bool {
         let at = pending.crash.at;
         let is_simultaneous = |event: &&CrashEvent| {
@@ -321,11 +352,15 @@
         let pending = &self.pending;
         let is_pending =
             |queue: &QueueName| pending.iter().any(|p| p.queue.as_ref() == Some(queue));
-        let suspected = self.queues.extract_if(.., |queue, accused| {
+        let suspected = self.queues.iter_mut().filter(|(queue, accused)| {
             let is_suspected = accused.is_contained && !accused.has_convictions;
             is_suspected && !is_pending(queue) && is_due(accused)
         });
-        suspected.map(|(queue, _)| queue).collect()
+        let release = |(queue, accused): (&QueueName, &mut AccusedQueue)| {
+            accused.is_contained = false;
+            queue.clone()
+        };
+        suspected.map(release).collect()
     }
 
     /// The task that is alone suspected of a crash. It is the only one of the runs under which a target has crashed
@@ -341,7 +376,7 @@
         let key = TaskKey::from(suspect);
         let is_suspect = self.tasks.get(&key).is_some_and(|task| {
             let is_repeated =
-                task.last_crash().agent != *agent && is_same_work(task.last_run_ms, suspect.run_ms);
+                task.last_crash().agent != *agent && task.is_same_work(suspect.run_ms);
             let mut others = runs.iter();
             let is_youngest = others.all(|run| suspect.run_ms <= with_tolerance(run.run_ms));
             is_repeated && (is_youngest || task.crashes >= CONVICTING_CRASHES)
@@ -355,7 +390,7 @@
             confirmed_crashes: 0,
             is_given_up: false,
             events: Vec::new(),
-            last_run_ms: run.run_ms,
+            run_times_ms: Vec::new(),
         });
         // Reports of several agents arrive in any order, for example at an entry that has just started.
         let known_crashes = u32::try_from(task.events.len()).unwrap_or(u32::MAX);
@@ -365,7 +400,7 @@
             .max(known_crashes + 1);
         task.confirmed_crashes += u32::from(run.is_confirmed);
         task.events.push(event.clone());
-        task.last_run_ms = run.run_ms;
+        task.run_times_ms.push(run.run_ms);
         task.crashes
     }
 
@@ -378,13 +413,18 @@
             is_contained: false,
             has_convictions: false,
             suspected_at: task.last_crash().at,
+            suspicions: 0,
             last_crash_at: task.last_crash().at,
             crashed_targets: BTreeSet::new(),
             clean_runs: 0,
             interval_runs: 0,
         });
         accused.suspected_at = accused.suspected_at.max(task.last_crash().at);
-        !std::mem::replace(&mut accused.is_contained, true)
+        if std::mem::replace(&mut accused.is_contained, true) {
+            return false;
+        }
+        accused.suspicions += 1;
+        true
     }
 
     /// Agents whose targets have crashed under tasks of a queue, with the number of crashes. All entries learn of the
--- a/crates/policy/tests/policy_crashes.rs
+++ b/crates/policy/tests/policy_crashes.rs
@@ -197,6 +197,39 @@
     expect_true!(scene.is_given_up("a"));
 }
 
+#[googletest::test]
+fn a_task_that_crashes_three_targets_after_the_same_work_is_given_up_whatever_crashes_beside_it() {
+    let mut scene = Scene::new();
+    for on in 0..3 {
+        scene.crash(on, &[run("a", QUOTES, 10 + on)]);
+        scene.advance(6);
+        scene.crash(10 + on, &[run("b", QUOTES, 900 * on)]);
+        scene.advance(500);
+    }
+    expect_true!(scene.is_given_up("a"));
+}
+
+#[googletest::test]
+fn a_queue_that_is_suspected_again_is_contained_for_longer() {
+    let mut scene = Scene::new();
+    let mut suspect = |job: &str, on| {
+        scene.crash(on, &[run(job, QUOTES, 10)]);
+        scene.advance(100);
+        scene.crash(on + 1, &[run(job, QUOTES, 12)]);
+        scene.crash(on + 2, &[run(&format!("{job}-other"), SLOTS, 400)]);
+        let mut contained_ms = 0;
+        while scene.is_contained(QUOTES) {
+            scene.advance(50);
+            contained_ms += 50;
+        }
+        scene.advance(1_000);
+        contained_ms
+    };
+    expect_that!(suspect("a", 0), eq(500));
+    expect_that!(suspect("b", 10), eq(1_000));
+    expect_that!(suspect("c", 20), eq(2_000));
+}
+
 #[googletest::test]
 fn crashes_that_are_reported_late_and_out_of_order_count_once_each() {
     let mut scene = Scene::new();
