Take any count of crashes in a report without overflow

What callers saw: nothing yet. A report that says 4,294,967,295 of earlier crashes stopped an entry in a debug build, with all its open submissions, and counted as none in a release build.

Cause: the count of the report had one added to it unchecked. Found while looking for a single malformed message that takes a process down; the other numbers of the report are added with saturation by their types.

Evidence: the new test failed before (attempt to add with overflow) and passes.

--- a/crates/policy/src/crashes.rs
+++ b/crates/policy/src/crashes.rs
@@ -394,10 +394,8 @@
         });
         // Reports of several agents arrive in any order, for example at an entry that has just started.
         let known_crashes = u32::try_from(task.events.len()).unwrap_or(u32::MAX);
-        task.crashes = task
-            .crashes
-            .max(run.earlier_crashes + 1)
-            .max(known_crashes + 1);
+        let crashes = run.earlier_crashes.max(known_crashes).saturating_add(1);
+        task.crashes = task.crashes.max(crashes);
         task.confirmed_crashes += u32::from(run.is_confirmed);
         task.events.push(event.clone());
         task.run_times_ms.push(run.run_ms);
--- a/crates/policy/tests/policy_crashes.rs
+++ b/crates/policy/tests/policy_crashes.rs
@@ -251,6 +251,20 @@
     expect_false!(scene.is_given_up("a"));
 }
 
+#[googletest::test]
+fn a_report_with_extreme_numbers_stops_no_entry() {
+    let mut scene = Scene::new();
+    for (on, run_ms) in [(1, u64::MAX), (2, 0), (3, u64::MAX)] {
+        let extreme = CrashedRun {
+            earlier_crashes: u32::MAX,
+            ..run("a", QUOTES, run_ms)
+        };
+        scene.crash(on, &[extreme]);
+        scene.advance(JUDGED_MS);
+    }
+    expect_true!(scene.is_given_up("a"));
+}
+
 #[googletest::test]
 fn a_crash_that_several_entries_would_count_is_counted_once() {
     let mut scene = Scene::new();
