Forget the runs of a queue that is released from a suspicion

Its clean runs then went on counting, and a later verdict would have asked for three times as many of them until the queue is released, up to a minute. The length of the last suspicion is kept apart instead; the rest is dropped with the release, as before.

--- a/crates/policy/src/crashes.rs
+++ b/crates/policy/src/crashes.rs
@@ -76,6 +76,8 @@
 pub struct CrashTracker {
     tasks: HashMap<TaskKey, AccusedTask>,
     queues: BTreeMap<QueueName, AccusedQueue>,
+    /// When each queue was last contained, and how long it may have been on suspicion.
+    suspicions: BTreeMap<QueueName, (Moment, Millis)>,
     /// Number of the last crash of each agent incarnation that was counted.
     counted: BTreeMap<AgentId, (Incarnation, u64)>,
     /// Agents whose targets have crashed and not returned, with the time of the crash.
@@ -125,8 +127,8 @@
     has_convictions: bool,
     /// When one of its tasks was last alone suspected of a crash.
     suspected_at: Moment,
-    /// How often it was contained on suspicion.
-    suspicions: u32,
+    /// Time for which the suspicion lasts, unless it is confirmed.
+    suspicion_ms: Millis,
     last_crash_at: Moment,
     /// Agents whose targets have crashed under its tasks and may still be down.
     crashed_targets: BTreeSet<AgentId>,
@@ -159,14 +161,6 @@
         interval_runs.saturating_mul(CLEAN_RUNS_PER_INTERVAL)
     }
 
-    fn suspected_until(&self) -> Moment {
-        let doublings = self
-            .suspicions
-            .saturating_sub(1)
-            .min(MEMORY_MS.get().ilog2());
-        self.suspected_at + Millis::new(SUSPICION_MS.get() << doublings).min(MEMORY_MS)
-    }
-
     fn record_crash(&mut self, event: &CrashEvent) {
         self.interval_runs = self.interval_runs.max(self.clean_runs);
         self.clean_runs = 0;
@@ -284,7 +278,8 @@
                 self.convict(&pending.key, pending.queue.as_ref(), &mut verdict);
             }
         }
-        let released = self.release_suspected(|accused| now >= accused.suspected_until());
+        let released =
+            self.release_suspected(|accused| now >= accused.suspected_at + accused.suspicion_ms);
         verdict.released.extend(released);
         verdict
     }
@@ -352,15 +347,11 @@
         let pending = &self.pending;
         let is_pending =
             |queue: &QueueName| pending.iter().any(|p| p.queue.as_ref() == Some(queue));
-        let suspected = self.queues.iter_mut().filter(|(queue, accused)| {
+        let suspected = self.queues.extract_if(.., |queue, accused| {
             let is_suspected = accused.is_contained && !accused.has_convictions;
             is_suspected && !is_pending(queue) && is_due(accused)
         });
-        let release = |(queue, accused): (&QueueName, &mut AccusedQueue)| {
-            accused.is_contained = false;
-            queue.clone()
-        };
-        suspected.map(release).collect()
+        suspected.map(|(queue, _)| queue).collect()
     }
 
     /// The task that is alone suspected of a crash. It is the only one of the runs under which a target has crashed
@@ -407,21 +398,28 @@
         let Some(task) = self.tasks.get(task) else {
             return false;
         };
+        let crashed_at = task.last_crash().at;
         let accused = self.queues.entry(queue.clone()).or_insert(AccusedQueue {
             is_contained: false,
             has_convictions: false,
-            suspected_at: task.last_crash().at,
-            suspicions: 0,
-            last_crash_at: task.last_crash().at,
+            suspected_at: crashed_at,
+            suspicion_ms: SUSPICION_MS,
+            last_crash_at: crashed_at,
             crashed_targets: BTreeSet::new(),
             clean_runs: 0,
             interval_runs: 0,
         });
-        accused.suspected_at = accused.suspected_at.max(task.last_crash().at);
+        accused.suspected_at = accused.suspected_at.max(crashed_at);
         if std::mem::replace(&mut accused.is_contained, true) {
             return false;
         }
-        accused.suspicions += 1;
+        let earlier = self
+            .suspicions
+            .get(queue)
+            .map(|(_, earlier_ms)| *earlier_ms);
+        accused.suspicion_ms = earlier.map_or(SUSPICION_MS, |earlier_ms| earlier_ms + earlier_ms);
+        let suspicion = (crashed_at, accused.suspicion_ms);
+        self.suspicions.insert(queue.clone(), suspicion);
         true
     }
 
@@ -545,6 +543,7 @@
             |event: &CrashEvent| now < event.at + COMMON_CAUSE_MS + COMMON_CAUSE_MS;
         self.recent.retain(is_simultaneous);
         self.down_since.retain(|_, since| is_recent(*since));
+        self.suspicions.retain(|_, (at, _)| is_recent(*at));
         self.crashes_by_queue.retain(|_, events| {
             events.retain(|event| is_recent(event.at));
             !events.is_empty()
