Take a silent agent's tasks back when it attaches again

Cause: an agent without an acknowledged report for its lease (700 ms) is taken for lost, and its tasks wait for 1,200 ms, until no run of them can go on. An agent that attached within that time settled them at once, as if it had restarted; but the same incarnation was only silent. Its run had been told to stop some 20 ms before. The first run lasted 749 ms, which is the lease and the time of a stop; its task was placed again 717 ms after its start.

Change: a task that waits keeps the incarnation of its agent. Only another incarnation settles it early. The same one gets its tasks back as outstanding: those that it still holds go on or end there, and their results count; those that it has dropped are placed anew at once. So a run of an agent that was silent for less than its lease and a little more is neither started again nor given up.

Evidence: the new test failed before (placed at another agent at once; its result ignored). Tests beside it show that a restarted agent and one that has dropped the task still settle it at once; they passed before.

--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod event;
 mod evict;
 mod job;
+mod orphan;
 mod queue;
 mod report;
 mod review;
@@ -33,7 +34,6 @@
 use dfs_ids::SessionNumber;
 use dfs_ids::SubmissionId;
 use dfs_wire::session::EntryAddress;
-use dfs_wire::session::TaskRef;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -46,6 +46,8 @@
 pub use event::Observation;
 pub use event::Submission;
 use job::Job;
+use orphan::Orphan;
+use orphan::OrphanKey;
 use queue::Queue;
 pub use status::Readiness;
 pub use status::Totals;
@@ -102,9 +104,7 @@
     crashes: CrashTracker,
     containment: Containment,
     queue_work: QueueWork,
-    /// Repeatable tasks of lost agents, with the time until which their runs may still be going on, and tasks whose
-    /// target has crashed, with the time until which they may still be given up.
-    orphaned_tasks: BTreeSet<(Moment, AgentId, TaskRef)>,
+    orphans: BTreeMap<OrphanKey, Orphan>,
     /// End of the time for which submissions wait for the agents to connect; `None` before the first
     /// configuration.
     starting_until: Option<Moment>,
@@ -147,7 +147,7 @@
             crashes: CrashTracker::default(),
             containment: Containment::default(),
             queue_work: QueueWork::default(),
-            orphaned_tasks: BTreeSet::new(),
+            orphans: BTreeMap::new(),
             starting_until: None,
             queued_at_start: Vec::new(),
             config_adopted_at: Moment::default(),
--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -14,11 +14,13 @@
 use dfs_wire::session::LoadHint;
 use dfs_wire::session::SessionParams;
 use dfs_wire::session::TargetState;
-use dfs_wire::session::TaskRef;
 
 use super::Entry;
 use super::EntryAction;
 use super::Observation;
+use super::orphan::LOST_CAUSE;
+use super::orphan::Orphan;
+use super::orphan::OrphanKey;
 use super::view::AgentView;
 use crate::ConnectionId;
 
@@ -26,7 +28,6 @@
 const RENEWAL_BYTES: u64 = 360;
 /// Bandwidth limit of one entry for the renewals of all idle sessions.
 const RENEWAL_BYTES_PER_S: u64 = 2_048;
-const LOST_CAUSE: &str = "the agent or its target was lost";
 const MILLIS_PER_SECOND: u64 = 1_000;
 /// Mean time between renewals as a fraction of the interval: agents renew after half to all of it.
 const MEAN_INTERVAL_FRACTION: (u64, u64) = (3, 4);
@@ -40,19 +41,22 @@
         out: &mut Vec<EntryAction>,
     ) {
         let known = self.agents.get(&attach.agent).map(|old| old.incarnation);
-        let resumed = known == Some(attach.incarnation);
-        if known.is_some() && !resumed {
+        if known.is_some_and(|known| known != attach.incarnation) {
             self.remove_lost_agent(now, &attach.agent, out);
         }
-        if !resumed {
-            // The restart of the agent has ended the runs of its previous incarnation.
-            self.settle_orphans_of(&attach.agent, out);
-        }
+        self.settle_orphans_of_earlier(&attach.agent, attach.incarnation, out);
+        let orphans = self.take_orphans_of(&attach.agent, attach.incarnation);
+        let resumed = known == Some(attach.incarnation) || !orphans.is_empty();
         self.close_connection(&attach.agent, out);
         self.next_session = self.next_session.next();
         let open = self.session_params(resumed);
         let agent = attach.agent.clone();
         self.replace_view(now, connection, attach, open.idle_renew_ms);
+        if let Some(view) = self.agents.get_mut(&agent) {
+            for (task, outstanding) in orphans {
+                view.add_outstanding(task, outstanding);
+            }
+        }
         self.connections.insert(connection, agent);
         let mut items = vec![EntryItem::Open(open)];
         let given_up = self.crashes.given_up();
@@ -202,38 +206,23 @@
         };
         out.push(EntryAction::Observe(lost));
         let settled_at = now + self.identity.lease.settle_ms;
-        for (task, _) in view.outstanding {
+        let incarnation = view.incarnation;
+        for (task, outstanding) in view.outstanding {
             let job = self.jobs.get(&task.submission);
-            if settled_at > now && job.is_some_and(|job| job.terms.repeatable) {
-                self.orphaned_tasks
-                    .insert((settled_at, agent.clone(), task));
-            } else {
+            if settled_at <= now || !job.is_some_and(|job| job.terms.repeatable) {
                 self.on_unknown(agent, &task, LOST_CAUSE, out);
+                continue;
             }
-        }
-    }
-
-    /// Settles the orphaned tasks whose settle time has passed.
-    fn settle_expired_orphans(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
-        while let Some((at, agent, task)) = self.orphaned_tasks.first().cloned()
-            && at <= now
-        {
-            self.orphaned_tasks.pop_first();
-            match self.judged_at(&task).filter(|judged_at| *judged_at > now) {
-                Some(judged_at) => {
-                    self.orphaned_tasks.insert((judged_at, agent, task));
-                }
-                None => self.on_unknown(&agent, &task, LOST_CAUSE, out),
-            }
-        }
-    }
-
-    /// Settles the orphaned tasks of a lost agent at once, because their runs are known to have ended.
-    fn settle_orphans_of(&mut self, agent: &AgentId, out: &mut Vec<EntryAction>) {
-        let is_of_agent = |orphan: &(Moment, AgentId, TaskRef)| orphan.1 == *agent;
-        let orphans: Vec<_> = self.orphaned_tasks.extract_if(.., is_of_agent).collect();
-        for (_, agent, task) in orphans {
-            self.on_unknown(&agent, &task, LOST_CAUSE, out);
+            let key = OrphanKey {
+                settled_at,
+                agent: agent.clone(),
+                task,
+            };
+            let orphan = Orphan::Lost {
+                incarnation,
+                outstanding,
+            };
+            self.orphans.insert(key, orphan);
         }
     }
 
--- a/crates/policy/src/entry/settle.rs
+++ b/crates/policy/src/entry/settle.rs
@@ -56,9 +56,7 @@
             TaskOutcome::Unknown(message) => {
                 self.record_failure(now, agent, out);
                 match self.judged_at(&result.task) {
-                    Some(at) => {
-                        self.orphaned_tasks.insert((at, agent.clone(), result.task));
-                    }
+                    Some(at) => self.hold_until_judged(at, agent, result.task),
                     None => self.on_unknown(agent, &result.task, &message, out),
                 }
             }
@@ -272,8 +270,7 @@
             return;
         }
         if let Some(at) = self.judged_at(task) {
-            self.orphaned_tasks
-                .insert((at, agent.clone(), task.clone()));
+            self.hold_until_judged(at, agent, task.clone());
             return;
         }
         match reason {
--- a/crates/policy/tests/policy_failures.rs
+++ b/crates/policy/tests/policy_failures.rs
@@ -128,6 +128,10 @@
     entry: Entry,
     now: Moment,
     next_report_seq: Vec<u64>,
+    /// Number of the latest session of each agent.
+    sessions: Vec<u64>,
+    /// Incarnation of each agent.
+    incarnations: Vec<u64>,
     failures: Vec<Failure>,
     /// Tasks that are placed and not reported on yet, with their agents.
     placed: Vec<(u64, TaskRef)>,
@@ -138,17 +142,24 @@
 
 impl TestEntry {
     fn new() -> Self {
+        Self::with_lease(LeaseSettings::default())
+    }
+
+    fn with_lease(lease: LeaseSettings) -> Self {
+        let agents = usize::try_from(AGENTS).unwrap();
         let identity = Identity {
             entry: "entry".parse().unwrap(),
             domain: "lagos".parse().unwrap(),
             incarnation: Incarnation::new(1),
-            lease: LeaseSettings::default(),
+            lease,
             propagation_ms: Millis::new(1_000),
         };
         let mut entry = Self {
             entry: Entry::new(identity, 7),
             now: Moment::from_millis(1),
-            next_report_seq: vec![0; usize::try_from(AGENTS).unwrap()],
+            next_report_seq: vec![0; agents],
+            sessions: vec![0; agents],
+            incarnations: vec![1; agents],
             failures: Vec::new(),
             placed: Vec::new(),
             ejected: Vec::new(),
@@ -162,10 +173,18 @@
     }
 
     fn connect(&mut self, agent: u64) {
+        self.connect_holding(agent, Vec::new());
+    }
+
+    /// Opens a session of an agent that holds these tasks.
+    fn connect_holding(&mut self, agent: u64, tasks: Vec<TaskRef>) {
+        let index = usize::try_from(agent).unwrap();
+        self.sessions[index] = self.sessions.iter().max().unwrap() + 1;
+        self.next_report_seq[index] = 0;
         let attach = Attach {
             secret: String::new(),
             agent: format!("agent-{agent}").parse().unwrap(),
-            incarnation: Incarnation::new(agent + 1),
+            incarnation: Incarnation::new(self.incarnations[index]),
             domain: "lagos".parse().unwrap(),
         };
         let connection = ConnectionId(agent);
@@ -179,7 +198,7 @@
             labels: vec![label(agent)],
         };
         let held = HeldTasks {
-            tasks: Vec::new(),
+            tasks,
             may_lack_records: false,
         };
         let load = LoadHint {
@@ -195,9 +214,10 @@
     }
 
     fn report(&mut self, agent: u64, items: Vec<AgentItem>) {
-        let seq = &mut self.next_report_seq[usize::try_from(agent).unwrap()];
+        let index = usize::try_from(agent).unwrap();
+        let seq = &mut self.next_report_seq[index];
         let report = Report {
-            session: SessionNumber::new(agent + 1),
+            session: SessionNumber::new(self.sessions[index]),
             seq: *seq,
             items,
         };
@@ -459,7 +479,6 @@
     entry.advance(100);
     expect_that!(entry.failures.len(), eq(1));
     expect_that!(entry.told, eq(&[0, 1, 2]));
-    entry.next_report_seq[0] = 0;
     entry.connect(0);
     expect_that!(entry.told, eq(&[0, 1, 2, 0]));
 }
@@ -491,3 +510,50 @@
     });
     expect_that!(entry.placed, is_empty());
 }
+
+/// An entry that has placed a task at an agent and then taken the agent for lost, with the task.
+fn entry_that_lost_an_agent() -> (TestEntry, u64, TaskRef) {
+    let lease = LeaseSettings {
+        settle_ms: Millis::new(1_200),
+        ..LeaseSettings::default()
+    };
+    let mut entry = TestEntry::with_lease(lease);
+    entry.submit(submission("s", 1));
+    let (agent, task) = entry.placed.pop().unwrap();
+    entry.handle(EntryEvent::ConnectionLost {
+        connection: ConnectionId(agent),
+    });
+    entry.advance(LeaseSettings::default().lease_ms.get());
+    expect_that!(entry.placed, is_empty());
+    for other in (0..AGENTS).filter(|other| *other != agent) {
+        entry.connect(other);
+    }
+    (entry, agent, task)
+}
+
+#[googletest::test]
+fn the_run_of_an_agent_that_was_only_silent_is_not_started_again_elsewhere() {
+    let (mut entry, agent, task) = entry_that_lost_an_agent();
+    entry.connect_holding(agent, vec![task.clone()]);
+    expect_that!(entry.placed, is_empty());
+    entry.placed.push((agent, task));
+    entry.end_placed(done());
+    entry.advance(2_000);
+    expect_that!(entry.placed, is_empty());
+    expect_that!(entry.failures, is_empty());
+}
+
+#[googletest::test]
+fn a_task_that_a_silent_agent_no_longer_holds_is_placed_again_at_once() {
+    let (mut entry, agent, _) = entry_that_lost_an_agent();
+    entry.connect(agent);
+    expect_that!(entry.placed.len(), eq(1));
+}
+
+#[googletest::test]
+fn a_task_of_an_agent_that_has_restarted_is_placed_again_at_once() {
+    let (mut entry, agent, _) = entry_that_lost_an_agent();
+    entry.incarnations[usize::try_from(agent).unwrap()] = 2;
+    entry.connect(agent);
+    expect_that!(entry.placed.len(), eq(1));
+}
