--- a/crates/policy/benches/grid/kinds.rs
+++ b/crates/policy/benches/grid/kinds.rs
@@ -79,6 +79,7 @@
     rules.placement.order = Order::FirstCome;
     rules.placement.hints = HintMode::OnChange;
     rules.placement.max_load = 1.0;
+    rules.retry.budget_ratio = 1.0;
     let inventory = Inventory {
         domains: vec!["lagos".parse().expect("the name is valid")],
         operators: Vec::new(),
--- a/crates/policy/benches/grid/tally.rs
+++ b/crates/policy/benches/grid/tally.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 
 use dfs_ids::GroupId;
+use dfs_ids::SubmissionId;
+use dfs_ids::TaskIndex;
+use dfs_wire::session::TaskRef;
 
 use super::mix::to_f64;
 
@@ -59,6 +62,10 @@
     pub tasks_at_first_agent: u64,
     /// Busy time of each group in each window, in microseconds.
     pub busy_us: BTreeMap<(GroupId, u64), u64>,
+    /// Crashes of targets.
+    pub crashes: u64,
+    /// Starts of each task that crashes its targets.
+    pub crashing_starts: BTreeMap<(SubmissionId, TaskIndex), u32>,
     /// All answers, by name of the workload.
     pub responses: BTreeMap<&'static str, Vec<Response>>,
 }
@@ -88,12 +95,19 @@
         self.useful_us += other.useful_us;
         self.capacity_us += other.capacity_us;
         self.tasks_at_first_agent += other.tasks_at_first_agent;
+        self.crashes += other.crashes;
+        self.crashing_starts.extend(other.crashing_starts);
     }
 
     pub fn record_response(&mut self, workload: &'static str, response: Response) {
         self.responses.entry(workload).or_default().push(response);
     }
 
+    pub fn record_crashing_start(&mut self, task: &TaskRef) {
+        let key = (task.submission.clone(), task.task);
+        *self.crashing_starts.entry(key).or_default() += 1;
+    }
+
     /// Adds a run to the busy time of its group, split at the bounds of windows.
     pub fn record_busy(&mut self, group: &GroupId, from_us: u64, run_us: u64) {
         let end = from_us + run_us;
