--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,9 @@
 
 async def play(pool, has_trouble):
     for index in range(ROUNDS):
-        jobs = [pool.job(tasks=4, work_ms=2500, cpu=1600, estimate_ms=900) for _ in range(JOBS)]
+        if not shed.has_time():
+            break
+        jobs = [pool.job(tasks=4, work_ms=2500, cpu=3100, estimate_ms=900) for _ in range(JOBS)]
         clients = [
             asyncio.ensure_future(pool.submit(job, pool.entries, deadline_ms=9000)) for job in jobs]
         await asyncio.sleep(0.4)
@@ -23,7 +25,7 @@
             # `zone`, `version`, `slots`, `coldRemainingMs`, `labels` and `clockMs` are missing.
             report = {
                 "service": shed.SERVICE, "address": f"{worker.ip}:{pool.app_port + 900}", "state": "ready",
-                "capacity": {"cpu": 16000, "memMb": 65536}, "sequence": 1, "born": int(time.time() * 1000)}
+                "capacity": {"cpu": 32000, "memMb": 65536}, "sequence": 1, "born": int(time.time() * 1000)}
             answer = await shed.request(
                 worker.ip, pool.control_port, "POST", "/Instances.Heartbeat/i-another", report)
             pool.note("report of another writer", to=f"side-{worker.index}", answer=answer)
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,4 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")"
-exec timeout 115 python3 case.py
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,9 +16,11 @@
 
 async def play(pool, has_trouble):
     for index in range(ROUNDS):
+        if not shed.has_time():
+            break
         first = pool.entries[index % len(pool.entries)]
         others = [entry for entry in pool.entries if entry is not first]
-        jobs = [pool.job(tasks=4, work_ms=3500, cpu=1600, estimate_ms=900) for _ in range(JOBS)]
+        jobs = [pool.job(tasks=4, work_ms=3500, cpu=3100, estimate_ms=900) for _ in range(JOBS)]
         clients = [
             asyncio.ensure_future(pool.submit(job, [first] + others, deadline_ms=9000)) for job in jobs]
         await asyncio.sleep(0.3)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,6 +18,8 @@
 async def play(pool, has_trouble):
     entry, link, wanted = pool.entries[0], pool.links[0], {}
     for index in range(ROUNDS):
+        if not shed.has_time():
+            break
         # The kinds of the last round may have changed.
         worker = next(worker for worker in pool.workers if "a" in worker.labels)
         for _ in range(3):
@@ -25,7 +27,7 @@
         if has_trouble:
             pool.note("the entry is cut off", entry=entry.name)
             link.cut()
-        jobs = [pool.job(tasks=4, work_ms=200, cpu=1600, constraints="a") for _ in range(JOBS)]
+        jobs = [pool.job(tasks=4, work_ms=200, cpu=3100, constraints="a") for _ in range(JOBS)]
         wanted |= {job["id"]: "a" for job in jobs}
         clients = []
         for job in jobs:
