Believe a heartbeat of another incarnation only once the target answers

Cause: on_heartbeat took a heartbeat with another id or start time for a restart. It ended all runs of the target at once, and entries placed their tasks elsewhere, while the target went on with them. A poll that named the foreign id and was refused counted as a second restart.

Fix: such a heartbeat is kept aside, a poll is sent at once, and nothing starts until the target has answered. Runs end only by what the target itself answers: another incarnation in its list, or a refused id under which it has answered before. A heartbeat that the answer contradicts is dropped with event 426. Ruled out: lapsed leases, and the refused poll as first cause.

Tests: runs/foreign.rs, five tests, four of which failed before. Two older tests asked that a heartbeat alone end the runs, which is the fault; they now ask that it doesn't and that the answer of the new incarnation does.

--- a/crates/agent/src/fenced.rs
+++ b/crates/agent/src/fenced.rs
@@ -294,6 +294,15 @@
                 current: current.map(|incarnation| incarnation.0),
                 running_tasks: tracked_runs,
             }),
+            RunsAction::HeartbeatRejected {
+                target,
+                incarnation,
+                current,
+            } => dfs_log::emit(TargetEvent::HeartbeatRejected {
+                target,
+                incarnation: incarnation.map(|incarnation| incarnation.0),
+                current: current.map(|incarnation| incarnation.0),
+            }),
             RunsAction::StartRefused {
                 task,
                 name,
--- a/crates/log/src/event/target.rs
+++ b/crates/log/src/event/target.rs
@@ -205,7 +205,7 @@
             /// Reason given by the target.
             refusal: ErrorText,
         }
-        /// Another incarnation of the target answers its agent or sends heartbeats.
+        /// Another incarnation of the target answers its agent.
         421 Warn "target_restarted" Restarted {
             /// Incarnation that was known before.
             previous: Option<u64>,
@@ -244,5 +244,14 @@
             /// The queue.
             queue: QueueName,
         }
+        /// A heartbeat was dropped because the target's own answers contradict it.
+        426 Warn "heartbeat_rejected" HeartbeatRejected {
+            /// Id that the heartbeat named.
+            target: TargetId,
+            /// Incarnation that the heartbeat named.
+            incarnation: Option<u64>,
+            /// Incarnation that answers; absent if it is not known.
+            current: Option<u64>,
+        }
     }
 }
--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -241,6 +241,15 @@
 }
 
 impl Heartbeat {
+    /// Report that the target's answers contradict this heartbeat; `current` is the incarnation that they show.
+    pub(super) fn rejected(self, current: Option<TargetIncarnation>) -> RunsAction {
+        RunsAction::HeartbeatRejected {
+            target: self.target,
+            incarnation: self.incarnation,
+            current,
+        }
+    }
+
     /// Whether another heartbeat says the same, whenever it was sent.
     pub(super) fn agrees_with(&self, other: &Self) -> bool {
         let sequence = self.sequence;
@@ -365,6 +374,15 @@
         /// Runs that were running or may have been running on the previous one.
         tracked_runs: usize,
     },
+    /// A heartbeat was dropped because the target's answers contradict it.
+    HeartbeatRejected {
+        /// Id that the heartbeat named.
+        target: TargetId,
+        /// Incarnation that the heartbeat named.
+        incarnation: Option<TargetIncarnation>,
+        /// Incarnation that answers; `None` if it does not name itself.
+        current: Option<TargetIncarnation>,
+    },
     /// The target refused a start request.
     StartRefused {
         /// Attempt that the run belongs to.
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -38,11 +38,15 @@
     pub(super) fn send_poll_if_due(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
         let resolves_start = self.may_resolve_start();
         let may_poll = self.may_poll(now) || self.awaits_snapshot_after_restart();
-        if !resolves_start && (now < self.next_poll_at || !may_poll) {
+        let is_urgent = resolves_start || self.has_unpolled_heartbeat();
+        if !is_urgent && (now < self.next_poll_at || !may_poll) {
             return;
         }
         self.pending_polls += 1;
         self.last_poll_sent_at = now;
+        if let Some(unconfirmed) = &mut self.unconfirmed {
+            unconfirmed.is_polled = true;
+        }
         self.last_poll_token = self.token;
         // A poll without an answer may still renew the lease. While polls fail, they request no renewal;
         // otherwise the runs of an unreachable target could never be known to have ended.
@@ -52,8 +56,12 @@
             self.extend_lease_bound(now);
         }
         // Until the takeover is complete, the clock and the runs of earlier incarnations are needed at once, and
-        // so are the clock of a restarted target, further ends and the answer that resolves a start.
-        let may_wait = self.taken_over && self.has_read_all_ends && self.target_clock.is_some();
+        // so are the clock of a restarted target, further ends and the answer that resolves a start or confirms a
+        // heartbeat.
+        let may_wait = self.taken_over
+            && self.has_read_all_ends
+            && self.target_clock.is_some()
+            && self.unconfirmed.is_none();
         let wait_ms = if may_wait && !resolves_start {
             self.options.poll_wait_ms
         } else {
@@ -83,6 +91,12 @@
         self.pending_polls < MAX_PENDING_POLLS && self.tracked.values().any(is_unresolved)
     }
 
+    /// Whether a heartbeat waits to be confirmed and no poll was sent since it arrived.
+    fn has_unpolled_heartbeat(&self) -> bool {
+        let unconfirmed = self.unconfirmed.as_ref();
+        self.pending_polls < MAX_PENDING_POLLS && unconfirmed.is_some_and(|last| !last.is_polled)
+    }
+
     /// Whether the target has restarted and no poll was sent since. Nothing starts there until one is answered.
     fn awaits_snapshot_after_restart(&self) -> bool {
         self.pending_polls < MAX_PENDING_POLLS
@@ -122,7 +136,7 @@
             // The poll was sent for a target id that is known to be replaced.
             PollOutcome::WrongIncarnation if poll.target != self.target_id() => {}
             PollOutcome::WrongIncarnation => {
-                self.on_incarnation_lost(now, out);
+                self.on_id_refused(now, out);
                 self.next_poll_at = now + POLL_RETRY_DELAY_MS;
             }
             PollOutcome::NotListening => {
@@ -214,6 +228,9 @@
             }
             self.set_incarnation(now, snapshot.incarnation);
         }
+        if poll.target.is_some() {
+            self.answered_as.clone_from(&poll.target);
+        }
         self.maybe_restarted_at.take_if(|at| *at <= poll.sent_at);
         self.expired_tasks.clear();
         self.is_crash_reported = false;
@@ -241,10 +258,11 @@
         let had_read_all_ends =
             std::mem::replace(&mut self.has_read_all_ends, snapshot.is_complete);
         self.use_recalled_heartbeat(now, out);
+        let is_judged = self.judge_unconfirmed(poll, snapshot.incarnation, out);
         if !self.taken_over && snapshot.is_complete && self.orphans(&running).next().is_none() {
             self.complete_takeover(out);
             self.announce_if_ready(now, out);
-        } else if was_failing || !had_clock || !had_read_all_ends {
+        } else if was_failing || !had_clock || !had_read_all_ends || is_judged {
             self.announce_if_ready(now, out);
         }
     }
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -57,6 +57,15 @@
     pub heartbeat_lease_ms: Millis,
 }
 
+/// A heartbeat that no answer of the target has confirmed.
+#[derive(Debug)]
+struct UnconfirmedHeartbeat {
+    heartbeat: Heartbeat,
+    received_at: Moment,
+    /// Whether a poll was sent since it was received.
+    is_polled: bool,
+}
+
 /// State machine that starts, stops and tracks all runs on one target.
 #[expect(
     clippy::struct_excessive_bools,
@@ -74,7 +83,13 @@
     waiting_tasks: HashMap<Arc<str>, VecDeque<(TaskRef, TaskSpec)>>,
     /// Last run number of each task name that ended recently, and when it ended.
     last_run_numbers: HashMap<Arc<str>, (RunNumber, Moment)>,
+    /// Latest heartbeat of the incarnation that the target's own answers have shown, and when it was received.
     heartbeat: Option<(Heartbeat, Moment)>,
+    /// Latest heartbeat that the target has not confirmed yet. Anyone could have sent it: it ends no run, and
+    /// nothing starts until the target has answered a poll.
+    unconfirmed: Option<UnconfirmedHeartbeat>,
+    /// Id under which the target last answered a poll.
+    answered_as: Option<dfs_ids::TargetId>,
     /// Whether the target has said that it is about to exit, so that its exit is no crash.
     is_exit_planned: bool,
     /// Whether a crash was reported and the target has not answered since.
@@ -87,7 +102,7 @@
     /// Heartbeat received by an earlier incarnation of the agent. It is used once the target reports the same
     /// incarnation, until its next heartbeat arrives.
     recalled_heartbeat: Option<Heartbeat>,
-    /// Incarnation that the last snapshot came from, or a later one that a heartbeat has shown since.
+    /// Incarnation that the last snapshot came from; `None` after an answer of another one that is not known.
     incarnation: Option<TargetIncarnation>,
     /// Incarnation that the present one has replaced.
     previous_incarnation: Option<TargetIncarnation>,
@@ -158,6 +173,8 @@
             waiting_tasks: HashMap::new(),
             last_run_numbers: HashMap::new(),
             heartbeat: None,
+            unconfirmed: None,
+            answered_as: None,
             is_exit_planned: false,
             is_crash_reported: false,
             expired_tasks: Vec::new(),
@@ -230,24 +247,88 @@
         {
             return;
         }
-        let is_new_incarnation = self
-            .heartbeat
-            .as_ref()
-            .is_some_and(|(known, _)| incarnation_key(known) != incarnation_key(&heartbeat));
-        // A snapshot may have shown the change before, and runs may have started since.
+        if self.is_confirmed(&heartbeat) {
+            self.accept_heartbeat(heartbeat, now, out);
+            self.announce_if_ready(now, out);
+            return;
+        }
+        self.unconfirmed = Some(UnconfirmedHeartbeat {
+            heartbeat,
+            received_at: now,
+            is_polled: false,
+        });
+        self.send_goodbye(out);
+    }
+
+    /// Whether a heartbeat is of the incarnation that the target's answers have shown.
+    fn is_confirmed(&self, heartbeat: &Heartbeat) -> bool {
         let is_current =
             heartbeat.incarnation.is_some() && heartbeat.incarnation == self.incarnation;
-        if is_new_incarnation && !is_current {
-            self.on_new_incarnation(now, heartbeat.incarnation, out);
+        match &self.heartbeat {
+            Some((known, _)) if incarnation_key(known) == incarnation_key(heartbeat) => true,
+            // The target has restarted since; it may have another id now.
+            Some((known, _)) => is_current && known.incarnation != self.incarnation,
+            None => is_current,
         }
+    }
+
+    fn accept_heartbeat(
+        &mut self,
+        heartbeat: Heartbeat,
+        received_at: Moment,
+        out: &mut Vec<RunsAction>,
+    ) {
         let is_stored = |stored: &Heartbeat| stored.agrees_with(&heartbeat);
         if !self.stored_heartbeat.as_ref().is_some_and(is_stored) {
             out.push(RunsAction::StoreHeartbeat(heartbeat.clone()));
         }
         self.recalled_heartbeat = None;
         self.is_exit_planned = heartbeat.is_draining;
-        self.heartbeat = Some((heartbeat, now));
-        self.announce_if_ready(now, out);
+        self.heartbeat = Some((heartbeat, received_at));
+    }
+
+    /// Accepts or rejects the unconfirmed heartbeat by an answer of the target; false if it stays open. An answer to a poll that was sent
+    /// before the heartbeat arrived rejects nothing, as the target may have restarted in between.
+    fn judge_unconfirmed(
+        &mut self,
+        poll: &PollRequest,
+        incarnation: Option<TargetIncarnation>,
+        out: &mut Vec<RunsAction>,
+    ) -> bool {
+        let Some(unconfirmed) = &self.unconfirmed else {
+            return false;
+        };
+        let is_sender = self.is_sender(&unconfirmed.heartbeat, poll, incarnation);
+        if !is_sender && poll.sent_at < unconfirmed.received_at {
+            return false;
+        }
+        let Some(unconfirmed) = self.unconfirmed.take() else {
+            return false;
+        };
+        if is_sender {
+            self.accept_heartbeat(unconfirmed.heartbeat, unconfirmed.received_at, out);
+        } else {
+            out.push(unconfirmed.heartbeat.rejected(incarnation));
+        }
+        true
+    }
+
+    /// Whether the target that has answered a poll as `incarnation` is the one that sent a heartbeat.
+    fn is_sender(
+        &self,
+        heartbeat: &Heartbeat,
+        poll: &PollRequest,
+        incarnation: Option<TargetIncarnation>,
+    ) -> bool {
+        let Some(incarnation) = incarnation else {
+            return poll.target.as_ref() == Some(&heartbeat.target);
+        };
+        // A current heartbeat that is confirmed has named another id.
+        let has_other_id = self
+            .heartbeat
+            .as_ref()
+            .is_some_and(|(known, _)| known.incarnation == Some(incarnation));
+        heartbeat.incarnation == Some(incarnation) && !has_other_id
     }
 
     /// Whether a heartbeat was sent before `known`, by the same incarnation or an earlier one. What snapshots
@@ -336,8 +417,8 @@
     }
 
     /// Announces the target to the agent if the takeover is complete, all ends are read, the target responds
-    /// and has sent its time, and its heartbeat is of the incarnation that responds. Withdraws the
-    /// announcement if the target is draining or its heartbeat is overdue.
+    /// and has sent its time, its heartbeat is of the incarnation that responds, and no other one waits to be
+    /// confirmed. Withdraws the announcement if the target is draining or its heartbeat is overdue.
     fn announce_if_ready(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
         let Some((heartbeat, received_at)) = &self.heartbeat else {
             return;
@@ -353,6 +434,7 @@
             || self.target_clock.is_none()
             || is_of_other_incarnation
             || self.polls_failing_since.is_some()
+            || self.unconfirmed.is_some()
             || !is_fresh
         {
             if heartbeat.is_draining || !is_fresh {
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -101,17 +101,17 @@
     }
 
     fn send_start(&mut self, now: Moment, name: &Arc<str>, out: &mut Vec<RunsAction>) {
-        let Some(lease_until) = self.next_lease_end(now) else {
+        let target = self.confirmed_target_id();
+        let Some((lease_until, target)) = self.next_lease_end(now).zip(target) else {
             self.end_not_started(now, name, NotRunReason::Leaving, out);
             return;
         };
-        let target = self.target_id();
         let Some(tracked) = self.tracked.get_mut(name) else {
             return;
         };
         tracked.phase = Phase::Requested;
         out.push(RunsAction::SendStart(StartRequest {
-            target,
+            target: Some(target),
             spec: tracked.spec.clone(),
             run: tracked.run,
             lease_until,
@@ -120,10 +120,19 @@
         self.extend_lease_bound(now);
     }
 
+    /// Id of the target; `None` while a heartbeat leaves open which one is there.
+    fn confirmed_target_id(&self) -> Option<dfs_ids::TargetId> {
+        let heartbeat = self.heartbeat.as_ref();
+        let heartbeat = heartbeat.filter(|_| self.unconfirmed.is_none());
+        heartbeat.map(|(heartbeat, _)| heartbeat.target.clone())
+    }
+
+    /// Id that requests are meant for: that of the confirmed heartbeat, otherwise the one to be confirmed.
     pub(super) fn target_id(&self) -> Option<dfs_ids::TargetId> {
-        self.heartbeat
-            .as_ref()
-            .map(|(heartbeat, _)| heartbeat.target.clone())
+        let confirmed = self.heartbeat.as_ref().map(|(heartbeat, _)| heartbeat);
+        let unconfirmed = self.unconfirmed.as_ref().map(|last| &last.heartbeat);
+        let heartbeat = confirmed.or(unconfirmed);
+        heartbeat.map(|heartbeat| heartbeat.target.clone())
     }
 
     pub(super) fn request_stop(&mut self, now: Moment, name: &Arc<str>, out: &mut Vec<RunsAction>) {
@@ -250,7 +259,7 @@
                 self.end_not_started(now, name, NotRunReason::Leaving, out);
                 // Otherwise the request was sent for a target id that is known to be replaced.
                 if request.target == self.target_id() {
-                    self.on_incarnation_lost(now, out);
+                    self.on_id_refused(now, out);
                 }
             }
         }
@@ -266,10 +275,26 @@
         self.end_run(now, name, RunEnd::NotStarted(reason), None, out);
     }
 
-    /// Handles an answer of another incarnation of the target, which has another id and is not known yet.
-    pub(super) fn on_incarnation_lost(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
-        self.heartbeat = None;
-        self.on_new_incarnation(now, None, out);
+    /// Handles an answer by a target that does not have the id which requests name. Another incarnation is there
+    /// if the target has answered under that id before; otherwise no target had it.
+    pub(super) fn on_id_refused(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
+        let refused = self.target_id();
+        let current = self.incarnation;
+        let Some((heartbeat, _)) = self.heartbeat.take() else {
+            let unconfirmed = self.unconfirmed.take();
+            out.extend(unconfirmed.map(|last| last.heartbeat.rejected(current)));
+            return;
+        };
+        // The next poll names the unconfirmed one.
+        if let Some(unconfirmed) = &mut self.unconfirmed {
+            unconfirmed.is_polled = false;
+        }
+        if refused == self.answered_as {
+            self.on_new_incarnation(now, None, out);
+            return;
+        }
+        self.send_goodbye(out);
+        out.push(heartbeat.rejected(current));
     }
 
     /// Makes the token of later requests higher than `above`.
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -95,6 +95,7 @@
     /// Tasks of each reported crash.
     pub crashes: Vec<Vec<CrashedAttempt>>,
     pub stored: Vec<Heartbeat>,
+    pub rejected_heartbeats: usize,
 }
 
 impl Harness {
@@ -111,6 +112,7 @@
             goodbye_count: 0,
             crashes: Vec::new(),
             stored: Vec::new(),
+            rejected_heartbeats: 0,
         };
         harness.handle(RunsEvent::Tick);
         harness
@@ -135,6 +137,7 @@
                 RunsAction::TargetCrashed(tasks) => self.crashes.push(tasks),
                 RunsAction::Goodbye => self.goodbye_count += 1,
                 RunsAction::StoreHeartbeat(heartbeat) => self.stored.push(heartbeat),
+                RunsAction::HeartbeatRejected { .. } => self.rejected_heartbeats += 1,
                 RunsAction::TakenOver { .. }
                 | RunsAction::Progress(_)
                 | RunsAction::TargetUnreachable { .. }
--- a/crates/policy/tests/runs/directed.rs
+++ b/crates/policy/tests/runs/directed.rs
@@ -226,6 +226,8 @@
     harness.start("s", "a");
     harness.accept_start();
     harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 2, 1)));
+    expect_that!(harness.ended, is_empty());
+    harness.answer_poll_of_incarnation(2);
     expect_that!(harness.ended.len(), eq(1));
     expect_true!(is_interrupted(&harness.ended[0].1));
 }
--- /dev/null
+++ b/crates/policy/tests/runs/foreign.rs
@@ -0,0 +1,105 @@
+//! Heartbeats that another program has sent.
+
+use dfs_policy::runs::Heartbeat;
+use dfs_policy::runs::PollOutcome;
+use dfs_policy::runs::RunsEvent;
+use googletest::prelude::*;
+
+use super::bench::Harness;
+use super::bench::heartbeat;
+use super::bench::is_interrupted;
+
+/// A harness with a run that the target has listed.
+fn with_listed_run() -> Harness {
+    let mut harness = Harness::with_ready_target();
+    harness.start("s", "a");
+    harness.accept_start();
+    harness.advance(10);
+    harness.answer_poll_with(&[("a", 1)], &[]);
+    harness
+}
+
+fn foreign_heartbeats() -> [Heartbeat; 3] {
+    [
+        heartbeat("t-1", 9, 1),
+        heartbeat("t-9", 9, 1),
+        heartbeat("t-9", 1, 90),
+    ]
+}
+
+/// One report under another id or with a later start time was taken for a restart: all runs of the target started
+/// again elsewhere while it went on with them.
+#[googletest::test]
+fn a_heartbeat_that_the_target_does_not_confirm_ends_no_runs() {
+    for foreign in foreign_heartbeats() {
+        let mut harness = with_listed_run();
+        harness.advance(10);
+        harness.handle(RunsEvent::Heartbeat(foreign));
+        expect_that!(harness.ended, is_empty());
+        harness.answer_poll_with(&[("a", 1)], &[]);
+        expect_that!(harness.ended, is_empty());
+        expect_that!(harness.stops, is_empty());
+        expect_that!(harness.rejected_heartbeats, eq(1));
+        expect_that!(harness.announcement_count, eq(2));
+    }
+}
+
+#[googletest::test]
+fn nothing_starts_until_the_target_has_confirmed_or_contradicted_a_heartbeat() {
+    for foreign in foreign_heartbeats() {
+        let mut harness = with_listed_run();
+        harness.advance(10);
+        harness.handle(RunsEvent::Heartbeat(foreign));
+        harness.start("t", "b");
+        expect_that!(harness.starts.len(), eq(1));
+        harness.answer_poll_with(&[("a", 1)], &[]);
+        harness.start("u", "c");
+        expect_that!(harness.starts.len(), eq(2));
+        expect_that!(harness.starts[1].target, some(eq(&"t-1".parse().unwrap())));
+    }
+}
+
+/// The target may have restarted after it had answered the earlier poll.
+#[googletest::test]
+fn an_answer_to_an_earlier_poll_does_not_reject_a_heartbeat() {
+    let mut harness = with_listed_run();
+    let earlier_poll = harness.last_poll();
+    harness.advance(10);
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 9, 1)));
+    harness.answer_poll_from(1, earlier_poll, &[("a", 1)], &[]);
+    expect_that!(harness.rejected_heartbeats, eq(0));
+    harness.answer_poll_from(9, harness.last_poll(), &[], &[]);
+    expect_that!(harness.ended.len(), eq(1));
+    expect_true!(is_interrupted(&harness.ended[0].1));
+    expect_that!(harness.announcement_count, eq(2));
+}
+
+#[googletest::test]
+fn the_first_heartbeat_names_the_target_only_once_it_answers_under_that_id() {
+    let mut harness = Harness::new();
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-9", 9, 1)));
+    harness.answer_poll(PollOutcome::WrongIncarnation);
+    expect_that!(harness.rejected_heartbeats, eq(1));
+    harness.advance(300);
+    expect_that!(harness.last_poll().target, none());
+    harness.answer_poll_with(&[], &[]);
+    expect_that!(harness.announcement_count, eq(0));
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 1, 1)));
+    expect_that!(harness.announcement_count, eq(1));
+}
+
+#[googletest::test]
+fn a_target_that_restarts_under_another_id_is_announced_once_it_answers() {
+    let mut harness = with_listed_run();
+    harness.advance(10);
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-2", 2, 1)));
+    harness.answer_poll(PollOutcome::WrongIncarnation);
+    expect_that!(harness.ended.len(), eq(1));
+    expect_that!(
+        harness.last_poll().target,
+        some(eq(&"t-2".parse().unwrap()))
+    );
+    harness.answer_poll_of_incarnation(2);
+    expect_that!(harness.announcement_count, eq(2));
+    expect_that!(harness.rejected_heartbeats, eq(0));
+}
--- a/crates/policy/tests/runs/main.rs
+++ b/crates/policy/tests/runs/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod directed;
+mod foreign;
 mod incomplete;
 mod random;
 mod restarts;
--- a/crates/policy/tests/runs/restarts.rs
+++ b/crates/policy/tests/runs/restarts.rs
@@ -137,6 +137,8 @@
     harness.advance(10);
     harness.answer_poll_from(1, harness.last_poll(), &[("a", 1)], &[]);
     harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 2, 1)));
+    expect_that!(harness.ended, is_empty());
+    harness.answer_poll_from(2, harness.last_poll(), &[], &[]);
     expect_that!(harness.ended.len(), eq(1));
     expect_true!(is_interrupted(&harness.ended[0].1));
 }
