End the lease of runs that must stop, whatever is lost after it

Cause: all runs on a target share a lease, and polls renewed it as long as any run was there. Callers submit again 1.3 s after the kill. Ruled out: a late notice of the death (0.64 s) and stops that are not repeated.

Fix: the agent tells its driver when the entry of a run was last heard of. No lease ends later than resubmit_ms (retransmitMs of the deployment) after that, with 2% for a slow clock and the time of a stop. Once a stop is requested, or a run is listed that nobody here has started, the lease is not extended until that run has ended. A stop without an answer is repeated at once, so that the other runs of the target seldom lapse with it; the stops of unknown runs are no longer sent anew with each list.

--- a/crates/agent/src/edge.rs
+++ b/crates/agent/src/edge.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 
 use axum::Router;
+use dfs_ids::Clock;
+use dfs_ids::Moment;
 use dfs_policy::agent::AgentEvent;
 use dfs_policy::agent::RunEnd;
 use dfs_policy::runs::CrashedAttempt;
@@ -23,6 +25,10 @@
     /// Starts a run; the future resolves when it has ended.
     fn start(&self, request: RunRequest) -> RunFuture;
 
+    /// Tells when the entry of an active run was last heard of, the earliest of them; `None` without such runs.
+    /// A driver that grants leases limits them by it.
+    fn entries_heard(&self, _earliest: Option<Moment>) {}
+
     /// Asks for a run to be stopped; its future then resolves soon. Has no effect on a run that has
     /// ended.
     fn stop(&self, task: &TaskRef);
@@ -30,6 +36,8 @@
 
 /// The parts of an agent that an adapter to another platform supplies.
 pub struct AgentAdapter {
+    /// Clock of the agent, by which the driver is told times.
+    pub clock: Clock,
     /// Starts and stops runs on the target.
     pub driver: Arc<dyn TargetDriver>,
     /// Builds the HTTP routes on which the target announces itself.
--- a/crates/agent/src/fenced.rs
+++ b/crates/agent/src/fenced.rs
@@ -12,6 +12,7 @@
 use dfs_ids::AgentId;
 use dfs_ids::Clock;
 use dfs_ids::Millis;
+use dfs_ids::Moment;
 use dfs_ids::TargetId;
 use dfs_log::ErrorText;
 use dfs_log::TargetEvent;
@@ -71,7 +72,7 @@
     fn start(&self, request: &StartRequest) -> BoxFuture<RequestOutcome>;
 
     /// Requests the stop of a run; a later poll shows that it has ended.
-    fn stop(&self, request: StopRequest) -> BoxFuture<()>;
+    fn stop(&self, request: StopRequest) -> BoxFuture<RequestOutcome>;
 
     /// Polls the state of all runs and renews their lease.
     fn poll(&self, poll: &PollRequest) -> BoxFuture<PollOutcome>;
@@ -169,6 +170,7 @@
         };
         let mut taken_over = self.taken_over.subscribe();
         AgentAdapter {
+            clock: self.clock,
             driver: Arc::new(driver),
             router: Box::new(move |events| {
                 tokio::spawn(self.run(events));
@@ -225,7 +227,13 @@
                 });
             }
             RunsAction::SendStop(request) => {
-                drop(tokio::spawn(self.orders.clone().stop(request)));
+                let (orders, sender) = (self.orders.clone(), self.command_sender.clone());
+                tokio::spawn(async move {
+                    let outcome = orders.stop(request.clone()).await;
+                    let event = RunsEvent::StopCompleted { request, outcome };
+                    // The receiver is dropped only with the process.
+                    let _ = sender.send(Command::Event(event));
+                });
             }
             RunsAction::SendPoll(poll) => {
                 let (client, sender) = (Arc::clone(&self.client), self.command_sender.clone());
@@ -383,9 +391,7 @@
         let response = self.client.start(request);
         let Ok(outcome) = tokio::time::timeout(timeout_ms.into(), response).await else {
             self.with_timer(ResponseTimer::record_timeout);
-            return RequestOutcome::Unknown {
-                message: format!("no response within {timeout_ms}"),
-            };
+            return no_response(timeout_ms);
         };
         match &outcome {
             RequestOutcome::Done { .. } | RequestOutcome::Refused { .. } => {
@@ -397,10 +403,12 @@
         outcome
     }
 
-    async fn stop(self, request: StopRequest) {
+    async fn stop(&self, request: StopRequest) -> RequestOutcome {
         // The semaphore is never closed.
         let _permit = self.permits.acquire().await;
-        self.client.stop(request).await;
+        let timeout_ms = self.with_timer(|timer| timer.timeout_ms());
+        let response = tokio::time::timeout(timeout_ms.into(), self.client.stop(request)).await;
+        response.unwrap_or_else(|_| no_response(timeout_ms))
     }
 
     fn with_timer<T>(&self, action: impl FnOnce(&mut ResponseTimer) -> T) -> T {
@@ -409,6 +417,12 @@
     }
 }
 
+fn no_response(timeout_ms: Millis) -> RequestOutcome {
+    RequestOutcome::Unknown {
+        message: format!("no response within {timeout_ms}"),
+    }
+}
+
 /// The target's latest heartbeat as it is kept in the store.
 #[derive(Clone)]
 struct TargetMemory {
@@ -477,6 +491,12 @@
         })
     }
 
+    fn entries_heard(&self, earliest: Option<Moment>) {
+        let event = RunsEvent::EntriesHeard { earliest };
+        // The receiver is dropped only with the process.
+        let _ = self.commands.send(Command::Event(event));
+    }
+
     fn stop(&self, task: &TaskRef) {
         let event = RunsEvent::StopTask { task: task.clone() };
         // The receiver is dropped only with the process.
--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -194,6 +194,7 @@
             AgentAction::CloseConnection { connection } => {
                 self.report_senders.remove(&connection);
             }
+            AgentAction::EntriesHeard { earliest } => self.driver.entries_heard(earliest),
             AgentAction::StartRun {
                 task,
                 service,
--- a/crates/agent/src/process/start.rs
+++ b/crates/agent/src/process/start.rs
@@ -60,6 +60,7 @@
     /// The address cannot be bound.
     pub async fn start(settings: AgentSettings, metrics: Metrics) -> Result<Self, StartError> {
         let adapter = AgentAdapter {
+            clock: Clock::start(),
             driver: Arc::new(HttpTarget::new(&settings)),
             router: Box::new(request::router),
             takeover_complete: Box::pin(std::future::ready(())),
@@ -94,7 +95,7 @@
         let (dial_sender, dial_events) = mpsc::unbounded_channel();
         let (core, handle, stopped) = Core::new(
             policy::Agent::new(incarnation, settings.keep_results_ms),
-            Clock::start(),
+            adapter.clock,
             metrics,
             adapter.driver,
             HeldConfig::new(settings.domain.clone()),
--- a/crates/agent/tests/fenced.rs
+++ b/crates/agent/tests/fenced.rs
@@ -33,7 +33,7 @@
         Box::pin(std::future::pending())
     }
 
-    fn stop(&self, _: StopRequest) -> BoxFuture<()> {
+    fn stop(&self, _: StopRequest) -> BoxFuture<RequestOutcome> {
         Box::pin(std::future::pending())
     }
 
@@ -54,6 +54,7 @@
         stop_ms: Millis::new(50),
         poll_wait_ms: Millis::new(250),
         heartbeat_lease_ms: Millis::new(4_500),
+        resubmit_ms: None,
     };
     let target = FencedTarget::new(options, FencingToken(1), Arc::new(PickyClient));
     let adapter = target.into_adapter(|_| Router::new(), None);
--- a/crates/policy/src/agent/event.rs
+++ b/crates/policy/src/agent/event.rs
@@ -9,6 +9,7 @@
 use dfs_ids::EntryId;
 use dfs_ids::GroupId;
 use dfs_ids::Millis;
+use dfs_ids::Moment;
 use dfs_ids::ServiceName;
 use dfs_wire::session::Ack;
 use dfs_wire::session::CrashedRun;
@@ -108,6 +109,12 @@
         /// The connection to close.
         connection: ConnectionId,
     },
+    /// How recently the entries of the active repeatable runs were heard of, when that has changed. No lease of a run
+    /// may outlast what follows from it.
+    EntriesHeard {
+        /// When the entry that was silent for longest was last heard of; `None` without such runs.
+        earliest: Option<Moment>,
+    },
     /// Starts a task on the target.
     StartRun {
         /// Attempt that the run belongs to.
--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -223,6 +223,23 @@
         stopped
     }
 
+    /// Reports how recently the entries of the active runs were heard of, if it has changed: ahead of the starts in
+    /// `out`, whose leases it limits.
+    pub(super) fn report_entries_heard(&mut self, out: &mut Vec<AgentAction>) {
+        let active = self.records.values().filter(|record| {
+            record.terms.repeatable && matches!(record.stage, Stage::Running { .. })
+        });
+        let heard_at = active.map(|record| {
+            let view = self.entries.get(&record.entry);
+            view.map_or_else(Moment::default, |view| view.lease_renewed_at)
+        });
+        let earliest = heard_at.min();
+        if earliest != self.reported_heard_at {
+            self.reported_heard_at = earliest;
+            out.insert(0, AgentAction::EntriesHeard { earliest });
+        }
+    }
+
     fn drop_queued_tasks_of(&mut self, incarnation: Incarnation) -> u32 {
         let of_entry =
             |task: &&TaskRef| self.records.get(*task).map(|r| r.entry) == Some(incarnation);
--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -71,6 +71,8 @@
     was_full: bool,
     /// Ratio of projected to declared run time on the target, in thousandths.
     slowdown_permille: u32,
+    /// What [`AgentAction::EntriesHeard`] said last.
+    reported_heard_at: Option<Moment>,
     /// Log events to emit with the next flush.
     observations: Vec<Observation>,
 }
@@ -108,6 +110,7 @@
             is_shutdown_complete: false,
             was_full: false,
             slowdown_permille: progress::NOMINAL_SLOWDOWN_PERMILLE,
+            reported_heard_at: None,
             observations: Vec::new(),
         }
     }
@@ -153,6 +156,7 @@
         let mut out = Vec::new();
         self.expire_target(now);
         self.start_ready(now, &mut out);
+        self.report_entries_heard(&mut out);
         self.send_reports(now, &mut out);
         out.extend(self.observations.drain(..).map(AgentAction::Observe));
         if self.is_drained(now) && !self.is_shutdown_complete {
--- a/crates/policy/src/runs/active.rs
+++ b/crates/policy/src/runs/active.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
@@ -14,6 +15,9 @@
 use super::TaskSpec;
 use crate::agent::RunEnd;
 
+/// Time after which a stop request is repeated if the run is still listed.
+const STOP_RESEND_INTERVAL_MS: Millis = Millis::new(150);
+
 /// A run that was requested and is not known to have ended.
 #[derive(Debug)]
 pub(super) struct TrackedRun {
@@ -46,9 +50,25 @@
 /// A stop that the agent wants; `sent_at` is `None` until a stop request is sent.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PendingStop {
+    pub requested_at: Moment,
     pub sent_at: Option<Moment>,
 }
 
+impl PendingStop {
+    pub const fn new(now: Moment) -> Self {
+        Self {
+            requested_at: now,
+            sent_at: None,
+        }
+    }
+
+    /// Whether a stop request is to be sent now: none was sent, or the last one had the time to take effect.
+    pub fn is_due(&self, now: Moment) -> bool {
+        self.sent_at
+            .is_none_or(|at| now >= at + STOP_RESEND_INTERVAL_MS)
+    }
+}
+
 impl Runs {
     /// Removes a run, reports its end, and starts the next task that waits for its name.
     pub(super) fn end_run(
--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -285,6 +285,19 @@
         /// Attempt to stop.
         task: TaskRef,
     },
+    /// How recently the entries of the active runs were heard of; sent before the first run of each, and whenever it
+    /// has changed.
+    EntriesHeard {
+        /// When the entry that was silent for longest was last heard of; `None` without runs.
+        earliest: Option<Moment>,
+    },
+    /// A stop request was answered or timed out.
+    StopCompleted {
+        /// The request as it was sent.
+        request: StopRequest,
+        /// Outcome of the request.
+        outcome: RequestOutcome,
+    },
     /// A start request was answered or timed out.
     StartCompleted {
         /// The request as it was sent.
@@ -319,7 +332,8 @@
 pub enum RunsAction {
     /// Sends a start request; the caller answers with [`RunsEvent::StartCompleted`].
     SendStart(StartRequest),
-    /// Sends a stop request. Its response is ignored, because a later poll reports the end of the run.
+    /// Sends a stop request; the caller answers with [`RunsEvent::StopCompleted`]. A later poll reports the end of the
+    /// run.
     SendStop(StopRequest),
     /// Sends a poll; the caller answers with [`RunsEvent::PollCompleted`].
     SendPoll(PollRequest),
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -23,6 +23,7 @@
 use super::RunsAction;
 use super::StopRequest;
 use super::UNREACHABLE_MS;
+use super::active::PendingStop;
 use super::active::Phase;
 use super::active::RESTARTED;
 use super::active::TrackedRun;
@@ -249,7 +250,8 @@
         if snapshot.is_complete {
             self.end_missing_runs(now, poll, &running, out);
         }
-        self.stop_orphans(&running, out);
+        self.track_orphans(now, &running);
+        self.stop_orphans(now, out);
         self.resend_stops(now, out);
         self.report_progress(snapshot, out);
         self.last_run_numbers
@@ -373,19 +375,31 @@
             .filter(|(name, run)| !self.is_tracked(name, *run))
     }
 
-    fn stop_orphans(
-        &mut self,
-        running: &HashSet<(Arc<str>, RunNumber)>,
-        out: &mut Vec<RunsAction>,
-    ) {
-        let orphans: Vec<_> = self.orphans(running).cloned().collect();
-        self.orphans_stopped += orphans.len();
-        for (name, run) in orphans {
+    /// Takes over which orphans a snapshot lists; each keeps the time at which it was first listed.
+    fn track_orphans(&mut self, now: Moment, running: &HashSet<(Arc<str>, RunNumber)>) {
+        let listed: HashSet<_> = self.orphans(running).cloned().collect();
+        self.orphans.retain(|run, _| listed.contains(run));
+        for run in listed {
+            self.orphans
+                .entry(run)
+                .or_insert_with(|| PendingStop::new(now));
+        }
+    }
+
+    /// Sends the stops of orphans that are due.
+    pub(super) fn stop_orphans(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
+        let (target, token) = (self.target_id(), self.token);
+        for ((name, run), stop) in &mut self.orphans {
+            if !stop.is_due(now) {
+                continue;
+            }
+            stop.sent_at = Some(now);
+            self.orphans_stopped += 1;
             out.push(RunsAction::SendStop(StopRequest {
-                target: self.target_id(),
-                name,
-                run,
-                token: self.token,
+                target: target.clone(),
+                name: name.clone(),
+                run: *run,
+                token,
             }));
         }
     }
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -14,6 +14,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use active::PendingStop;
 use active::TrackedRun;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
@@ -55,6 +56,9 @@
     pub poll_wait_ms: Millis,
     /// Time without a heartbeat after which the target is considered gone.
     pub heartbeat_lease_ms: Millis,
+    /// Shortest time after which a caller whose entry has died submits its job to another one. The runs of an entry
+    /// that was not heard of for so long have ended. `None` if callers do not submit jobs again.
+    pub resubmit_ms: Option<Millis>,
 }
 
 /// A heartbeat that no answer of the target has confirmed.
@@ -117,6 +121,10 @@
     target_clock: Option<(TargetTime, Moment)>,
     /// Latest time, by this process's clock, until which a run may continue if no lease is renewed.
     lease_expires_at: Moment,
+    /// Of the entries with runs here, when the one that was silent for longest was last heard of.
+    entries_heard_at: Option<Moment>,
+    /// Active runs that this process has not requested, and their stops.
+    orphans: HashMap<(Arc<str>, RunNumber), PendingStop>,
     /// Polls that have not completed.
     pending_polls: u32,
     last_poll_sent_at: Moment,
@@ -187,6 +195,8 @@
             maybe_restarted_at: None,
             target_clock: None,
             lease_expires_at,
+            entries_heard_at: None,
+            orphans: HashMap::new(),
             pending_polls: 0,
             last_poll_sent_at: now,
             last_poll_token: FencingToken::default(),
@@ -210,6 +220,10 @@
         match event {
             RunsEvent::StartTask { task, spec } => self.on_start(now, task, spec, &mut out),
             RunsEvent::StopTask { task } => self.on_stop(now, &task, &mut out),
+            RunsEvent::EntriesHeard { earliest } => self.entries_heard_at = earliest,
+            RunsEvent::StopCompleted { request, outcome } => {
+                self.on_stop_completed(now, &request, &outcome, &mut out);
+            }
             RunsEvent::StartCompleted { request, outcome } => {
                 self.on_start_completed(now, &request, outcome, &mut out);
             }
@@ -507,18 +521,48 @@
         });
     }
 
-    /// End of a lease that begins now, by the target's clock; `None` until the target has sent its time.
+    /// End of a lease that begins now, by the target's clock; `None` until the target has sent its time, and while
+    /// a run must end that a longer lease would keep going.
     fn next_lease_end(&self, now: Moment) -> Option<TargetTime> {
         let (clock, received_at) = self.target_clock?;
-        let end = clock.0 + now.since(received_at).get() + self.options.run_lease_ms.get();
-        Some(TargetTime(end))
+        let lease_ms = self.lease_ms(now);
+        let elapsed_ms = now.since(received_at) + lease_ms;
+        let end = clock.0.saturating_add(elapsed_ms.get());
+        (lease_ms > Millis::default()).then_some(TargetTime(end))
     }
 
     /// Extends the latest possible lease end for a request that is about to be sent.
     fn extend_lease_bound(&mut self, now: Moment) {
-        let until = now + with_clock_drift(self.options.run_lease_ms) + self.options.stop_ms;
+        let until = now + with_clock_drift(self.lease_ms(now)) + self.options.stop_ms;
         self.lease_expires_at = self.lease_expires_at.max(until);
     }
+
+    /// Duration of a lease that begins now. All runs share it, so the one that must end first limits it. This ends
+    /// the run even if each request to stop it is lost, or this process stands still.
+    fn lease_ms(&self, now: Moment) -> Millis {
+        let Some(until) = self.leases_end_by() else {
+            return self.options.run_lease_ms;
+        };
+        let left_ms = until.since(now).saturating_sub(self.options.stop_ms);
+        without_clock_drift(left_ms).min(self.options.run_lease_ms)
+    }
+
+    /// Time by which a run must have ended that is to stop, or whose entry is no longer heard of.
+    fn leases_end_by(&self) -> Option<Moment> {
+        let heard_at = self.entries_heard_at.zip(self.options.resubmit_ms);
+        let entries_gone_at = heard_at.map(|(heard_at, resubmit_ms)| heard_at + resubmit_ms);
+        let tracked = self.tracked.values();
+        let stops = tracked.filter_map(|tracked| tracked.pending_stop.as_ref());
+        let first_stop = stops
+            .chain(self.orphans.values())
+            .map(|stop| stop.requested_at)
+            .min();
+        // The lease that a run has when its stop is requested is not extended.
+        let stopped_at = first_stop.map(|requested_at| {
+            requested_at + with_clock_drift(self.options.run_lease_ms) + self.options.stop_ms
+        });
+        entries_gone_at.into_iter().chain(stopped_at).min()
+    }
 }
 
 /// Latest time, by this process's clock, until which a run continues whose lease begins now.
@@ -532,6 +576,16 @@
     lease_ms + Millis::new(lease_ms.get() * numerator / denominator + 1)
 }
 
+/// Lease that has ended on any other instance once `elapsed_ms` have passed by this process's clock.
+const fn without_clock_drift(elapsed_ms: Millis) -> Millis {
+    let (numerator, denominator) = MAX_CLOCK_DRIFT;
+    let lease_ms = elapsed_ms
+        .get()
+        .saturating_sub(1)
+        .saturating_mul(denominator);
+    Millis::new(lease_ms / (denominator + numerator))
+}
+
 fn incarnation_key(heartbeat: &Heartbeat) -> (&dfs_ids::TargetId, Option<TargetIncarnation>) {
     (&heartbeat.target, heartbeat.incarnation)
 }
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::TaskRef;
@@ -25,8 +24,6 @@
 /// Number of times that a refused start is retried. A retry can correct an outdated run number, token or
 /// clock.
 const MAX_REFUSED_STARTS: u32 = 8;
-/// Time after which a stop request is repeated.
-const STOP_RESEND_INTERVAL_MS: Millis = Millis::new(150);
 
 impl Runs {
     pub(super) fn on_start(
@@ -139,7 +136,7 @@
         if let Some(tracked) = self.tracked.get_mut(name)
             && tracked.pending_stop.is_none()
         {
-            tracked.pending_stop = Some(PendingStop { sent_at: None });
+            tracked.pending_stop = Some(PendingStop::new(now));
         }
         self.send_stop(now, name, out);
     }
@@ -155,10 +152,7 @@
         let Some(stop) = tracked.pending_stop.as_mut().filter(|_| is_running) else {
             return;
         };
-        if stop
-            .sent_at
-            .is_some_and(|at| now < at + STOP_RESEND_INTERVAL_MS)
-        {
+        if !stop.is_due(now) {
             return;
         }
         stop.sent_at = Some(now);
@@ -170,6 +164,33 @@
         }));
     }
 
+    /// Repeats a stop request that was not answered. After an answer the next list of runs shows whether it took
+    /// effect.
+    pub(super) fn on_stop_completed(
+        &mut self,
+        now: Moment,
+        request: &StopRequest,
+        outcome: &RequestOutcome,
+        out: &mut Vec<RunsAction>,
+    ) {
+        if !matches!(outcome, RequestOutcome::Unknown { .. }) {
+            return;
+        }
+        let run = (request.name.clone(), request.run);
+        if let Some(orphan) = self.orphans.get_mut(&run) {
+            orphan.sent_at = None;
+            self.stop_orphans(now, out);
+            return;
+        }
+        if let Some(tracked) = self.tracked.get_mut(&request.name)
+            && tracked.run == request.run
+            && let Some(stop) = &mut tracked.pending_stop
+        {
+            stop.sent_at = None;
+            self.send_stop(now, &request.name, out);
+        }
+    }
+
     pub(super) fn on_start_completed(
         &mut self,
         now: Moment,
--- a/crates/policy/tests/policy_agent_queue.rs
+++ b/crates/policy/tests/policy_agent_queue.rs
@@ -50,6 +50,9 @@
     /// Report number of each report, with the numbers of the crashes that it contains.
     reported_crashes: Vec<(u64, Vec<u64>)>,
     reported_given_up: Vec<GivenUpTask>,
+    /// Starts so far, and when the entries of the active runs were last heard of.
+    heard: Vec<(usize, Option<Moment>)>,
+    terms: Terms,
 }
 
 fn body() -> Arc<RawValue> {
@@ -76,6 +79,8 @@
             target_states: Vec::new(),
             reported_crashes: Vec::new(),
             reported_given_up: Vec::new(),
+            heard: Vec::new(),
+            terms: Terms::default(),
         };
         harness.handle(AgentEvent::TargetAnnounced(Announcement {
             address: ([127, 0, 0, 1], 1).into(),
@@ -137,7 +142,7 @@
             age_ms: Millis::new(age_ms),
             unfinished_tasks,
             if_full,
-            terms: Terms::default(),
+            terms: self.terms,
             origin: Origin::default(),
             tasks: vec![PlacedTask {
                 task: TaskIndex::new(0),
@@ -153,6 +158,9 @@
         for action in actions {
             match action {
                 AgentAction::StartRun { task, .. } => self.started.push(task),
+                AgentAction::EntriesHeard { earliest } => {
+                    self.heard.push((self.started.len(), earliest));
+                }
                 AgentAction::SendReport { report, .. } => {
                     let seq = report.seq;
                     let crashes = report.items.iter().filter_map(|item| match item {
@@ -304,3 +312,29 @@
     harness.handle(AgentEvent::TargetCrashed(vec![crashed]));
     expect_that!(harness.reported_given_up, eq(&vec![given_up("s")]));
 }
+
+/// The lease of a run is limited by when its entry was last heard of; without that it outlives a dead entry.
+#[googletest::test]
+fn it_is_told_before_a_start_and_after_each_acknowledgement_when_the_entry_was_last_heard_of() {
+    let mut harness = Harness::new();
+    harness.terms.repeatable = true;
+    let opened_at = harness.now;
+    harness.now = harness.now + Millis::new(1_500);
+    harness.place("s", "aba", 1, 0, IfFull::Queue);
+    let reported_at = harness.now;
+    harness.now = harness.now + Millis::new(200);
+    harness.handle(AgentEvent::ReportAcked {
+        connection: ENTRY_CONNECTION,
+        seq: 1,
+        ack: Ack::default(),
+    });
+    harness.run_all(1_000);
+    expect_that!(
+        harness.heard,
+        eq(&vec![
+            (0, Some(opened_at)),
+            (1, Some(reported_at)),
+            (1, None)
+        ])
+    );
+}
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -37,6 +37,7 @@
 pub const RUN_LEASE_MS: u64 = 800;
 pub const MAX_LEASE_MS: u64 = 1_000;
 pub const STOP_MS: u64 = 50;
+pub const RESUBMIT_MS: u64 = 1_300;
 pub const FIRST_TOKEN: u64 = 100;
 
 pub fn options() -> RunsOptions {
@@ -46,6 +47,7 @@
         stop_ms: Millis::new(STOP_MS),
         poll_wait_ms: Millis::new(250),
         heartbeat_lease_ms: Millis::new(4_500),
+        resubmit_ms: Some(Millis::new(RESUBMIT_MS)),
     }
 }
 
--- a/crates/policy/tests/runs/random.rs
+++ b/crates/policy/tests/runs/random.rs
@@ -215,7 +215,8 @@
             }
             RunsAction::SendStop(request) => {
                 self.target.stop(now, &request);
-                return;
+                let outcome = RequestOutcome::Done { clock: None };
+                RunsEvent::StopCompleted { request, outcome }
             }
             RunsAction::SendPoll(poll) => {
                 answer_ms = POLL_RESPONSE_MS;
@@ -274,6 +275,10 @@
             request: request.clone(),
             outcome: RequestOutcome::Unknown { message },
         }),
+        RunsAction::SendStop(request) => Some(RunsEvent::StopCompleted {
+            request: request.clone(),
+            outcome: RequestOutcome::Unknown { message },
+        }),
         RunsAction::SendPoll(poll) => Some(RunsEvent::PollCompleted {
             poll: poll.clone(),
             outcome: PollOutcome::Failed { message },
