Check the label of a task again where it starts

Cause: the entry alone checked the label, on the offer that it had seen. The placement was held up by the cut, and the agent took it for the target that it has now. Evidence: the entry placed the task before the target crashed, and the agent started it 360 ms after the target was back under another id with other labels; the order named the new id. Ruled out: a placement after the entry had heard of the new target, and an order sent to the earlier one.

Fix: the label is part of the terms that travel with a placement. An agent hands the task back, as from a target that has left, if its target lacks the label, when the placement arrives and when the labels change while it is queued. Before each start request the driver checks the label on the heartbeat of the incarnation that answers, also for repeated starts and for tasks that waited for an earlier run; while that is not known, no task with a label starts. `Constraints` keeps only the limit per target; a test that set its label now sets it in the terms.

Tests: runs/labels.rs and two in policy_agent_queue.rs.

--- a/crates/agent/src/fenced.rs
+++ b/crates/agent/src/fenced.rs
@@ -11,6 +11,7 @@
 use axum::Router;
 use dfs_ids::AgentId;
 use dfs_ids::Clock;
+use dfs_ids::Label;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::TargetId;
@@ -85,6 +86,7 @@
     Start {
         task: TaskRef,
         spec: TaskSpec,
+        label: Option<Label>,
         end_sender: oneshot::Sender<(u64, RunEnd)>,
     },
     Event(RunsEvent),
@@ -200,9 +202,9 @@
         loop {
             let event = tokio::select! {
                 command = self.commands.recv() => match command {
-                    Some(Command::Start { task, spec, end_sender }) => {
+                    Some(Command::Start { task, spec, label, end_sender }) => {
                         self.end_senders.insert(task.clone(), end_sender);
-                        RunsEvent::StartTask { task, spec }
+                        RunsEvent::StartTask { task, spec, label }
                     }
                     Some(Command::Event(event)) => event,
                     None => return,
@@ -483,6 +485,7 @@
         let _ = self.commands.send(Command::Start {
             task,
             spec,
+            label: request.label,
             end_sender,
         });
         Box::pin(async move {
--- a/crates/agent/src/request/run.rs
+++ b/crates/agent/src/request/run.rs
@@ -7,6 +7,7 @@
 
 use axum::body::Bytes;
 use dfs_conf::AgentSettings;
+use dfs_ids::Label;
 use dfs_ids::Millis;
 use dfs_ids::ServiceName;
 use dfs_policy::agent::RunEnd;
@@ -53,6 +54,8 @@
     pub address: SocketAddr,
     /// Run time that the caller expects; zero: unknown.
     pub declared_ms: Millis,
+    /// Label that the target must have. The target may have been replaced since the agent decided to start the task.
+    pub label: Option<Label>,
     /// Time until the submission is answered, with or without the task.
     pub time_left: Duration,
     /// JSON body of the task.
--- a/crates/agent/tests/fenced.rs
+++ b/crates/agent/tests/fenced.rs
@@ -67,6 +67,7 @@
         service: "desk".parse().unwrap(),
         address: ([127, 0, 0, 1], 1).into(),
         declared_ms: Millis::default(),
+        label: None,
         time_left: Duration::from_secs(1),
         body: Arc::from(RawValue::from_string("{}".to_owned()).unwrap()),
     };
--- a/crates/policy/src/agent/event.rs
+++ b/crates/policy/src/agent/event.rs
@@ -8,6 +8,7 @@
 use dfs_ids::ConfigVersion;
 use dfs_ids::EntryId;
 use dfs_ids::GroupId;
+use dfs_ids::Label;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::ServiceName;
@@ -125,6 +126,8 @@
         service: ServiceName,
         /// Run time that the caller expects; zero if unknown.
         declared_ms: Millis,
+        /// Label that the target must have when the task starts.
+        label: Option<Label>,
         /// Address of the target.
         address: SocketAddr,
         /// Time until the submission is answered, whether or not the task has ended by then.
--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -217,7 +217,7 @@
         });
         if is_changed {
             self.mark_target_state_pending();
-            self.hand_back_oversized();
+            self.hand_back_unsuitable();
         }
     }
 
--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -13,6 +13,7 @@
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
 use dfs_wire::session::TaskResult;
+use dfs_wire::session::Terms;
 use dfs_wire::target::Resources;
 
 use super::Agent;
@@ -63,7 +64,7 @@
                 accepted_at: now,
                 start_by: now + placement.time_left_ms,
                 rank,
-                terms,
+                terms: terms.clone(),
                 stage: Stage::Queued { body: placed.body },
                 is_result_wanted: true,
             });
@@ -72,6 +73,12 @@
         }
     }
 
+    /// Whether the target has the label that a task requires.
+    fn has_label(&self, terms: &Terms) -> bool {
+        let target = self.target.as_ref();
+        target.is_some_and(|target| target.announcement.offer.has_label(terms.label.as_ref()))
+    }
+
     fn busy_reason(&self, if_full: IfFull, demand: &Resources) -> Option<NotRunReason> {
         let total = self.queue.demand().saturating_add(demand);
         let has_room = self.has_room(self.queued(), &total);
@@ -106,6 +113,10 @@
         {
             return Some(NotRunReason::NotOffered);
         }
+        if !self.has_label(&placement.terms) {
+            // The target that the entry has chosen was replaced by this one.
+            return Some(NotRunReason::Leaving);
+        }
         (self.queued() >= MAX_QUEUED_TASKS).then_some(NotRunReason::QueueFull)
     }
 
@@ -161,21 +172,26 @@
         }
     }
 
-    /// Hands back queued tasks that the target can't run any more, however few others run there: its capacity has
-    /// shrunk since they were accepted.
-    pub(super) fn hand_back_oversized(&mut self) {
+    /// Hands back queued tasks that the target can't run any more, however few others run there: its labels have
+    /// changed or its capacity has shrunk since they were accepted.
+    pub(super) fn hand_back_unsuitable(&mut self) {
         let Some(target) = &self.target else { return };
-        let capacity = target.announcement.offer.resources;
-        let is_oversized = |task: &&TaskRef| {
-            let record = self.records.get(*task);
-            record.is_some_and(|record| {
-                let demand = &record.terms.demand;
-                *demand != Resources::default() && !capacity.covers(demand)
-            })
+        let offer = &target.announcement.offer;
+        let reason = |terms: &Terms| {
+            if !offer.has_label(terms.label.as_ref()) {
+                return Some(NotRunReason::Leaving);
+            }
+            let fits =
+                terms.demand == Resources::default() || offer.resources.covers(&terms.demand);
+            (!fits).then_some(NotRunReason::Busy)
         };
-        let tasks: Vec<_> = self.queue.tasks().filter(is_oversized).cloned().collect();
-        for task in tasks {
-            self.hand_back(&task, NotRunReason::Busy);
+        let unsuitable = self.queue.tasks().filter_map(|task| {
+            let record = self.records.get(task)?;
+            Some((task.clone(), reason(&record.terms)?))
+        });
+        let unsuitable: Vec<_> = unsuitable.collect();
+        for (task, reason) in unsuitable {
+            self.hand_back(&task, reason);
         }
     }
 
@@ -284,6 +300,7 @@
             group: record.group.clone(),
             service: record.service.clone(),
             declared_ms: record.terms.declared_ms,
+            label: record.terms.label.clone(),
             address,
             time_left_ms: record.start_by.since(now),
             body,
--- a/crates/policy/src/entry/admit.rs
+++ b/crates/policy/src/entry/admit.rs
@@ -5,6 +5,7 @@
 use dfs_conf::Service;
 use dfs_ids::AgentId;
 use dfs_ids::GroupId;
+use dfs_ids::Label;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::QueueName;
@@ -237,7 +238,8 @@
             offer.services.contains(needs.service)
                 && offer.resources.covers(&service.requires)
                 && offer.fraction_per_task(needs.demand) <= 1.0
-                && needs.constraints.allow(offer, || 0)
+                && offer.has_label(needs.label)
+                && needs.constraints.allow(|| 0)
                 && may_use(group, &offer.target)
         };
         let agents = self.agents.iter();
@@ -279,6 +281,7 @@
     pub group: &'a GroupId,
     pub service: &'a ServiceName,
     pub demand: &'a Resources,
+    pub label: Option<&'a Label>,
     pub constraints: &'a Constraints,
     pub queue: Option<&'a QueueName>,
 }
@@ -289,6 +292,7 @@
             group: &submission.group,
             service: &submission.service,
             demand: &submission.terms.demand,
+            label: submission.terms.label.as_ref(),
             constraints: &submission.constraints,
             queue: submission.queue.as_ref(),
         }
@@ -299,6 +303,7 @@
             group: &job.group,
             service: &job.service,
             demand: &job.terms.demand,
+            label: job.terms.label.as_ref(),
             constraints: &job.constraints,
             queue: job.queue.as_ref(),
         }
--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -16,7 +16,6 @@
 use dfs_wire::session::PlacedTask;
 use dfs_wire::session::Placement;
 use dfs_wire::session::TaskRef;
-use dfs_wire::target::Offer;
 use dfs_wire::target::Resources;
 use rand::Rng;
 
@@ -194,7 +193,8 @@
             let offer = view.offer()?;
             let is_suitable = may_use(group, &offer.target)
                 && offer.resources.covers(&required)
-                && job.constraints.allow(offer, || job.placed_on(agent));
+                && offer.has_label(job.terms.label.as_ref())
+                && job.constraints.allow(|| job.placed_on(agent));
             let task_load = offer.fraction_per_task(&demand);
             let has_room =
                 view.has_window_left() && view.load() + task_load <= max_load && task_load <= 1.0;
@@ -317,7 +317,7 @@
                 age_ms: now.since(job.submitted_at),
                 unfinished_tasks: job.unfinished,
                 if_full: key.if_full,
-                terms: job.terms,
+                terms: job.terms.clone(),
                 origin: Origin {
                     job: Some(job.name.clone()),
                     queue: job.queue.clone(),
@@ -400,11 +400,7 @@
 impl Constraints {
     /// Whether another task may be placed on a target; `placed_there` counts the tasks of the submission
     /// that are placed there already.
-    pub(super) fn allow(&self, offer: &Offer, placed_there: impl FnOnce() -> u32) -> bool {
-        let has_label = self
-            .label
-            .as_ref()
-            .is_none_or(|label| offer.labels.contains(label));
-        has_label && self.max_per_target.is_none_or(|max| placed_there() < max)
+    pub(super) fn allow(&self, placed_there: impl FnOnce() -> u32) -> bool {
+        self.max_per_target.is_none_or(|max| placed_there() < max)
     }
 }
--- a/crates/policy/src/entry/event.rs
+++ b/crates/policy/src/entry/event.rs
@@ -8,7 +8,6 @@
 use dfs_ids::ConfigVersion;
 use dfs_ids::GroupId;
 use dfs_ids::JobName;
-use dfs_ids::Label;
 use dfs_ids::Millis;
 use dfs_ids::QueueName;
 use dfs_ids::ServiceName;
@@ -88,7 +87,7 @@
     pub tasks: Vec<Arc<RawValue>>,
     /// Time after which the submission fails; the configured default if absent.
     pub deadline_ms: Option<Millis>,
-    /// Resource demand, priority, expected run time and repeatability of each task.
+    /// Resource demand, priority, expected run time, repeatability and label of each task.
     pub terms: Terms,
     /// Latency objective. A submission that can no longer meet it is queued behind those that can.
     pub objective_ms: Option<Millis>,
@@ -104,10 +103,8 @@
 }
 
 /// Restricts the targets on which the tasks of a submission may be placed.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Constraints {
-    /// Label that the target must offer.
-    pub label: Option<Label>,
     /// Maximum number of tasks of the submission that are placed on one target at the same time.
     pub max_per_target: Option<u32>,
 }
--- a/crates/policy/src/runs/active.rs
+++ b/crates/policy/src/runs/active.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use dfs_ids::Label;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_wire::session::TaskOutcome;
@@ -18,11 +19,22 @@
 /// Time after which a stop request is repeated if the run is still listed.
 const STOP_RESEND_INTERVAL_MS: Millis = Millis::new(150);
 
+/// A task that the agent wants to start.
+#[derive(Debug)]
+pub(super) struct WantedTask {
+    pub task: TaskRef,
+    pub spec: TaskSpec,
+    /// Label that the target must have.
+    pub label: Option<Label>,
+}
+
 /// A run that was requested and is not known to have ended.
 #[derive(Debug)]
 pub(super) struct TrackedRun {
     pub task: TaskRef,
     pub spec: TaskSpec,
+    /// Label that the target must have.
+    pub label: Option<Label>,
     pub run: RunNumber,
     pub started_at: Moment,
     pub phase: Phase,
@@ -100,8 +112,8 @@
         if waiting.is_empty() {
             self.waiting_tasks.remove(name);
         }
-        if let Some((task, spec)) = next {
-            self.request_start(now, task, spec, out);
+        if let Some(wanted) = next {
+            self.request_start(now, wanted, out);
         }
     }
 
--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -7,6 +7,7 @@
 
 use derive_more::Display;
 use derive_more::From;
+use dfs_ids::Label;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::TargetId;
@@ -279,6 +280,8 @@
         task: TaskRef,
         /// The task to run.
         spec: TaskSpec,
+        /// Label that the target must have, if any.
+        label: Option<Label>,
     },
     /// The agent wants a task to stop.
     StopTask {
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -16,6 +16,7 @@
 
 use active::PendingStop;
 use active::TrackedRun;
+use active::WantedTask;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_wire::session::TaskRef;
@@ -84,7 +85,7 @@
     tracked: HashMap<Arc<str>, TrackedRun>,
     names_by_task: BTreeMap<TaskRef, Arc<str>>,
     /// Tasks that wait for an earlier run of the same name to end.
-    waiting_tasks: HashMap<Arc<str>, VecDeque<(TaskRef, TaskSpec)>>,
+    waiting_tasks: HashMap<Arc<str>, VecDeque<WantedTask>>,
     /// Last run number of each task name that ended recently, and when it ended.
     last_run_numbers: HashMap<Arc<str>, (RunNumber, Moment)>,
     /// Latest heartbeat of the incarnation that the target's own answers have shown, and when it was received.
@@ -218,7 +219,10 @@
     pub fn handle(&mut self, now: Moment, event: RunsEvent) -> Vec<RunsAction> {
         let mut out = Vec::new();
         match event {
-            RunsEvent::StartTask { task, spec } => self.on_start(now, task, spec, &mut out),
+            RunsEvent::StartTask { task, spec, label } => {
+                let wanted = WantedTask { task, spec, label };
+                self.on_start(now, wanted, &mut out);
+            }
             RunsEvent::StopTask { task } => self.on_stop(now, &task, &mut out),
             RunsEvent::EntriesHeard { earliest } => self.entries_heard_at = earliest,
             RunsEvent::StopCompleted { request, outcome } => {
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
+use dfs_ids::Label;
 use dfs_ids::Moment;
+use dfs_ids::TargetId;
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::TaskRef;
 
@@ -15,10 +17,10 @@
 use super::StartRequest;
 use super::StopRequest;
 use super::TargetTime;
-use super::TaskSpec;
 use super::active::PendingStop;
 use super::active::Phase;
 use super::active::TrackedRun;
+use super::active::WantedTask;
 use crate::agent::RunEnd;
 
 /// Number of times that a refused start is retried. A retry can correct an outdated run number, token or
@@ -26,24 +28,18 @@
 const MAX_REFUSED_STARTS: u32 = 8;
 
 impl Runs {
-    pub(super) fn on_start(
-        &mut self,
-        now: Moment,
-        task: TaskRef,
-        spec: TaskSpec,
-        out: &mut Vec<RunsAction>,
-    ) {
-        if !self.tracked.contains_key(&spec.name) {
-            self.request_start(now, task, spec, out);
+    pub(super) fn on_start(&mut self, now: Moment, wanted: WantedTask, out: &mut Vec<RunsAction>) {
+        if !self.tracked.contains_key(&wanted.spec.name) {
+            self.request_start(now, wanted, out);
             return;
         }
         // An earlier attempt of the same task is still active here, placed by an entry that is gone.
-        let name = spec.name.clone();
+        let name = wanted.spec.name.clone();
         self.request_stop(now, &name, out);
         self.waiting_tasks
             .entry(name)
             .or_default()
-            .push_back((task, spec));
+            .push_back(wanted);
     }
 
     pub(super) fn on_stop(&mut self, now: Moment, task: &TaskRef, out: &mut Vec<RunsAction>) {
@@ -51,7 +47,7 @@
             self.request_stop(now, &name, out);
             return;
         }
-        let is_task = |(waiting, _): &(TaskRef, TaskSpec)| waiting == task;
+        let is_task = |waiting: &WantedTask| waiting.task == *task;
         for (name, waiting) in &mut self.waiting_tasks {
             if let Some(index) = waiting.iter().position(is_task) {
                 waiting.remove(index);
@@ -71,10 +67,10 @@
     pub(super) fn request_start(
         &mut self,
         now: Moment,
-        task: TaskRef,
-        spec: TaskSpec,
+        wanted: WantedTask,
         out: &mut Vec<RunsAction>,
     ) {
+        let WantedTask { task, spec, label } = wanted;
         let last_run = self
             .last_run_numbers
             .get(&spec.name)
@@ -86,6 +82,7 @@
             TrackedRun {
                 task,
                 spec,
+                label,
                 run: RunNumber(last_run + 1),
                 started_at: now,
                 phase: Phase::Requested,
@@ -98,7 +95,8 @@
     }
 
     fn send_start(&mut self, now: Moment, name: &Arc<str>, out: &mut Vec<RunsAction>) {
-        let target = self.confirmed_target_id();
+        let label = self.tracked.get(name).and_then(|run| run.label.clone());
+        let target = self.target_with_label(label.as_ref());
         let Some((lease_until, target)) = self.next_lease_end(now).zip(target) else {
             self.end_not_started(now, name, NotRunReason::Leaving, out);
             return;
@@ -117,15 +115,23 @@
         self.extend_lease_bound(now);
     }
 
-    /// Id of the target; `None` while a heartbeat leaves open which one is there.
-    fn confirmed_target_id(&self) -> Option<dfs_ids::TargetId> {
-        let heartbeat = self.heartbeat.as_ref();
-        let heartbeat = heartbeat.filter(|_| self.unconfirmed.is_none());
-        heartbeat.map(|(heartbeat, _)| heartbeat.target.clone())
+    /// Id of the target if it certainly has a label; `None` too while a heartbeat leaves open which target is there.
+    fn target_with_label(&self, label: Option<&Label>) -> Option<TargetId> {
+        if self.unconfirmed.is_some() {
+            return None;
+        }
+        let (heartbeat, _) = self.heartbeat.as_ref()?;
+        // The target may have restarted since its last heartbeat, as one with other labels.
+        let is_current = heartbeat
+            .incarnation
+            .zip(self.incarnation)
+            .is_none_or(|(of_heartbeat, current)| of_heartbeat == current);
+        let has_label = label.is_none() || (is_current && heartbeat.offer.has_label(label));
+        has_label.then(|| heartbeat.target.clone())
     }
 
     /// Id that requests are meant for: that of the confirmed heartbeat, otherwise the one to be confirmed.
-    pub(super) fn target_id(&self) -> Option<dfs_ids::TargetId> {
+    pub(super) fn target_id(&self) -> Option<TargetId> {
         let confirmed = self.heartbeat.as_ref().map(|(heartbeat, _)| heartbeat);
         let unconfirmed = self.unconfirmed.as_ref().map(|last| &last.heartbeat);
         let heartbeat = confirmed.or(unconfirmed);
--- a/crates/policy/tests/policy_agent_queue.rs
+++ b/crates/policy/tests/policy_agent_queue.rs
@@ -82,18 +82,7 @@
             heard: Vec::new(),
             terms: Terms::default(),
         };
-        harness.handle(AgentEvent::TargetAnnounced(Announcement {
-            address: ([127, 0, 0, 1], 1).into(),
-            lease_ms: Millis::new(3_000),
-            offer: Offer {
-                target: "target".parse().unwrap(),
-                services: vec!["desk".parse().unwrap()],
-                slots: Slots::new(1),
-                connections: 8,
-                resources: Resources::default(),
-                labels: Vec::new(),
-            },
-        }));
+        harness.announce("target", &[]);
         harness.send_item(EntryItem::Open(SessionParams {
             entry: "entry".parse().unwrap(),
             incarnation: Incarnation::new(1),
@@ -112,6 +101,22 @@
         harness
     }
 
+    /// Announces a target with one slot and these labels.
+    fn announce(&mut self, target: &str, labels: &[&str]) {
+        self.handle(AgentEvent::TargetAnnounced(Announcement {
+            address: ([127, 0, 0, 1], 1).into(),
+            lease_ms: Millis::new(3_000),
+            offer: Offer {
+                target: target.parse().unwrap(),
+                services: vec!["desk".parse().unwrap()],
+                slots: Slots::new(1),
+                connections: 8,
+                resources: Resources::default(),
+                labels: labels.iter().map(|label| label.parse().unwrap()).collect(),
+            },
+        }));
+    }
+
     fn send_item(&mut self, item: EntryItem) {
         let message = EntryMessage {
             session: SessionNumber::new(1),
@@ -142,7 +147,7 @@
             age_ms: Millis::new(age_ms),
             unfinished_tasks,
             if_full,
-            terms: self.terms,
+            terms: self.terms.clone(),
             origin: Origin::default(),
             tasks: vec![PlacedTask {
                 task: TaskIndex::new(0),
@@ -338,3 +343,38 @@
         ])
     );
 }
+
+/// A placement that was held up reached an agent whose target had returned as another kind, and started there.
+#[googletest::test]
+fn a_task_does_not_start_on_a_target_that_has_returned_without_its_label() {
+    for target in ["target", "other"] {
+        let mut harness = Harness::new();
+        harness.announce("target", &["a", "r1-0"]);
+        harness.terms.label = Some("a".parse().unwrap());
+        harness.announce(target, &["b", "r1-0"]);
+        harness.place("s", "aba", 1, 0, IfFull::Queue);
+        expect_that!(harness.started, is_empty());
+        expect_that!(harness.not_run_reasons, eq(&vec![NotRunReason::Leaving]));
+        // The entry is told of the target that is there now.
+        let (_, state) = harness.target_states.last().unwrap();
+        let TargetState::Live(offer) = state else {
+            panic!("{state:?}");
+        };
+        expect_that!(offer.labels[0], eq(&"b".parse().unwrap()));
+    }
+}
+
+#[googletest::test]
+fn a_queued_task_is_handed_back_when_the_labels_of_the_target_change() {
+    let mut harness = Harness::new();
+    harness.announce("target", &["a"]);
+    harness.place("running", "aba", 1, 0, IfFull::Queue);
+    harness.terms.label = Some("a".parse().unwrap());
+    harness.place("queued", "aba", 1, 0, IfFull::Queue);
+    expect_that!(harness.agent.queued(), eq(1));
+    harness.announce("target", &["a", "x"]);
+    expect_that!(harness.agent.queued(), eq(1));
+    harness.announce("target", &["b"]);
+    expect_that!(harness.agent.queued(), eq(0));
+    expect_that!(harness.not_run_reasons, eq(&vec![NotRunReason::Leaving]));
+}
--- a/crates/policy/tests/policy_failures.rs
+++ b/crates/policy/tests/policy_failures.rs
@@ -232,14 +232,9 @@
 
     /// Submits a task that only the target of this agent may run.
     fn submit_to(&mut self, name: &str, agent: u64) {
-        let constraints = Constraints {
-            label: Some(label(agent)),
-            max_per_target: None,
-        };
-        self.submit(Submission {
-            constraints,
-            ..submission(name, 1)
-        });
+        let mut submission = submission(name, 1);
+        submission.terms.label = Some(label(agent));
+        self.submit(submission);
     }
 
     /// Reports the only placed task as refused and returns its agent.
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -157,7 +157,8 @@
 
     pub fn start(&mut self, submission: &str, name: &str) {
         let (task, spec) = (task(submission), spec(name));
-        self.handle(RunsEvent::StartTask { task, spec });
+        let label = None;
+        self.handle(RunsEvent::StartTask { task, spec, label });
     }
 
     /// Completes the latest start request with this outcome.
--- a/crates/policy/tests/runs/main.rs
+++ b/crates/policy/tests/runs/main.rs
@@ -4,6 +4,7 @@
 mod directed;
 mod foreign;
 mod incomplete;
+mod labels;
 mod leases;
 mod random;
 mod restarts;
--- a/crates/policy/tests/runs/random.rs
+++ b/crates/policy/tests/runs/random.rs
@@ -98,6 +98,7 @@
                 ScheduledStep::Event(RunsEvent::StartTask {
                     task: task.clone(),
                     spec,
+                    label: None,
                 }),
             );
             if simulation.random.random_bool(0.2) {
--- a/crates/wire/src/session/terms.rs
+++ b/crates/wire/src/session/terms.rs
@@ -1,5 +1,6 @@
 //! Requirements and priority that all tasks of a submission have in common.
 
+use dfs_ids::Label;
 use dfs_ids::Millis;
 use dfs_ids::Priority;
 use serde::Deserialize;
@@ -10,7 +11,7 @@
 /// Scheduling parameters of a submission, applied alike by its entry and by the agents of its tasks.
 ///
 /// Parameters with their default value are omitted on the wire.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Terms {
     /// Resources that one task takes on its target. A task always takes one slot as well.
@@ -26,6 +27,10 @@
     /// is no longer needed or when the lease of its entry has expired.
     #[serde(skip_serializing_if = "is_default")]
     pub repeatable: bool,
+    /// Label that the target must offer. The agent checks it too: when a placement arrives or a task starts, the
+    /// target may be another one than the entry has seen.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub label: Option<Label>,
 }
 
 pub(super) fn is_default<T: Default + PartialEq>(value: &T) -> bool {
--- a/crates/wire/src/target.rs
+++ b/crates/wire/src/target.rs
@@ -41,6 +41,12 @@
 }
 
 impl Offer {
+    /// Whether the target has the label that a task requires, if it requires one.
+    #[must_use]
+    pub fn has_label(&self, required: Option<&Label>) -> bool {
+        required.is_none_or(|label| self.labels.contains(label))
+    }
+
     /// Fraction of the target that one task takes: that of its scarcest resource, but at least one slot.
     ///
     /// Infinite if the task requires a resource that the target does not have.
