Split the driver of fenced targets; take constraints by value

No change of behaviour. `perform` had grown past what Clippy allows; requests to the target and the memory of its heartbeat are modules of their own now, and the future that ends in an event is spawned in one place.

--- a/crates/agent/src/fenced.rs
+++ b/crates/agent/src/fenced/mod.rs
@@ -1,24 +1,22 @@
 //! Driver for a target that checks fencing tokens and leases itself.
 
+mod memory;
+mod orders;
+
 use std::collections::HashMap;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
-use std::time::Instant;
 
 use axum::Router;
 use dfs_ids::AgentId;
 use dfs_ids::Clock;
 use dfs_ids::Label;
-use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::TargetId;
 use dfs_log::ErrorText;
 use dfs_log::TargetEvent;
 use dfs_policy::agent::RunEnd;
-use dfs_policy::response::ResponseTimer;
 use dfs_policy::runs::FencingToken;
 use dfs_policy::runs::Heartbeat;
 use dfs_policy::runs::ListedEnd;
@@ -33,16 +31,13 @@
 use dfs_policy::runs::RunsOptions;
 use dfs_policy::runs::StartRequest;
 use dfs_policy::runs::StopRequest;
-use dfs_policy::runs::TargetIncarnation;
 use dfs_policy::runs::TaskSpec;
 use dfs_store::Presence;
-use dfs_store::TargetRow;
 use dfs_store::TargetRows;
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
 use serde_json::value::RawValue;
-use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -52,16 +47,11 @@
 use crate::edge::TargetDriver;
 use crate::edge::TargetEvents;
 use crate::request::RunRequest;
+use memory::TargetMemory;
+use orders::Orders;
 
 /// Time between two checks of leases and timeouts. Requests to the target do not wait for it.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
-/// Limit on start and stop requests in flight, each of which uses a connection of its own.
-const MAX_CONCURRENT_ORDERS: usize = 3;
-/// Shortest response timeout of a start request. On an instance with little processor time, a timer and the
-/// response behind it may both be late by some milliseconds.
-const MIN_RESPONSE_TIMEOUT_MS: Millis = Millis::new(25);
-/// Longest response timeout of a start request.
-const MAX_RESPONSE_TIMEOUT_MS: Millis = Millis::new(100);
 
 /// A boxed future, as the methods of [`TargetClient`] return it.
 pub type BoxFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
@@ -217,33 +207,51 @@
         }
     }
 
+    /// Handles the event that a future resolves to.
+    fn spawn_event(&self, event: impl Future<Output = RunsEvent> + Send + 'static) {
+        let sender = self.command_sender.clone();
+        tokio::spawn(async move {
+            let event = event.await;
+            // The receiver is dropped only with the process.
+            let _ = sender.send(Command::Event(event));
+        });
+    }
+
+    fn store_heartbeat(&self, heartbeat: Heartbeat) {
+        let Some(memory) = self.memory.clone() else {
+            return;
+        };
+        let sender = self.command_sender.clone();
+        tokio::spawn(async move {
+            if memory.store(&heartbeat).await {
+                let event = RunsEvent::HeartbeatStored(heartbeat);
+                // The receiver is dropped only with the process.
+                let _ = sender.send(Command::Event(event));
+            }
+        });
+    }
+
     fn perform(&mut self, action: RunsAction, target_events: &TargetEvents) {
         match action {
             RunsAction::SendStart(request) => {
-                let (orders, sender) = (self.orders.clone(), self.command_sender.clone());
-                tokio::spawn(async move {
+                let orders = self.orders.clone();
+                self.spawn_event(async move {
                     let outcome = orders.start(&request).await;
-                    let event = RunsEvent::StartCompleted { request, outcome };
-                    // The receiver is dropped only with the process.
-                    let _ = sender.send(Command::Event(event));
+                    RunsEvent::StartCompleted { request, outcome }
                 });
             }
             RunsAction::SendStop(request) => {
-                let (orders, sender) = (self.orders.clone(), self.command_sender.clone());
-                tokio::spawn(async move {
+                let orders = self.orders.clone();
+                self.spawn_event(async move {
                     let outcome = orders.stop(request.clone()).await;
-                    let event = RunsEvent::StopCompleted { request, outcome };
-                    // The receiver is dropped only with the process.
-                    let _ = sender.send(Command::Event(event));
+                    RunsEvent::StopCompleted { request, outcome }
                 });
             }
             RunsAction::SendPoll(poll) => {
-                let (client, sender) = (Arc::clone(&self.client), self.command_sender.clone());
-                tokio::spawn(async move {
+                let client = Arc::clone(&self.client);
+                self.spawn_event(async move {
                     let outcome = client.poll(&poll).await;
-                    let event = RunsEvent::PollCompleted { poll, outcome };
-                    // The receiver is dropped only with the process.
-                    let _ = sender.send(Command::Event(event));
+                    RunsEvent::PollCompleted { poll, outcome }
                 });
             }
             RunsAction::TaskEnded {
@@ -266,18 +274,7 @@
             RunsAction::Progress(progress) => target_events.progress(progress),
             RunsAction::Announce(announcement) => target_events.announced(announcement),
             RunsAction::Goodbye => target_events.goodbye(),
-            RunsAction::StoreHeartbeat(heartbeat) => {
-                if let Some(memory) = self.memory.clone() {
-                    let sender = self.command_sender.clone();
-                    tokio::spawn(async move {
-                        if memory.store(&heartbeat).await {
-                            let event = RunsEvent::HeartbeatStored(heartbeat);
-                            // The receiver is dropped only with the process.
-                            let _ = sender.send(Command::Event(event));
-                        }
-                    });
-                }
-            }
+            RunsAction::StoreHeartbeat(heartbeat) => self.store_heartbeat(heartbeat),
             RunsAction::TakenOver {
                 token,
                 stopped_runs,
@@ -367,107 +364,6 @@
     });
 }
 
-/// Sends start and stop requests, a limited number at a time.
-#[derive(Clone)]
-struct Orders {
-    client: Arc<dyn TargetClient>,
-    permits: Arc<Semaphore>,
-    response_timer: Arc<Mutex<ResponseTimer>>,
-}
-
-impl Orders {
-    fn new(client: Arc<dyn TargetClient>) -> Self {
-        let timer = ResponseTimer::new(MIN_RESPONSE_TIMEOUT_MS, MAX_RESPONSE_TIMEOUT_MS);
-        Self {
-            client,
-            permits: Arc::new(Semaphore::new(MAX_CONCURRENT_ORDERS)),
-            response_timer: Arc::new(Mutex::new(timer)),
-        }
-    }
-
-    async fn start(&self, request: &StartRequest) -> RequestOutcome {
-        // The semaphore is never closed.
-        let _permit = self.permits.acquire().await;
-        let timeout_ms = self.with_timer(|timer| timer.timeout_ms());
-        let sent_at = Instant::now();
-        let response = self.client.start(request);
-        let Ok(outcome) = tokio::time::timeout(timeout_ms.into(), response).await else {
-            self.with_timer(ResponseTimer::record_timeout);
-            return no_response(timeout_ms);
-        };
-        match &outcome {
-            RequestOutcome::Done { .. } | RequestOutcome::Refused { .. } => {
-                let elapsed_ms = u64::try_from(sent_at.elapsed().as_millis()).unwrap_or(u64::MAX);
-                self.with_timer(|timer| timer.record_response(Millis::new(elapsed_ms)));
-            }
-            RequestOutcome::Unknown { .. } => self.with_timer(ResponseTimer::record_timeout),
-        }
-        outcome
-    }
-
-    async fn stop(&self, request: StopRequest) -> RequestOutcome {
-        // The semaphore is never closed.
-        let _permit = self.permits.acquire().await;
-        let timeout_ms = self.with_timer(|timer| timer.timeout_ms());
-        let response = tokio::time::timeout(timeout_ms.into(), self.client.stop(request)).await;
-        response.unwrap_or_else(|_| no_response(timeout_ms))
-    }
-
-    fn with_timer<T>(&self, action: impl FnOnce(&mut ResponseTimer) -> T) -> T {
-        let timer = self.response_timer.lock();
-        action(&mut timer.unwrap_or_else(PoisonError::into_inner))
-    }
-}
-
-fn no_response(timeout_ms: Millis) -> RequestOutcome {
-    RequestOutcome::Unknown {
-        message: format!("no response within {timeout_ms}"),
-    }
-}
-
-/// The target's latest heartbeat as it is kept in the store.
-#[derive(Clone)]
-struct TargetMemory {
-    agent: AgentId,
-    rows: TargetRows,
-}
-
-impl TargetMemory {
-    /// The stored heartbeat; `None` if there is none or the store can't be read, which only means that
-    /// the agent has to wait for the target's next heartbeat.
-    async fn recall(&self) -> Option<Heartbeat> {
-        let read = self.rows.read(&self.agent).await;
-        let row = read.unwrap_or_else(|error| {
-            let error = ErrorText::new(&error);
-            dfs_log::emit(TargetEvent::NotRecalled { error });
-            None
-        })?;
-        Some(Heartbeat {
-            target: row.offer.target.clone(),
-            incarnation: Some(TargetIncarnation(row.incarnation)),
-            // Any heartbeat of the target replaces it.
-            sequence: 0,
-            address: row.address,
-            is_draining: row.is_draining,
-            offer: row.offer,
-        })
-    }
-
-    /// Whether the heartbeat was stored. One that was not is stored with the next heartbeat.
-    async fn store(&self, heartbeat: &Heartbeat) -> bool {
-        let Some(TargetIncarnation(incarnation)) = heartbeat.incarnation else {
-            return false;
-        };
-        let row = TargetRow {
-            incarnation,
-            address: heartbeat.address,
-            is_draining: heartbeat.is_draining,
-            offer: heartbeat.offer.clone(),
-        };
-        self.rows.write(&self.agent, &row).await.is_ok()
-    }
-}
-
 struct FencedDriver {
     client: Arc<dyn TargetClient>,
     commands: mpsc::UnboundedSender<Command>,
--- a/crates/policy/src/entry/dispatch.rs
+++ b/crates/policy/src/entry/dispatch.rs
@@ -400,7 +400,7 @@
 impl Constraints {
     /// Whether another task may be placed on a target; `placed_there` counts the tasks of the submission
     /// that are placed there already.
-    pub(super) fn allow(&self, placed_there: impl FnOnce() -> u32) -> bool {
+    pub(super) fn allow(self, placed_there: impl FnOnce() -> u32) -> bool {
         self.max_per_target.is_none_or(|max| placed_there() < max)
     }
 }
