One odd row or message no longer hides the others

Shown here: (1) over the built-in table protocol a row that is nested too deeply, or holds a number out of range, made the whole reply unreadable ("recursion limit exceeded"), and each later one, so readers stopped following the presence rows. (2) A row under one key that names another entry took the place of that entry's row, so agents left it: both entries of the test pool answered 503. (3) Ports of 0, leases of 0 or without end and overwritten rows of live entries were taken as they came.

Fix: each value is decoded by itself and reads as null if it can't be. A presence row must be under the key of its entry, with an address to connect to and a lease of at most ten minutes; others are ignored and logged once by each reader (509). An entry whose row was overwritten stays until its lease is over. Messages and reports of sessions that can't be decoded are logged (210); they closed the session silently.

--- a/crates/agent/src/connection/dial.rs
+++ b/crates/agent/src/connection/dial.rs
@@ -131,8 +131,17 @@
         loop {
             tokio::select! {
                 message = messages.next() => {
-                    let Some(Ok(message)) = message else { break };
-                    self.core.send_event(AgentEvent::Message { connection, message });
+                    match message {
+                        Some(Ok(message)) => {
+                            self.core.send_event(AgentEvent::Message { connection, message });
+                        }
+                        Some(Err(error)) => {
+                            let error = ErrorText::new(&error);
+                            dfs_log::emit(SessionEvent::MessageUnreadable { error });
+                            break;
+                        }
+                        None => break,
+                    }
                 }
                 report = reports.recv() => {
                     let Some(report) = report else { break };
--- a/crates/agent/src/process/roster.rs
+++ b/crates/agent/src/process/roster.rs
@@ -11,6 +11,8 @@
 use dfs_ids::Clock;
 use dfs_ids::EntryId;
 use dfs_ids::Incarnation;
+use dfs_log::ConfigEvent;
+use dfs_log::ErrorText;
 use dfs_policy::ConnectionId;
 use dfs_policy::membership::Candidate;
 use dfs_policy::membership::select_entries;
@@ -127,7 +129,10 @@
     /// Chooses among the entries of the presence rows; a failed read changes nothing.
     fn handle_listing(&mut self, rows: Result<Vec<Row>, StoreError>) {
         let Ok(rows) = rows else { return };
-        self.view.observe(&rows, self.clock.now());
+        for error in self.view.observe(&rows, self.clock.now()) {
+            let error = ErrorText::new(&error);
+            dfs_log::emit(ConfigEvent::RowUnreadable { error });
+        }
         let live = self.view.live().map(|row| EntryAddress {
             entry: row.entry.clone(),
             domain: row.domain.clone(),
--- a/crates/entry/src/connection/server.rs
+++ b/crates/entry/src/connection/server.rs
@@ -5,6 +5,7 @@
 
 use dfs_conf::EntrySettings;
 use dfs_log::Counter;
+use dfs_log::ErrorText;
 use dfs_log::Metrics;
 use dfs_log::SessionEvent;
 use dfs_policy::ConnectionId;
@@ -121,7 +122,10 @@
 ) {
     let attach: Attach = match params.one() {
         Ok(attach) => attach,
-        Err(error) => return pending.reject(error).await,
+        Err(error) => {
+            log_unreadable(&error);
+            return pending.reject(error).await;
+        }
     };
     let is_authentic = attach
         .secret
@@ -192,7 +196,7 @@
 ) -> Result<Ack, ErrorObjectOwned> {
     let bytes = params.as_str().map_or(0, str::len);
     context.metrics.count(Counter::BytesReceived, bytes as u64);
-    let report: Report = params.one()?;
+    let report: Report = params.one().inspect_err(log_unreadable)?;
     let id = extensions
         .get::<jsonrpsee::ConnectionId>()
         .ok_or_else(session_closed_error)?;
@@ -212,6 +216,11 @@
     }
 }
 
+fn log_unreadable(error: &ErrorObjectOwned) {
+    let error = ErrorText::new(error);
+    dfs_log::emit(SessionEvent::MessageUnreadable { error });
+}
+
 fn session_closed_error() -> ErrorObjectOwned {
     ErrorObject::borrowed(SESSION_OVER_CODE, "the session is over: attach anew", None)
 }
--- a/crates/entry/src/process/presence.rs
+++ b/crates/entry/src/process/presence.rs
@@ -4,6 +4,8 @@
 
 use dfs_ids::Clock;
 use dfs_ids::Millis;
+use dfs_log::ConfigEvent;
+use dfs_log::ErrorText;
 use dfs_policy::entry::EntryEvent;
 use dfs_store::Presence;
 use dfs_store::PresenceRow;
@@ -40,7 +42,10 @@
             renew_interval = (renew_interval * 2).min(RENEW_INTERVAL);
         }
         if let Ok(rows) = presence.list().await {
-            view.observe(&rows, clock.now());
+            for error in view.observe(&rows, clock.now()) {
+                let error = ErrorText::new(&error);
+                dfs_log::emit(ConfigEvent::RowUnreadable { error });
+            }
             core.send_event(EntryEvent::EntriesChanged(live_addresses(&view)));
             remove_expired(&presence, &view).await;
         }
--- a/crates/log/src/event/config.rs
+++ b/crates/log/src/event/config.rs
@@ -92,5 +92,10 @@
             /// Decoding error.
             error: ErrorText,
         }
+        /// A row of the store can't be read or can't be of the process that it names; it is ignored.
+        509 Warn "row_unreadable" RowUnreadable {
+            /// The row, and what is wrong with it.
+            error: ErrorText,
+        }
     }
 }
--- a/crates/log/src/event/session.rs
+++ b/crates/log/src/event/session.rs
@@ -59,5 +59,10 @@
             /// Error of the attempt.
             error: ErrorText,
         }
+        /// A message or report of the peer can't be decoded. The agent opens a new session.
+        210 Warn "message_unreadable" MessageUnreadable {
+            /// Decoding error.
+            error: ErrorText,
+        }
     }
 }
--- a/crates/store/src/presence/mod.rs
+++ b/crates/store/src/presence/mod.rs
@@ -43,6 +43,40 @@
     pub lease_ms: Millis,
 }
 
+/// Longest lease of a row. A longer one was not written by an entry, and its row would stay for good.
+const MAX_LEASE_MS: Millis = Millis::new(600_000);
+
+impl PresenceRow {
+    /// Decodes a row and checks that it can be one of an entry: anyone with access to the table may have written it.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Malformed`] if a field is missing or of another type, the row is not under the key of its
+    /// entry, no connection can be opened to its address, or its lease is out of range.
+    pub fn parse(row: &Row) -> Result<Self, StoreError> {
+        let malformed = |message: String| {
+            let what = format!("row {}", row.key);
+            Err(StoreError::Malformed { what, message })
+        };
+        if !row.value.is_object() {
+            return malformed("it is no object".to_owned());
+        }
+        let content: Self = row.parse()?;
+        if row.key != presence_key(&content.entry) {
+            return malformed(format!("it is of entry {}", content.entry));
+        }
+        let address = content.address;
+        if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() {
+            return malformed(format!("{address} is no address to connect to"));
+        }
+        let lease_ms = content.lease_ms;
+        if lease_ms == Millis::default() || lease_ms > MAX_LEASE_MS {
+            return malformed(format!("lease of {lease_ms}, allowed: 1 to {MAX_LEASE_MS}"));
+        }
+        Ok(content)
+    }
+}
+
 /// Writes, lists and removes presence rows.
 #[derive(Clone)]
 pub struct Presence {
--- a/crates/store/src/presence/view.rs
+++ b/crates/store/src/presence/view.rs
@@ -6,8 +6,11 @@
 use dfs_ids::Moment;
 
 use super::PresenceRow;
+use super::presence_key;
 use crate::Revision;
 use crate::Row;
+use crate::RowKey;
+use crate::StoreError;
 
 /// One reader's view of the presence rows.
 ///
@@ -17,6 +20,8 @@
 #[derive(Debug, Default)]
 pub struct PresenceView {
     entries: BTreeMap<EntryId, ObservedRow>,
+    /// Malformed rows of the last read.
+    malformed: BTreeMap<RowKey, Revision>,
     last_read: Option<Moment>,
 }
 
@@ -29,13 +34,27 @@
 }
 
 impl PresenceView {
-    /// Updates the view with all rows of one read, made at `now`. Malformed rows are ignored.
-    pub fn observe(&mut self, rows: &[Row], now: Moment) {
+    /// Updates the view with all rows of one read, made at `now`. Malformed rows are ignored; the errors of those that
+    /// the last read did not show are returned.
+    pub fn observe(&mut self, rows: &[Row], now: Moment) -> Vec<StoreError> {
         let last_read = self.last_read.replace(now);
-        let previous = std::mem::take(&mut self.entries);
+        let mut previous = std::mem::take(&mut self.entries);
+        let reported = std::mem::take(&mut self.malformed);
+        let mut errors = Vec::new();
         for row in rows {
-            let Ok(content) = row.parse::<PresenceRow>() else {
-                continue;
+            let content = match PresenceRow::parse(row) {
+                Ok(content) => content,
+                Err(error) => {
+                    self.malformed.insert(row.key.clone(), row.revision);
+                    // Another program has overwritten the row of an entry, which expires unless it renews it.
+                    let overwritten =
+                        previous.extract_if(.., |entry, _| presence_key(entry) == row.key);
+                    self.entries.extend(overwritten);
+                    if reported.get(&row.key) != Some(&row.revision) {
+                        errors.push(error);
+                    }
+                    continue;
+                }
             };
             // A gap between reads that is as long as the lease suggests an outage of the table
             // service, in which the entry may not have been able to renew its row either.
@@ -51,6 +70,7 @@
             };
             self.entries.insert(observed.row.entry.clone(), observed);
         }
+        errors
     }
 
     /// Rows that were not expired at the last read.
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -5,8 +5,10 @@
 use derive_more::Display;
 use derive_more::From;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 use serde_json::Value;
+use serde_json::value::RawValue;
 
 use crate::CommitError;
 use crate::StoreError;
@@ -64,10 +66,18 @@
     pub key: RowKey,
     /// Revision that the last write gave the row.
     pub revision: Revision,
-    /// Content, a JSON value.
+    /// Content, a JSON value; null if it can't be decoded.
+    #[serde(deserialize_with = "decode_or_null")]
     pub value: Value,
 }
 
+/// Reads a value that is nested too deeply or holds a number out of range as null: one such row does not make the rows
+/// beside it unreadable.
+fn decode_or_null<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Value, D::Error> {
+    let value = Box::<RawValue>::deserialize(deserializer)?;
+    Ok(serde_json::from_str(value.get()).unwrap_or(Value::Null))
+}
+
 impl Row {
     /// Deserializes the content.
     ///
