Accept a target's own heartbeats after one with too high a number

Cause: a heartbeat with the id and start time of the target but a sequence number that is too high made the agent ignore all that the target sent later, so the target was withdrawn after three intervals, for good. One report was believed for ever.

Fix: sequence numbers decide only while the known heartbeat is fresh. After that the target's own count again. A target that was leaving stays away, so that a heartbeat that was held up can't bring it back.

Tests: two in runs/foreign.rs; the one with the number fails without the change, the one of the leaving target passed before. A third feeds numbers at the limits of their types through the state machine; it passed before.

--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -260,8 +260,8 @@
     }
 
     fn on_heartbeat(&mut self, now: Moment, heartbeat: Heartbeat, out: &mut Vec<RunsAction>) {
-        if let Some((known, _)) = &self.heartbeat
-            && self.is_outdated_heartbeat(&heartbeat, known)
+        if let Some((known, received_at)) = &self.heartbeat
+            && self.is_outdated_heartbeat(now, &heartbeat, known, *received_at)
         {
             return;
         }
@@ -351,13 +351,23 @@
 
     /// Whether a heartbeat was sent before `known`, by the same incarnation or an earlier one. What snapshots
     /// have shown comes before start times, as the target's time of day may be set back.
-    fn is_outdated_heartbeat(&self, heartbeat: &Heartbeat, known: &Heartbeat) -> bool {
+    ///
+    /// Sequence numbers decide only while the known heartbeat is fresh: if that is not the target's own and has too
+    /// high a number, those of the target must not be ignored for good. A target that is leaving does not come back.
+    fn is_outdated_heartbeat(
+        &self,
+        now: Moment,
+        heartbeat: &Heartbeat,
+        known: &Heartbeat,
+        received_at: Moment,
+    ) -> bool {
         if heartbeat.incarnation.is_none() && known.incarnation.is_some() {
             // The target names its incarnation, so this is from another writer.
             return true;
         }
         if incarnation_key(heartbeat) == incarnation_key(known) {
-            return heartbeat.sequence <= known.sequence;
+            let is_fresh = now.since(received_at) < self.options.heartbeat_lease_ms;
+            return heartbeat.sequence <= known.sequence && (is_fresh || known.is_draining);
         }
         let Some(incarnation) = heartbeat.incarnation else {
             return false;
--- a/crates/policy/tests/runs/foreign.rs
+++ b/crates/policy/tests/runs/foreign.rs
@@ -2,12 +2,16 @@
 
 use dfs_policy::runs::Heartbeat;
 use dfs_policy::runs::PollOutcome;
+use dfs_policy::runs::Refusal;
+use dfs_policy::runs::RunOutcome;
 use dfs_policy::runs::RunsEvent;
+use dfs_policy::runs::TargetTime;
 use googletest::prelude::*;
 
 use super::bench::Harness;
 use super::bench::heartbeat;
 use super::bench::is_interrupted;
+use super::bench::refused;
 
 /// A harness with a run that the target has listed.
 fn with_listed_run() -> Harness {
@@ -103,3 +107,44 @@
     expect_that!(harness.announcement_count, eq(2));
     expect_that!(harness.rejected_heartbeats, eq(0));
 }
+
+/// A heartbeat with the id and start time of the target, but with too high a number, hid all that the target sent.
+#[googletest::test]
+fn a_heartbeat_with_too_high_a_number_hides_the_targets_own_only_for_a_while() {
+    let mut harness = Harness::with_ready_target();
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 1, u64::MAX)));
+    for sequence in 2..6 {
+        harness.advance(1_500);
+        harness.answer_poll_with(&[], &[]);
+        harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 1, sequence)));
+    }
+    let announcements = harness.announcement_count;
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 1, 6)));
+    expect_that!(harness.announcement_count, eq(announcements + 1));
+}
+
+#[googletest::test]
+fn a_late_heartbeat_does_not_bring_a_leaving_target_back() {
+    let mut harness = Harness::with_ready_target();
+    let mut draining = heartbeat("t-1", 1, 9);
+    draining.is_draining = true;
+    harness.handle(RunsEvent::Heartbeat(draining));
+    harness.advance(10_000);
+    let announcements = harness.announcement_count;
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", 1, 8)));
+    expect_that!(harness.announcement_count, eq(announcements));
+}
+
+#[googletest::test]
+fn numbers_at_the_limits_of_their_types_are_handled() {
+    let mut harness = with_listed_run();
+    let end = (u64::MAX, "x", u32::MAX, RunOutcome::Done);
+    let mut snapshot = harness.snapshot(&[("a", 1), ("y", u32::MAX)], &[end]);
+    snapshot.clock = TargetTime(u64::MAX);
+    harness.answer_poll(PollOutcome::Runs(snapshot));
+    harness.start("t", "b");
+    harness.answer_start(refused(Refusal::StaleRun));
+    harness.handle(RunsEvent::Heartbeat(heartbeat("t-1", u64::MAX, u64::MAX)));
+    harness.advance(u64::MAX / 2_000);
+    expect_that!(harness.ended, not(is_empty()));
+}
