Repeat a failed renewal of a presence row soon

Cause: a renewal that failed was made up for only 10 s later, by the next one, so outages that each end before it let the row expire 30 s after the last success. Evidence: the test's silences cover the renewals 7, 15 and 25 s after the start; on it refuses a job once, 33.7 s after the start, 30 s after the renewal of 3 s.

Fix: a failed renewal is repeated after 1 s. While the store is away that is one more call of an entry every two seconds or so.

Ruled out as a further step: a shorter gap between reads that restarts the count, which a test of the view forbids.

--- a/crates/entry/src/process/presence.rs
+++ b/crates/entry/src/process/presence.rs
@@ -20,8 +20,10 @@
 /// Time between two renewals: a third of the lease, so that one failed renewal does not let it
 /// expire.
 const RENEW_INTERVAL: Duration = Duration::from_secs(10);
-/// Time until the second renewal, which makes up for a first one that failed; the interval then doubles up
-/// to [`RENEW_INTERVAL`].
+/// Time until a failed renewal is repeated. Outages of the store that each end before the next renewal would otherwise
+/// let the row expire.
+const RENEW_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Time until the second renewal; the interval then doubles up to [`RENEW_INTERVAL`].
 const FIRST_RENEW_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time between two reads of all rows. An entry that was added is known to the agents within it, since
@@ -36,10 +38,12 @@
     let mut renew_at = Instant::now();
     loop {
         if Instant::now() >= renew_at {
-            // The next renewal makes up for a failed one; agents still know this entry meanwhile.
-            let _ = presence.renew(&row).await;
-            renew_at = Instant::now() + renew_interval;
-            renew_interval = (renew_interval * 2).min(RENEW_INTERVAL);
+            if presence.renew(&row).await.is_ok() {
+                renew_at = Instant::now() + renew_interval;
+                renew_interval = (renew_interval * 2).min(RENEW_INTERVAL);
+            } else {
+                renew_at = Instant::now() + RENEW_RETRY_INTERVAL;
+            }
         }
         if let Ok(rows) = presence.list().await {
             for error in view.observe(&rows, clock.now()) {
