--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -242,7 +242,7 @@
 }
 
 impl Heartbeat {
-    /// Report that the target's answers contradict this heartbeat; `current` is the incarnation that they show.
+    /// The action for a heartbeat that the target's answers contradict; `current` is the incarnation that they show.
     pub(super) fn rejected(self, current: Option<TargetIncarnation>) -> RunsAction {
         RunsAction::HeartbeatRejected {
             target: self.target,
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -305,8 +305,9 @@
         self.heartbeat = Some((heartbeat, received_at));
     }
 
-    /// Accepts or rejects the unconfirmed heartbeat by an answer of the target; false if it stays open. An answer to a poll that was sent
-    /// before the heartbeat arrived rejects nothing, as the target may have restarted in between.
+    /// Accepts or rejects the unconfirmed heartbeat by an answer of the target; false if it stays open. An answer to
+    /// a poll that was sent before the heartbeat arrived rejects nothing, as the target may have restarted in
+    /// between.
     fn judge_unconfirmed(
         &mut self,
         poll: &PollRequest,
