--- a/crates/policy/tests/policy_messages.rs
+++ b/crates/policy/tests/policy_messages.rs
@@ -52,25 +52,25 @@
 /// Largest count of numbers in a template.
 const MAX_NUMBERS: usize = 16;
 
-const ANNOUNCEMENT: &str = r##"{"address":"127.0.0.1:1","lease_ms":#,"offer":{"target":"t","services":["desk"],
-    "slots":#,"connections":#,"resources":{"cpu_millis":#,"memory_mib":#,"accelerators":#}}}"##;
-const OPEN: &str = r##"{"open":{"entry":"e","incarnation":1,"domain":"lagos","resumed":false,"lease_ms":#,
-    "busy_renew_ms":#,"idle_renew_ms":#,"version":null}}"##;
+const ANNOUNCEMENT: &str = r#"{"address":"127.0.0.1:1","lease_ms":#,"offer":{"target":"t","services":["desk"],
+    "slots":#,"connections":#,"resources":{"cpu_millis":#,"memory_mib":#,"accelerators":#}}}"#;
+const OPEN: &str = r#"{"open":{"entry":"e","incarnation":1,"domain":"lagos","resumed":false,"lease_ms":#,
+    "busy_renew_ms":#,"idle_renew_ms":#,"version":null}}"#;
 const ENTRY_ITEMS: [&str; 3] = [
-    r##"{"place":["s","aba","desk",#,#,#,0,{"demand":{"cpu_millis":#,"memory_mib":#},"declared_ms":#,
-        "repeatable":true,"label":"a"},{"job":"j","crashes":#},#,#,1]}"##,
-    r##"{"place":["s","aba","desk",#,#,#,1,{"declared_ms":#},{"crashes":#},#,#,1]}"##,
-    r##"{"given_up":[{"job":"j","task":#,"crashes":#,"is_confirmed":true}]}"##,
+    r#"{"place":["s","aba","desk",#,#,#,0,{"demand":{"cpu_millis":#,"memory_mib":#},"declared_ms":#,
+        "repeatable":true,"label":"a"},{"job":"j","crashes":#},#,#,1]}"#,
+    r#"{"place":["s","aba","desk",#,#,#,1,{"declared_ms":#},{"crashes":#},#,#,1]}"#,
+    r#"{"given_up":[{"job":"j","task":#,"crashes":#,"is_confirmed":true}]}"#,
 ];
 const AGENT_ITEMS: [&str; 6] = [
-    r##"{"target":{"live":{"target":"t","services":["desk"],"slots":#,"connections":#,
-        "resources":{"cpu_millis":#,"memory_mib":#,"accelerators":#}}}}"##,
-    r##"{"load":{"window":#,"load_permille":#,"stretch_permille":#}}"##,
-    r##"{"crashes":[{"number":#,"age_ms":#,"runs":[{"job":"s","task":#,"run_ms":#,"is_confirmed":true,
-        "earlier_crashes":#}]}]}"##,
-    r##"{"given_up":[{"job":"s","task":#,"crashes":#,"is_confirmed":true}]}"##,
-    r##"{"results":[["s",0,#,#,#,0,1]]}"##,
-    r##"{"version":[#,true]}"##,
+    r#"{"target":{"live":{"target":"t","services":["desk"],"slots":#,"connections":#,
+        "resources":{"cpu_millis":#,"memory_mib":#,"accelerators":#}}}}"#,
+    r#"{"load":{"window":#,"load_permille":#,"stretch_permille":#}}"#,
+    r#"{"crashes":[{"number":#,"age_ms":#,"runs":[{"job":"s","task":#,"run_ms":#,"is_confirmed":true,
+        "earlier_crashes":#}]}]}"#,
+    r#"{"given_up":[{"job":"s","task":#,"crashes":#,"is_confirmed":true}]}"#,
+    r#"{"results":[["s",0,#,#,#,0,1]]}"#,
+    r#"{"version":[#,true]}"#,
 ];
 
 fn runner() -> TestRunner {
@@ -240,7 +240,7 @@
     };
     let connection = CONNECTION;
     handle(now, EntryEvent::Attach { connection, attach });
-    let opening = r##"{"held":{"tasks":[],"forgotten":false}}"##;
+    let opening = r#"{"held":{"tasks":[],"forgotten":false}}"#;
     let opening = decode(opening, &[]).unwrap();
     let target = decode(AGENT_ITEMS[0], &["4"; MAX_NUMBERS]).unwrap();
     let load = decode(AGENT_ITEMS[1], &["100"; MAX_NUMBERS]).unwrap();
