--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -6,6 +6,8 @@
 
 mod active;
 mod event;
+mod heartbeat;
+mod lease;
 mod look;
 mod order;
 
@@ -20,7 +22,8 @@
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_wire::session::TaskRef;
-use dfs_wire::target::Announcement;
+use heartbeat::UnconfirmedHeartbeat;
+use lease::longest_lease_end;
 
 pub use event::ActiveRun;
 pub use event::CrashedAttempt;
@@ -62,15 +65,6 @@
     pub resubmit_ms: Option<Millis>,
 }
 
-/// A heartbeat that no answer of the target has confirmed.
-#[derive(Debug)]
-struct UnconfirmedHeartbeat {
-    heartbeat: Heartbeat,
-    received_at: Moment,
-    /// Whether a poll was sent since it was received.
-    is_polled: bool,
-}
-
 /// State machine that starts, stops and tracks all runs on one target.
 #[expect(
     clippy::struct_excessive_bools,
@@ -153,8 +147,6 @@
     fenced_polls: u32,
 }
 
-/// Largest drift between the clocks of two instances, as a fraction of the elapsed time.
-const MAX_CLOCK_DRIFT: (u64, u64) = (2, 100);
 /// Time for which the last run number of a name is kept; callers resubmit a job within seconds.
 const RUN_NUMBER_RETENTION_MS: Millis = Millis::new(30_000);
 /// Delay before the next poll after a failed one.
@@ -259,160 +251,6 @@
         self.names_by_task.len()
     }
 
-    fn on_heartbeat(&mut self, now: Moment, heartbeat: Heartbeat, out: &mut Vec<RunsAction>) {
-        if let Some((known, received_at)) = &self.heartbeat
-            && self.is_outdated_heartbeat(now, &heartbeat, known, *received_at)
-        {
-            return;
-        }
-        if self.is_confirmed(&heartbeat) {
-            self.accept_heartbeat(heartbeat, now, out);
-            self.announce_if_ready(now, out);
-            return;
-        }
-        self.unconfirmed = Some(UnconfirmedHeartbeat {
-            heartbeat,
-            received_at: now,
-            is_polled: false,
-        });
-        self.send_goodbye(out);
-    }
-
-    /// Whether a heartbeat is of the incarnation that the target's answers have shown.
-    fn is_confirmed(&self, heartbeat: &Heartbeat) -> bool {
-        let is_current =
-            heartbeat.incarnation.is_some() && heartbeat.incarnation == self.incarnation;
-        match &self.heartbeat {
-            Some((known, _)) if incarnation_key(known) == incarnation_key(heartbeat) => true,
-            // The target has restarted since; it may have another id now.
-            Some((known, _)) => is_current && known.incarnation != self.incarnation,
-            None => is_current,
-        }
-    }
-
-    fn accept_heartbeat(
-        &mut self,
-        heartbeat: Heartbeat,
-        received_at: Moment,
-        out: &mut Vec<RunsAction>,
-    ) {
-        let is_stored = |stored: &Heartbeat| stored.agrees_with(&heartbeat);
-        if !self.stored_heartbeat.as_ref().is_some_and(is_stored) {
-            out.push(RunsAction::StoreHeartbeat(heartbeat.clone()));
-        }
-        self.recalled_heartbeat = None;
-        self.is_exit_planned = heartbeat.is_draining;
-        self.heartbeat = Some((heartbeat, received_at));
-    }
-
-    /// Accepts or rejects the unconfirmed heartbeat by an answer of the target; false if it stays open. An answer to
-    /// a poll that was sent before the heartbeat arrived rejects nothing, as the target may have restarted in
-    /// between.
-    fn judge_unconfirmed(
-        &mut self,
-        poll: &PollRequest,
-        incarnation: Option<TargetIncarnation>,
-        out: &mut Vec<RunsAction>,
-    ) -> bool {
-        let Some(unconfirmed) = &self.unconfirmed else {
-            return false;
-        };
-        let is_sender = self.is_sender(&unconfirmed.heartbeat, poll, incarnation);
-        if !is_sender && poll.sent_at < unconfirmed.received_at {
-            return false;
-        }
-        let Some(unconfirmed) = self.unconfirmed.take() else {
-            return false;
-        };
-        if is_sender {
-            self.accept_heartbeat(unconfirmed.heartbeat, unconfirmed.received_at, out);
-        } else {
-            out.push(unconfirmed.heartbeat.rejected(incarnation));
-        }
-        true
-    }
-
-    /// Whether the target that has answered a poll as `incarnation` is the one that sent a heartbeat.
-    fn is_sender(
-        &self,
-        heartbeat: &Heartbeat,
-        poll: &PollRequest,
-        incarnation: Option<TargetIncarnation>,
-    ) -> bool {
-        let Some(incarnation) = incarnation else {
-            return poll.target.as_ref() == Some(&heartbeat.target);
-        };
-        // A current heartbeat that is confirmed has named another id.
-        let has_other_id = self
-            .heartbeat
-            .as_ref()
-            .is_some_and(|(known, _)| known.incarnation == Some(incarnation));
-        heartbeat.incarnation == Some(incarnation) && !has_other_id
-    }
-
-    /// Whether a heartbeat was sent before `known`, by the same incarnation or an earlier one. What snapshots
-    /// have shown comes before start times, as the target's time of day may be set back.
-    ///
-    /// Sequence numbers decide only while the known heartbeat is fresh: if that is not the target's own and has too
-    /// high a number, those of the target must not be ignored for good. A target that is leaving does not come back.
-    fn is_outdated_heartbeat(
-        &self,
-        now: Moment,
-        heartbeat: &Heartbeat,
-        known: &Heartbeat,
-        received_at: Moment,
-    ) -> bool {
-        if heartbeat.incarnation.is_none() && known.incarnation.is_some() {
-            // The target names its incarnation, so this is from another writer.
-            return true;
-        }
-        if incarnation_key(heartbeat) == incarnation_key(known) {
-            let is_fresh = now.since(received_at) < self.options.heartbeat_lease_ms;
-            return heartbeat.sequence <= known.sequence && (is_fresh || known.is_draining);
-        }
-        let Some(incarnation) = heartbeat.incarnation else {
-            return false;
-        };
-        if self.incarnation == Some(incarnation) {
-            return false;
-        }
-        self.previous_incarnation == Some(incarnation) || Some(incarnation) < known.incarnation
-    }
-
-    fn on_heartbeat_recalled(
-        &mut self,
-        now: Moment,
-        heartbeat: Heartbeat,
-        out: &mut Vec<RunsAction>,
-    ) {
-        self.stored_heartbeat.get_or_insert(heartbeat.clone());
-        if self.heartbeat.is_none() {
-            self.recalled_heartbeat = Some(heartbeat);
-            self.use_recalled_heartbeat(now, out);
-        }
-    }
-
-    /// Takes a recalled heartbeat for the current one if the target still is the incarnation that sent it, so
-    /// that a restarted agent need not wait for the next one.
-    fn use_recalled_heartbeat(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
-        let is_same = |recalled: &mut Heartbeat| {
-            recalled.incarnation.is_some() && recalled.incarnation == self.incarnation
-        };
-        if let Some(heartbeat) = self.recalled_heartbeat.take_if(is_same) {
-            self.heartbeat = Some((heartbeat, now));
-            self.announce_if_ready(now, out);
-        }
-    }
-
-    fn on_deregistered(&mut self, target: &dfs_ids::TargetId, out: &mut Vec<RunsAction>) {
-        let is_this = |known: &(Heartbeat, Moment)| known.0.target == *target;
-        if self.heartbeat.as_ref().is_some_and(is_this) {
-            self.is_exit_planned = true;
-            self.heartbeat = None;
-            self.send_goodbye(out);
-        }
-    }
-
     /// Handles the restart of a target, which has lost the runs and the fencing token of the previous
     /// incarnation.
     fn on_new_incarnation(
@@ -445,40 +283,6 @@
         self.incarnation_since = now;
     }
 
-    /// Announces the target to the agent if the takeover is complete, all ends are read, the target responds
-    /// and has sent its time, its heartbeat is of the incarnation that responds, and no other one waits to be
-    /// confirmed. Withdraws the announcement if the target is draining or its heartbeat is overdue.
-    fn announce_if_ready(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
-        let Some((heartbeat, received_at)) = &self.heartbeat else {
-            return;
-        };
-        let is_fresh = now.since(*received_at) < self.options.heartbeat_lease_ms;
-        let is_of_other_incarnation = heartbeat
-            .incarnation
-            .zip(self.incarnation)
-            .is_some_and(|(of_heartbeat, current)| of_heartbeat != current);
-        if heartbeat.is_draining
-            || !self.taken_over
-            || !self.has_read_all_ends
-            || self.target_clock.is_none()
-            || is_of_other_incarnation
-            || self.polls_failing_since.is_some()
-            || self.unconfirmed.is_some()
-            || !is_fresh
-        {
-            if heartbeat.is_draining || !is_fresh {
-                self.send_goodbye(out);
-            }
-            return;
-        }
-        self.is_announced = true;
-        out.push(RunsAction::Announce(Announcement {
-            address: heartbeat.address,
-            lease_ms: self.options.heartbeat_lease_ms,
-            offer: heartbeat.offer.clone(),
-        }));
-    }
-
     fn send_goodbye(&mut self, out: &mut Vec<RunsAction>) {
         if std::mem::take(&mut self.is_announced) {
             out.push(RunsAction::Goodbye);
@@ -535,72 +339,4 @@
             stopped_runs: self.orphans_stopped,
         });
     }
-
-    /// End of a lease that begins now, by the target's clock; `None` until the target has sent its time, and while
-    /// a run must end that a longer lease would keep going.
-    fn next_lease_end(&self, now: Moment) -> Option<TargetTime> {
-        let (clock, received_at) = self.target_clock?;
-        let lease_ms = self.lease_ms(now);
-        let elapsed_ms = now.since(received_at) + lease_ms;
-        let end = clock.0.saturating_add(elapsed_ms.get());
-        (lease_ms > Millis::default()).then_some(TargetTime(end))
-    }
-
-    /// Extends the latest possible lease end for a request that is about to be sent.
-    fn extend_lease_bound(&mut self, now: Moment) {
-        let until = now + with_clock_drift(self.lease_ms(now)) + self.options.stop_ms;
-        self.lease_expires_at = self.lease_expires_at.max(until);
-    }
-
-    /// Duration of a lease that begins now. All runs share it, so the one that must end first limits it. This ends
-    /// the run even if each request to stop it is lost, or this process stands still.
-    fn lease_ms(&self, now: Moment) -> Millis {
-        let Some(until) = self.leases_end_by() else {
-            return self.options.run_lease_ms;
-        };
-        let left_ms = until.since(now).saturating_sub(self.options.stop_ms);
-        without_clock_drift(left_ms).min(self.options.run_lease_ms)
-    }
-
-    /// Time by which a run must have ended that is to stop, or whose entry is no longer heard of.
-    fn leases_end_by(&self) -> Option<Moment> {
-        let heard_at = self.entries_heard_at.zip(self.options.resubmit_ms);
-        let entries_gone_at = heard_at.map(|(heard_at, resubmit_ms)| heard_at + resubmit_ms);
-        let tracked = self.tracked.values();
-        let stops = tracked.filter_map(|tracked| tracked.pending_stop.as_ref());
-        let first_stop = stops
-            .chain(self.orphans.values())
-            .map(|stop| stop.requested_at)
-            .min();
-        // The lease that a run has when its stop is requested is not extended.
-        let stopped_at = first_stop.map(|requested_at| {
-            requested_at + with_clock_drift(self.options.run_lease_ms) + self.options.stop_ms
-        });
-        entries_gone_at.into_iter().chain(stopped_at).min()
-    }
-}
-
-/// Latest time, by this process's clock, until which a run continues whose lease begins now.
-fn longest_lease_end(options: &RunsOptions, now: Moment) -> Moment {
-    now + with_clock_drift(options.max_lease_ms) + options.stop_ms
-}
-
-/// Longest time, by this process's clock, that a lease can last on another instance.
-fn with_clock_drift(lease_ms: Millis) -> Millis {
-    let (numerator, denominator) = MAX_CLOCK_DRIFT;
-    lease_ms + Millis::new(lease_ms.get() * numerator / denominator + 1)
-}
-
-/// Lease that has ended on any other instance once `elapsed_ms` have passed by this process's clock.
-const fn without_clock_drift(elapsed_ms: Millis) -> Millis {
-    let (numerator, denominator) = MAX_CLOCK_DRIFT;
-    let lease_ms = elapsed_ms
-        .get()
-        .saturating_sub(1)
-        .saturating_mul(denominator);
-    Millis::new(lease_ms / (denominator + numerator))
-}
-
-fn incarnation_key(heartbeat: &Heartbeat) -> (&dfs_ids::TargetId, Option<TargetIncarnation>) {
-    (&heartbeat.target, heartbeat.incarnation)
 }
