--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -375,7 +375,7 @@
             .filter(|(name, run)| !self.is_tracked(name, *run))
     }
 
-    /// Takes over which orphans a snapshot lists; each keeps the time at which it was first listed.
+    /// Updates the orphans to those that a snapshot lists; each keeps the time at which it was first listed.
     fn track_orphans(&mut self, now: Moment, running: &HashSet<(Arc<str>, RunNumber)>) {
         let listed: HashSet<_> = self.orphans(running).cloned().collect();
         self.orphans.retain(|run, _| listed.contains(run));
