Log by what evidence a run or a takeover is held to be over

The users' record can't tell whether an agent took a refused connection, a heartbeat or a restart for the end of the runs, since no line names the evidence together with the caller's id.

427 says which run is taken for over without an end in the target's list, why, and how much of its lease is left; 428 that the target lists a run which this process does not know. Both name the run as the target does, which begins with the id of the job. 410 gets the evidence of the takeover.

No decision changes.

--- a/crates/agent/src/fenced/mod.rs
+++ b/crates/agent/src/fenced/mod.rs
@@ -12,6 +12,7 @@
 use dfs_ids::AgentId;
 use dfs_ids::Clock;
 use dfs_ids::Label;
+use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::TargetId;
 use dfs_log::ErrorText;
@@ -259,11 +260,18 @@
                 name,
                 run,
                 listed,
+                lease_left_ms,
                 run_us,
                 end,
             } => {
-                if let RunEnd::Finished(TaskOutcome::Failed(error)) = &end {
-                    log_failed_run(&task, &name, run, listed, error);
+                match &end {
+                    RunEnd::Finished(TaskOutcome::Failed(error)) => {
+                        log_failed_run(&task, &name, run, listed, error);
+                    }
+                    RunEnd::Finished(TaskOutcome::Unknown(evidence)) if listed.is_none() => {
+                        log_concluded_end(&task, &name, run, lease_left_ms, evidence);
+                    }
+                    RunEnd::Finished(_) | RunEnd::NotStarted(_) => {}
                 }
                 if let Some(end_sender) = self.end_senders.remove(&task) {
                     // The agent may not wait for the run any more.
@@ -278,13 +286,19 @@
             RunsAction::TakenOver {
                 token,
                 stopped_runs,
+                evidence,
             } => {
                 self.taken_over.send_replace(true);
                 dfs_log::emit(TargetEvent::TakenOver {
                     token: token.0,
                     stopped_runs,
+                    evidence: ErrorText::from(evidence.to_string().as_str()),
                 });
             }
+            RunsAction::StrayRun { name, run } => dfs_log::emit(TargetEvent::StrayRun {
+                name: name.to_string(),
+                run: run.0,
+            }),
             RunsAction::TargetUnreachable {
                 running_tasks,
                 message,
@@ -349,6 +363,24 @@
     });
 }
 
+fn log_concluded_end(
+    task: &TaskRef,
+    name: &str,
+    run: Option<RunNumber>,
+    lease_left_ms: Millis,
+    evidence: &str,
+) {
+    dfs_log::emit(TargetEvent::RunEndConcluded {
+        submission: task.submission.clone(),
+        task: task.task,
+        attempt: task.attempt,
+        name: name.to_owned(),
+        run: run.map(|run| run.0),
+        lease_left_ms,
+        evidence: ErrorText::from(evidence),
+    });
+}
+
 fn log_refused_start(task: TaskRef, name: &str, run: RunNumber, refusal: Refusal) {
     if refusal == Refusal::NoCapacity {
         // The hand-back of the task is logged instead.
--- a/crates/log/src/event/target.rs
+++ b/crates/log/src/event/target.rs
@@ -94,6 +94,8 @@
             token: u64,
             /// Number of runs of earlier incarnations that were stopped.
             stopped_runs: usize,
+            /// What has shown that no earlier run continues.
+            evidence: ErrorText,
         }
         /// A target sent a malformed heartbeat.
         411 Warn "heartbeat_unreadable" HeartbeatUnreadable {
@@ -253,5 +255,29 @@
             /// Incarnation that answers; absent if it is not known.
             current: Option<u64>,
         }
+        /// The agent takes a run for over whose end the target has not listed.
+        427 Warn "run_end_concluded" RunEndConcluded {
+            /// Identifier of the submission.
+            submission: SubmissionId,
+            /// Index of the task.
+            task: TaskIndex,
+            /// Number of the attempt.
+            attempt: Attempt,
+            /// Name of the task on the target.
+            name: String,
+            /// Number of the run on the target.
+            run: Option<u32>,
+            /// Time until the last lease of the run is certainly over.
+            lease_left_ms: Millis,
+            /// Why the run is over.
+            evidence: ErrorText,
+        }
+        /// The target lists a run that this agent process has not started, or takes for over; it is stopped.
+        428 Warn "stray_run" StrayRun {
+            /// Name of the task on the target.
+            name: String,
+            /// Number of the run on the target.
+            run: u32,
+        }
     }
 }
--- a/crates/policy/src/runs/active.rs
+++ b/crates/policy/src/runs/active.rs
@@ -102,6 +102,7 @@
             name: name.clone(),
             run: Some(tracked.run),
             listed,
+            lease_left_ms: self.lease_expires_at.since(now),
             run_us: now.micros_since(tracked.started_at),
             end,
         });
--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -271,6 +271,20 @@
     pub is_confirmed: bool,
 }
 
+/// What shows that the runs of earlier incarnations of the agent have ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum TakeoverEvidence {
+    /// A complete list of the target has none of them.
+    #[display("the target lists none")]
+    List,
+    /// The longest lease that they can have is over.
+    #[display("their lease is over")]
+    LeaseOver,
+    /// No process listens at the target's address.
+    #[display("no process listens")]
+    NotListening,
+}
+
 /// Input of [`Runs::handle`](super::Runs::handle).
 #[derive(Debug, Clone)]
 pub enum RunsEvent {
@@ -350,6 +364,8 @@
         run: Option<RunNumber>,
         /// Position of the end in the target's list; `None` if the target did not list it.
         listed: Option<ListedEnd>,
+        /// Time until the last lease of the run is certainly over.
+        lease_left_ms: Millis,
         /// Time since the start was requested, in microseconds.
         run_us: u64,
         /// Outcome for the entry.
@@ -373,6 +389,15 @@
         token: FencingToken,
         /// Stop requests sent to runs of earlier incarnations.
         stopped_runs: usize,
+        /// What has shown that they have ended.
+        evidence: TakeoverEvidence,
+    },
+    /// The target lists a run that this process has not started, or takes for over.
+    StrayRun {
+        /// [`TaskSpec::name`] of the task.
+        name: Arc<str>,
+        /// Number of the run.
+        run: RunNumber,
     },
     /// Polls have failed for too long; the announcement was withdrawn.
     TargetUnreachable {
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -1,6 +1,7 @@
 //! Polling the runs of a target.
 
 use std::collections::HashSet;
+use std::collections::hash_map::Entry;
 use std::sync::Arc;
 
 use dfs_ids::Moment;
@@ -22,6 +23,7 @@
 use super::Runs;
 use super::RunsAction;
 use super::StopRequest;
+use super::TakeoverEvidence;
 use super::UNREACHABLE_MS;
 use super::active::PendingStop;
 use super::active::Phase;
@@ -205,7 +207,7 @@
             return;
         }
         if !self.taken_over {
-            self.complete_takeover(out);
+            self.complete_takeover(TakeoverEvidence::NotListening, out);
         }
         // Fences starts in flight, which the target's next process could execute under the same id.
         self.raise_token(self.token);
@@ -250,7 +252,7 @@
         if snapshot.is_complete {
             self.end_missing_runs(now, poll, &running, out);
         }
-        self.track_orphans(now, &running);
+        self.track_orphans(now, &running, out);
         self.stop_orphans(now, out);
         self.resend_stops(now, out);
         self.report_progress(snapshot, out);
@@ -262,7 +264,7 @@
         self.use_recalled_heartbeat(now, out);
         let is_judged = self.judge_unconfirmed(poll, snapshot.incarnation, out);
         if !self.taken_over && snapshot.is_complete && self.orphans(&running).next().is_none() {
-            self.complete_takeover(out);
+            self.complete_takeover(TakeoverEvidence::List, out);
             self.announce_if_ready(now, out);
         } else if was_failing || !had_clock || !had_read_all_ends || is_judged {
             self.announce_if_ready(now, out);
@@ -376,13 +378,19 @@
     }
 
     /// Updates the orphans to those that a snapshot lists; each keeps the time at which it was first listed.
-    fn track_orphans(&mut self, now: Moment, running: &HashSet<(Arc<str>, RunNumber)>) {
+    fn track_orphans(
+        &mut self,
+        now: Moment,
+        running: &HashSet<(Arc<str>, RunNumber)>,
+        out: &mut Vec<RunsAction>,
+    ) {
         let listed: HashSet<_> = self.orphans(running).cloned().collect();
         self.orphans.retain(|run, _| listed.contains(run));
-        for run in listed {
-            self.orphans
-                .entry(run)
-                .or_insert_with(|| PendingStop::new(now));
+        for (name, run) in listed {
+            if let Entry::Vacant(vacant) = self.orphans.entry((name.clone(), run)) {
+                vacant.insert(PendingStop::new(now));
+                out.push(RunsAction::StrayRun { name, run });
+            }
         }
     }
 
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -42,6 +42,7 @@
 pub use event::RunsEvent;
 pub use event::StartRequest;
 pub use event::StopRequest;
+pub use event::TakeoverEvidence;
 pub use event::TargetIncarnation;
 pub use event::TargetTime;
 pub use event::TaskSpec;
@@ -296,7 +297,7 @@
         }
         if !self.taken_over {
             // The leases of earlier runs have expired even though the target was never reached.
-            self.complete_takeover(out);
+            self.complete_takeover(TakeoverEvidence::LeaseOver, out);
         }
         let active = self.active_attempts(None);
         self.expired_tasks.extend(active);
@@ -332,11 +333,12 @@
         }
     }
 
-    fn complete_takeover(&mut self, out: &mut Vec<RunsAction>) {
+    fn complete_takeover(&mut self, evidence: TakeoverEvidence, out: &mut Vec<RunsAction>) {
         self.taken_over = true;
         out.push(RunsAction::TakenOver {
             token: self.token,
             stopped_runs: self.orphans_stopped,
+            evidence,
         });
     }
 }
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use dfs_ids::Label;
+use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::TargetId;
 use dfs_wire::session::NotRunReason;
@@ -56,6 +57,7 @@
                     name: name.clone(),
                     run: None,
                     listed: None,
+                    lease_left_ms: Millis::default(),
                     run_us: 0,
                     end: RunEnd::NotStarted(NotRunReason::Withdrawn),
                 });
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -140,7 +140,8 @@
                 RunsAction::Goodbye => self.goodbye_count += 1,
                 RunsAction::StoreHeartbeat(heartbeat) => self.stored.push(heartbeat),
                 RunsAction::HeartbeatRejected { .. } => self.rejected_heartbeats += 1,
-                RunsAction::TakenOver { .. }
+                RunsAction::StrayRun { .. }
+                | RunsAction::TakenOver { .. }
                 | RunsAction::Progress(_)
                 | RunsAction::TargetUnreachable { .. }
                 | RunsAction::TargetRestarted { .. }
