Settle tasks of another agent incarnation only on proof of its takeover

What callers saw: a task could run on two targets at once (TWICE), where an attach of an agent incarnation that is gone was held up and read after that of its successor.

Cause: incarnations are random and have no order, but the entry took any attach with another one for a restart. It removed the agent and settled the tasks of all other incarnations at once, those of the successor included, while their runs went on.

An agent whose target has listed none of the earlier runs now attaches with the token of that very poll (`Attach::takeover`): the target had seen no higher token and refuses lower ones since. The present token may be higher than that, so it isn't used. An agent whose takeover rests on the end of the longest lease, on a refused connection, or on the built-in target protocol sends none. The entry settles tasks of another incarnation at once only if both numbers are known and the attaching one is higher. It closes the connection of an attach with a known lower one. All other tasks wait for their settle time, which now begins at the end of the lease of the displaced session: its agent may go on until then. Without a settle time nothing changes for agents that send no number.

Messages of earlier builds are read as before: the field is optional, and decoders of attaches pass over unknown fields (test in dfs-wire).

--- a/crates/agent/src/connection/dial.rs
+++ b/crates/agent/src/connection/dial.rs
@@ -8,6 +8,7 @@
 
 use dfs_conf::AgentSettings;
 use dfs_ids::Incarnation;
+use dfs_ids::TakeoverNumber;
 use dfs_log::ErrorText;
 use dfs_log::SessionEvent;
 use dfs_policy::ConnectionId;
@@ -48,6 +49,7 @@
 pub(crate) struct Dial {
     pub settings: Arc<AgentSettings>,
     pub incarnation: Incarnation,
+    pub takeover: Option<TakeoverNumber>,
     pub address: SocketAddr,
     pub core: CoreHandle,
     pub events: mpsc::UnboundedSender<DialEvent>,
@@ -98,6 +100,7 @@
             agent: self.settings.agent.clone(),
             incarnation: self.incarnation,
             domain: self.settings.domain.clone(),
+            takeover: self.takeover,
         };
         let parameters = rpc_params![attach];
         let messages = client
--- a/crates/agent/src/edge.rs
+++ b/crates/agent/src/edge.rs
@@ -7,6 +7,7 @@
 use axum::Router;
 use dfs_ids::Clock;
 use dfs_ids::Moment;
+use dfs_ids::TakeoverNumber;
 use dfs_policy::agent::AgentEvent;
 use dfs_policy::agent::RunEnd;
 use dfs_policy::runs::CrashedAttempt;
@@ -20,6 +21,10 @@
 /// Resolves to the run time in microseconds and the outcome of a run.
 pub type RunFuture = Pin<Box<dyn Future<Output = (u64, RunEnd)> + Send>>;
 
+/// Resolves to a number that is higher than those of all earlier incarnations, if the target itself
+/// has shown that their runs have ended and refuses their orders; to `None` if it has not.
+pub type TakeoverFuture = Pin<Box<dyn Future<Output = Option<TakeoverNumber>> + Send>>;
+
 /// Starts and stops runs of tasks on the target.
 pub trait TargetDriver: Send + Sync {
     /// Starts a run; the future resolves when it has ended.
@@ -44,7 +49,7 @@
     pub router: Box<dyn FnOnce(TargetEvents) -> Router + Send>,
     /// Resolves once every run that an earlier incarnation of this agent started has ended. The
     /// agent connects to no entry before.
-    pub takeover_complete: Pin<Box<dyn Future<Output = ()> + Send>>,
+    pub takeover_complete: TakeoverFuture,
     /// Store of the presence rows of entries; `None` if entries are known only from the settings
     /// and from each other.
     pub presence: Option<Presence>,
--- a/crates/agent/src/fenced/mod.rs
+++ b/crates/agent/src/fenced/mod.rs
@@ -14,6 +14,7 @@
 use dfs_ids::Label;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
+use dfs_ids::TakeoverNumber;
 use dfs_ids::TargetId;
 use dfs_log::ErrorText;
 use dfs_log::TargetEvent;
@@ -32,6 +33,7 @@
 use dfs_policy::runs::RunsOptions;
 use dfs_policy::runs::StartRequest;
 use dfs_policy::runs::StopRequest;
+use dfs_policy::runs::TakeoverEvidence;
 use dfs_policy::runs::TaskSpec;
 use dfs_store::Presence;
 use dfs_store::TargetRows;
@@ -106,6 +108,20 @@
     }
 }
 
+/// A complete takeover, with its number if the target itself has shown that nothing else runs there.
+#[derive(Debug, Clone, Copy)]
+struct Takeover(Option<TakeoverNumber>);
+
+impl Takeover {
+    /// The token of the poll whose list completed the takeover orders the takeovers: the target had seen no higher one
+    /// and refuses lower ones from then on. The present token may be higher already, and a lease that is over without
+    /// an answer says nothing of tokens.
+    fn new(evidence: TakeoverEvidence, answered_poll: Option<FencingToken>) -> Self {
+        let proof = answered_poll.filter(|_| evidence == TakeoverEvidence::List);
+        Self(proof.map(|token| TakeoverNumber::new(token.0)))
+    }
+}
+
 /// Event loop that drives [`Runs`] and performs its actions through a [`TargetClient`].
 pub struct FencedTarget {
     runs: Runs,
@@ -116,7 +132,7 @@
     commands: mpsc::UnboundedReceiver<Command>,
     command_sender: mpsc::UnboundedSender<Command>,
     end_senders: HashMap<TaskRef, oneshot::Sender<(u64, RunEnd)>>,
-    taken_over: watch::Sender<bool>,
+    taken_over: watch::Sender<Option<Takeover>>,
 }
 
 impl FencedTarget {
@@ -135,7 +151,7 @@
             commands,
             command_sender,
             end_senders: HashMap::new(),
-            taken_over: watch::Sender::new(false),
+            taken_over: watch::Sender::new(None),
         }
     }
 
@@ -170,8 +186,10 @@
                 router(heartbeat_sender)
             }),
             takeover_complete: Box::pin(async move {
+                let taken_over = taken_over.wait_for(Option::is_some).await;
                 // The sender is dropped only with the process.
-                let _ = taken_over.wait_for(|taken_over| *taken_over).await;
+                let Takeover(number) = (*taken_over.ok()?)?;
+                number
             }),
             presence,
         }
@@ -202,7 +220,12 @@
                 },
                 _ = tick.tick() => RunsEvent::Tick,
             };
+            let answered_poll = answered_poll(&event);
             for action in self.runs.handle(self.clock.now(), event) {
+                if let RunsAction::TakenOver { evidence, .. } = &action {
+                    let takeover = Takeover::new(*evidence, answered_poll);
+                    self.taken_over.send_replace(Some(takeover));
+                }
                 self.perform(action, &target_events);
             }
         }
@@ -264,15 +287,7 @@
                 run_us,
                 end,
             } => {
-                match &end {
-                    RunEnd::Finished(TaskOutcome::Failed(error)) => {
-                        log_failed_run(&task, &name, run, listed, error);
-                    }
-                    RunEnd::Finished(TaskOutcome::Unknown(evidence)) if listed.is_none() => {
-                        log_concluded_end(&task, &name, run, lease_left_ms, evidence);
-                    }
-                    RunEnd::Finished(_) | RunEnd::NotStarted(_) => {}
-                }
+                log_end(&task, &name, run, listed, lease_left_ms, &end);
                 if let Some(end_sender) = self.end_senders.remove(&task) {
                     // The agent may not wait for the run any more.
                     let _ = end_sender.send((run_us, end));
@@ -287,14 +302,11 @@
                 token,
                 stopped_runs,
                 evidence,
-            } => {
-                self.taken_over.send_replace(true);
-                dfs_log::emit(TargetEvent::TakenOver {
-                    token: token.0,
-                    stopped_runs,
-                    evidence: ErrorText::from(evidence.to_string().as_str()),
-                });
-            }
+            } => dfs_log::emit(TargetEvent::TakenOver {
+                token: token.0,
+                stopped_runs,
+                evidence: ErrorText::from(evidence.to_string().as_str()),
+            }),
             RunsAction::StrayRun { name, run } => dfs_log::emit(TargetEvent::StrayRun {
                 name: name.to_string(),
                 run: run.0,
@@ -343,6 +355,36 @@
     }
 }
 
+/// Token of the poll that the target has answered with its runs.
+const fn answered_poll(event: &RunsEvent) -> Option<FencingToken> {
+    match event {
+        RunsEvent::PollCompleted {
+            poll,
+            outcome: PollOutcome::Runs(_),
+        } => Some(poll.token),
+        _ => None,
+    }
+}
+
+fn log_end(
+    task: &TaskRef,
+    name: &str,
+    run: Option<RunNumber>,
+    listed: Option<ListedEnd>,
+    lease_left_ms: Millis,
+    end: &RunEnd,
+) {
+    match end {
+        RunEnd::Finished(TaskOutcome::Failed(error)) => {
+            log_failed_run(task, name, run, listed, error);
+        }
+        RunEnd::Finished(TaskOutcome::Unknown(evidence)) if listed.is_none() => {
+            log_concluded_end(task, name, run, lease_left_ms, evidence);
+        }
+        RunEnd::Finished(_) | RunEnd::NotStarted(_) => {}
+    }
+}
+
 fn log_failed_run(
     task: &TaskRef,
     name: &str,
--- a/crates/agent/src/process/roster.rs
+++ b/crates/agent/src/process/roster.rs
@@ -11,6 +11,7 @@
 use dfs_ids::Clock;
 use dfs_ids::EntryId;
 use dfs_ids::Incarnation;
+use dfs_ids::TakeoverNumber;
 use dfs_log::ConfigEvent;
 use dfs_log::ErrorText;
 use dfs_policy::ConnectionId;
@@ -65,6 +66,7 @@
 pub(crate) struct DialManager {
     settings: Arc<AgentSettings>,
     incarnation: Incarnation,
+    takeover: Option<TakeoverNumber>,
     core: CoreHandle,
     sender: mpsc::UnboundedSender<DialEvent>,
     events: mpsc::UnboundedReceiver<DialEvent>,
@@ -91,6 +93,7 @@
         Self {
             settings,
             incarnation,
+            takeover: None,
             core,
             sender,
             events,
@@ -105,8 +108,9 @@
     }
 
     /// Starts with the configured addresses and then follows the presence rows and the lists that
-    /// entries send.
-    pub async fn run(mut self) {
+    /// entries send. `takeover` is the number with which the agent attaches.
+    pub async fn run(mut self, takeover: Option<TakeoverNumber>) {
+        self.takeover = takeover;
         let mut unpark_timer = tokio::time::interval(UNPARK_INTERVAL);
         let mut listing = Box::pin(list_after(self.presence.clone(), Duration::ZERO));
         loop {
@@ -228,6 +232,7 @@
             let dial = Dial {
                 settings: Arc::clone(&self.settings),
                 incarnation: self.incarnation,
+                takeover: self.takeover,
                 address,
                 core: self.core.clone(),
                 events: self.sender.clone(),
--- a/crates/agent/src/process/start.rs
+++ b/crates/agent/src/process/start.rs
@@ -63,7 +63,7 @@
             clock: Clock::start(),
             driver: Arc::new(HttpTarget::new(&settings)),
             router: Box::new(request::router),
-            takeover_complete: Box::pin(std::future::ready(())),
+            takeover_complete: Box::pin(std::future::ready(None)),
             presence: settings.store.as_ref().map(http_presence),
         };
         Self::start_with_adapter(settings, metrics, adapter).await
@@ -115,8 +115,8 @@
         let background_tasks = vec![
             tokio::spawn(core.run()),
             tokio::spawn(async move {
-                adapter.takeover_complete.await;
-                dial_manager.run().await;
+                let takeover = adapter.takeover_complete.await;
+                dial_manager.run(takeover).await;
             }),
             tokio::spawn(async move {
                 // The server runs until the process ends.
--- a/crates/agent/tests/fenced.rs
+++ b/crates/agent/tests/fenced.rs
@@ -4,21 +4,29 @@
 use std::time::Duration;
 
 use axum::Router;
+use dfs_agent::Agent;
 use dfs_agent::BoxFuture;
 use dfs_agent::FencedTarget;
 use dfs_agent::RunRequest;
 use dfs_agent::TargetClient;
+use dfs_conf::AgentSettings;
+use dfs_ids::AgentId;
 use dfs_ids::Attempt;
 use dfs_ids::Millis;
+use dfs_ids::TakeoverNumber;
 use dfs_ids::TaskIndex;
+use dfs_log::Metrics;
+use dfs_log::ProcessName;
 use dfs_policy::agent::RunEnd;
 use dfs_policy::runs::FencingToken;
 use dfs_policy::runs::PollOutcome;
 use dfs_policy::runs::PollRequest;
 use dfs_policy::runs::RequestOutcome;
+use dfs_policy::runs::RunSnapshot;
 use dfs_policy::runs::RunsOptions;
 use dfs_policy::runs::StartRequest;
 use dfs_policy::runs::StopRequest;
+use dfs_policy::runs::TargetTime;
 use dfs_policy::runs::TaskSpec;
 use dfs_wire::session::NotRunReason;
 use dfs_wire::session::TaskRef;
@@ -46,17 +54,90 @@
     }
 }
 
+/// A client of a target that runs nothing and has seen this token.
+struct IdleTarget {
+    seen: FencingToken,
+}
+
+impl TargetClient for IdleTarget {
+    fn start(&self, _: &StartRequest) -> BoxFuture<RequestOutcome> {
+        Box::pin(std::future::pending())
+    }
+
+    fn stop(&self, _: StopRequest) -> BoxFuture<RequestOutcome> {
+        Box::pin(std::future::pending())
+    }
+
+    fn poll(&self, poll: &PollRequest) -> BoxFuture<PollOutcome> {
+        let outcome = if poll.token < self.seen {
+            PollOutcome::Fenced
+        } else {
+            PollOutcome::Runs(RunSnapshot {
+                clock: TargetTime(1),
+                incarnation: None,
+                running: Vec::new(),
+                ended: Vec::new(),
+                is_complete: true,
+            })
+        };
+        Box::pin(std::future::ready(outcome))
+    }
+
+    fn parse_task_spec(&self, _: &RawValue) -> Option<TaskSpec> {
+        None
+    }
+}
+
+const OPTIONS: RunsOptions = RunsOptions {
+    run_lease_ms: Millis::new(800),
+    max_lease_ms: Millis::new(1_000),
+    stop_ms: Millis::new(50),
+    poll_wait_ms: Millis::new(250),
+    heartbeat_lease_ms: Millis::new(4_500),
+    resubmit_ms: None,
+};
+
+/// Number with which an agent attaches whose first token is 5.
+fn takeover_number(client: impl TargetClient + 'static) -> Option<TakeoverNumber> {
+    let target = FencedTarget::new(OPTIONS, FencingToken(5), Arc::new(client));
+    let mut adapter = target.into_adapter(|_| Router::new(), None);
+    let none = Box::pin(std::future::ready(None));
+    let takeover_complete = std::mem::replace(&mut adapter.takeover_complete, none);
+    let agent: AgentId = "agent".parse().unwrap();
+    let metrics = Metrics::new(None, &ProcessName::Agent(agent.clone())).unwrap();
+    let settings = AgentSettings::new(
+        agent,
+        "lagos".parse().unwrap(),
+        ([127, 0, 0, 1], 0).into(),
+        Vec::new(),
+        "secret-of-the-tests".to_owned(),
+    );
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let started = Agent::start_with_adapter(settings, metrics, adapter).await;
+        started.unwrap();
+        takeover_complete.await
+    })
+}
+
+#[googletest::test]
+fn an_agent_attaches_with_the_token_of_the_list_that_completed_its_takeover() {
+    let number = |seen| takeover_number(IdleTarget { seen });
+    expect_that!(number(FencingToken(3)), some(eq(TakeoverNumber::new(5))));
+    expect_that!(number(FencingToken(6)), some(eq(TakeoverNumber::new(6))));
+}
+
+#[googletest::test]
+fn an_agent_whose_target_did_not_answer_attaches_without_a_takeover_number() {
+    expect_that!(takeover_number(PickyClient), none());
+}
+
 #[googletest::test]
 fn a_body_that_is_no_task_of_the_target_ends_as_not_started_instead_of_failed() {
-    let options = RunsOptions {
-        run_lease_ms: Millis::new(800),
-        max_lease_ms: Millis::new(1_000),
-        stop_ms: Millis::new(50),
-        poll_wait_ms: Millis::new(250),
-        heartbeat_lease_ms: Millis::new(4_500),
-        resubmit_ms: None,
-    };
-    let target = FencedTarget::new(options, FencingToken(1), Arc::new(PickyClient));
+    let target = FencedTarget::new(OPTIONS, FencingToken(1), Arc::new(PickyClient));
     let adapter = target.into_adapter(|_| Router::new(), None);
     let request = RunRequest {
         task: TaskRef {
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -25,6 +25,7 @@
 pub use number::Priority;
 pub use number::SessionNumber;
 pub use number::Slots;
+pub use number::TakeoverNumber;
 pub use number::TaskIndex;
 pub use unit::Millis;
 pub use unit::Moment;
--- a/crates/ids/src/number.rs
+++ b/crates/ids/src/number.rs
@@ -53,6 +53,11 @@
     /// Number of a session, assigned in ascending order by the entry that opens it.
     SessionNumber(u64)
 );
+integer_type!(
+    /// Orders the incarnations of an agent that have taken over its target: the target has refused all orders of those
+    /// with a lower number since.
+    TakeoverNumber(u64)
+);
 integer_type!(
     /// Version of the configuration; a higher version supersedes a lower one.
     ConfigVersion(u64)
--- a/crates/policy/benches/cost.rs
+++ b/crates/policy/benches/cost.rs
@@ -106,6 +106,7 @@
                 .expect("the name is valid"),
             incarnation: Incarnation::new(agent + 1),
             domain: "lagos".parse().expect("the name is valid"),
+            takeover: None,
         };
         let connection = ConnectionId(agent);
         self.handle(EntryEvent::Attach { connection, attach });
--- a/crates/policy/benches/grid/cluster.rs
+++ b/crates/policy/benches/grid/cluster.rs
@@ -256,6 +256,7 @@
                     agent: agent_id(a),
                     incarnation: Incarnation::new(a + 1),
                     domain: domain(),
+                    takeover: None,
                 };
                 let connection = self.connection(e, a);
                 self.schedule(
--- a/crates/policy/src/entry/orphan.rs
+++ b/crates/policy/src/entry/orphan.rs
@@ -3,6 +3,7 @@
 use dfs_ids::AgentId;
 use dfs_ids::Incarnation;
 use dfs_ids::Moment;
+use dfs_ids::TakeoverNumber;
 use dfs_wire::session::TaskRef;
 
 use super::Entry;
@@ -10,6 +11,7 @@
 use super::view::OutstandingTask;
 
 pub(super) const LOST_CAUSE: &str = "the agent or its target was lost";
+const RESTARTED_CAUSE: &str = "the agent has restarted and its target runs nothing of before";
 
 /// Sort key of the orphans: they are settled in the order of their times.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -29,6 +31,8 @@
     Lost {
         /// Incarnation of the agent.
         incarnation: Incarnation,
+        /// Place of this incarnation among those of the agent; `None` if the agent could not tell.
+        takeover: Option<TakeoverNumber>,
         /// What the task took when it was placed.
         outstanding: OutstandingTask,
     },
@@ -36,6 +40,11 @@
     Judged,
 }
 
+/// Whether one incarnation of an agent is known to have taken over its target after another one.
+pub(super) fn is_later(one: Option<TakeoverNumber>, other: Option<TakeoverNumber>) -> bool {
+    one.zip(other).is_some_and(|(one, other)| one > other)
+}
+
 impl Entry {
     /// Settles the orphans whose time has come.
     pub(super) fn settle_expired_orphans(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
@@ -53,21 +62,23 @@
         }
     }
 
-    /// Settles the tasks of a lost agent that has restarted: its earlier incarnations run nothing any more.
+    /// Settles the tasks of a lost agent that has restarted and taken over its target, which runs nothing of the earlier
+    /// incarnations any more. Those of other incarnations wait: incarnations have no order, so the attach of one that is
+    /// gone may be read after that of its successor.
     pub(super) fn settle_orphans_of_earlier(
         &mut self,
         agent: &AgentId,
-        current: Incarnation,
+        current: Option<TakeoverNumber>,
         out: &mut Vec<EntryAction>,
     ) {
         let is_ended = |key: &OrphanKey, orphan: &mut Orphan| {
             let is_earlier =
-                matches!(orphan, Orphan::Lost { incarnation, .. } if *incarnation != current);
+                matches!(orphan, Orphan::Lost { takeover, .. } if is_later(current, *takeover));
             key.agent == *agent && is_earlier
         };
         let ended: Vec<_> = self.orphans.extract_if(.., is_ended).collect();
         for (key, _) in ended {
-            self.on_unknown(&key.agent, &key.task, LOST_CAUSE, out);
+            self.on_unknown(&key.agent, &key.task, RESTARTED_CAUSE, out);
         }
     }
 
--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use dfs_conf::Config;
+use dfs_conf::LeaseSettings;
 use dfs_ids::AgentId;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
@@ -21,6 +22,7 @@
 use super::orphan::LOST_CAUSE;
 use super::orphan::Orphan;
 use super::orphan::OrphanKey;
+use super::orphan::is_later;
 use super::view::AgentView;
 use crate::ConnectionId;
 
@@ -40,13 +42,22 @@
         attach: Attach,
         out: &mut Vec<EntryAction>,
     ) {
-        let known = self.agents.get(&attach.agent).map(|old| old.incarnation);
-        if known.is_some_and(|known| known != attach.incarnation) {
+        let known = self.agents.get(&attach.agent);
+        let known = known.map(|old| (old.incarnation, old.takeover));
+        if let Some((incarnation, takeover)) = known
+            && incarnation != attach.incarnation
+        {
+            if is_later(takeover, attach.takeover) {
+                // The attach was held up: its agent has been replaced since.
+                out.push(EntryAction::Close { connection });
+                return;
+            }
             self.remove_lost_agent(now, &attach.agent, out);
         }
-        self.settle_orphans_of_earlier(&attach.agent, attach.incarnation, out);
+        self.settle_orphans_of_earlier(&attach.agent, attach.takeover, out);
         let orphans = self.take_orphans_of(&attach.agent, attach.incarnation);
-        let resumed = known == Some(attach.incarnation) || !orphans.is_empty();
+        let is_known = known.is_some_and(|(incarnation, _)| incarnation == attach.incarnation);
+        let resumed = is_known || !orphans.is_empty();
         self.close_connection(&attach.agent, out);
         self.next_session = self.next_session.next();
         let open = self.session_params(resumed);
@@ -112,6 +123,7 @@
         };
         let view = AgentView {
             incarnation: attach.incarnation,
+            takeover: attach.takeover,
             domain: attach.domain,
             connection: Some(connection),
             session: self.next_session,
@@ -189,7 +201,8 @@
     }
 
     /// Removes an agent incarnation. Its outstanding tasks have an unknown outcome; a repeatable one is
-    /// retried only after the settle time, when its run on the lost agent has certainly ended.
+    /// retried only after the settle time, when its run on the lost agent has certainly ended. The settle time begins
+    /// when the agent's lease is over, also if its session is displaced before.
     fn remove_lost_agent(&mut self, now: Moment, agent: &AgentId, out: &mut Vec<EntryAction>) {
         self.close_connection(agent, out);
         self.agent_ids.retain(|id| id != agent);
@@ -205,11 +218,16 @@
             outstanding_tasks,
         };
         out.push(EntryAction::Observe(lost));
-        let settled_at = now + self.identity.lease.settle_ms;
-        let incarnation = view.incarnation;
+        let LeaseSettings {
+            lease_ms,
+            settle_ms,
+            ..
+        } = self.identity.lease;
+        let settled_at = now.max(view.last_heard_at + lease_ms) + settle_ms;
+        let (incarnation, takeover) = (view.incarnation, view.takeover);
         for (task, outstanding) in view.outstanding {
             let job = self.jobs.get(&task.submission);
-            if settled_at <= now || !job.is_some_and(|job| job.terms.repeatable) {
+            if settle_ms == Millis::default() || !job.is_some_and(|job| job.terms.repeatable) {
                 self.on_unknown(agent, &task, LOST_CAUSE, out);
                 continue;
             }
@@ -220,6 +238,7 @@
             };
             let orphan = Orphan::Lost {
                 incarnation,
+                takeover,
                 outstanding,
             };
             self.orphans.insert(key, orphan);
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -10,6 +10,7 @@
 use dfs_ids::Priority;
 use dfs_ids::ServiceName;
 use dfs_ids::SessionNumber;
+use dfs_ids::TakeoverNumber;
 use dfs_wire::session::LoadHint;
 use dfs_wire::session::TargetState;
 use dfs_wire::session::TaskRef;
@@ -25,6 +26,8 @@
 #[derive(Debug)]
 pub(super) struct AgentView {
     pub incarnation: Incarnation,
+    /// Place among the incarnations of the agent; `None` if the agent can't tell.
+    pub takeover: Option<TakeoverNumber>,
     pub domain: FailureDomain,
     /// Connection of the current session, if there is one.
     pub connection: Option<ConnectionId>,
--- a/crates/policy/tests/matrix/world.rs
+++ b/crates/policy/tests/matrix/world.rs
@@ -325,6 +325,7 @@
                 .unwrap(),
             incarnation: self.connections[&connection].agent_incarnation,
             domain: "aba".parse().unwrap(),
+            takeover: None,
         };
         self.handle_at_connected_entry(
             connection,
--- a/crates/policy/tests/policy_admission.rs
+++ b/crates/policy/tests/policy_admission.rs
@@ -157,6 +157,7 @@
                 agent: format!("agent-{n}").parse::<AgentId>().unwrap(),
                 incarnation: Incarnation::new(n + 1),
                 domain: "lagos".parse().unwrap(),
+                takeover: None,
             };
             let connection = ConnectionId(n);
             self.handle(EntryEvent::Attach { connection, attach });
--- a/crates/policy/tests/policy_config.rs
+++ b/crates/policy/tests/policy_config.rs
@@ -59,6 +59,7 @@
                 agent: "agent".parse().unwrap(),
                 incarnation: Incarnation::new(2),
                 domain: "lagos".parse().unwrap(),
+                takeover: None,
             },
         });
         let held = HeldTasks {
--- a/crates/policy/tests/policy_failures.rs
+++ b/crates/policy/tests/policy_failures.rs
@@ -19,6 +19,7 @@
 use dfs_ids::Priority;
 use dfs_ids::SessionNumber;
 use dfs_ids::Slots;
+use dfs_ids::TakeoverNumber;
 use dfs_ids::TaskIndex;
 use dfs_policy::ConnectionId;
 use dfs_policy::entry::Constraints;
@@ -186,6 +187,7 @@
             agent: format!("agent-{agent}").parse().unwrap(),
             incarnation: Incarnation::new(self.incarnations[index]),
             domain: "lagos".parse().unwrap(),
+            takeover: Some(TakeoverNumber::new(self.incarnations[index])),
         };
         let connection = ConnectionId(agent);
         self.handle(EntryEvent::Attach { connection, attach });
--- a/crates/policy/tests/policy_messages.rs
+++ b/crates/policy/tests/policy_messages.rs
@@ -237,6 +237,7 @@
         agent: "agent".parse().unwrap(),
         incarnation: Incarnation::new(2),
         domain: "lagos".parse().unwrap(),
+        takeover: None,
     };
     let connection = CONNECTION;
     handle(now, EntryEvent::Attach { connection, attach });
--- a/crates/slopes/tests/renewals.rs
+++ b/crates/slopes/tests/renewals.rs
@@ -72,6 +72,7 @@
         agent: format!("agent-{n}").parse().unwrap(),
         incarnation: Incarnation::new(n),
         domain: "domain".parse().unwrap(),
+        takeover: None,
     };
     let connection = ConnectionId(n);
     let actions = entry.handle(Moment::default(), EntryEvent::Attach { connection, attach });
--- a/crates/wire/src/session/attach.rs
+++ b/crates/wire/src/session/attach.rs
@@ -9,6 +9,7 @@
 use dfs_ids::Incarnation;
 use dfs_ids::Millis;
 use dfs_ids::SessionNumber;
+use dfs_ids::TakeoverNumber;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::value::RawValue;
@@ -24,10 +25,14 @@
     pub secret: String,
     /// The agent that attaches.
     pub agent: AgentId,
-    /// Incarnation of the agent; a new one means that the agent has restarted.
+    /// Incarnation of the agent; another one may be a later or an earlier one.
     pub incarnation: Incarnation,
     /// Failure domain of the agent.
     pub domain: FailureDomain,
+    /// Number of the takeover by which the target has proved that the runs of all incarnations with a lower number
+    /// have ended. Absent if it has proved nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub takeover: Option<TakeoverNumber>,
 }
 
 /// A notification from entry to agent.
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -4,7 +4,9 @@
 
 use dfs_ids::Attempt;
 use dfs_ids::Millis;
+use dfs_ids::TakeoverNumber;
 use dfs_ids::TaskIndex;
+use dfs_wire::session::Attach;
 use dfs_wire::session::IfFull;
 use dfs_wire::session::Origin;
 use dfs_wire::session::PlacedTask;
@@ -95,3 +97,14 @@
         contains_substring("kind 0, 1 or 2")
     );
 }
+
+#[googletest::test]
+fn attaches_of_other_builds_are_read_with_and_without_a_takeover_number() {
+    let attach = r#"{"secret":"s","agent":"a","incarnation":7,"domain":"lagos"}"#;
+    let parsed: Attach = serde_json::from_str(attach).unwrap();
+    expect_that!(parsed.takeover, none());
+    expect_that!(serde_json::to_string(&parsed).unwrap(), eq(attach));
+    let later = attach.replace('}', r#","takeover":9,"of_a_later_build":1}"#);
+    let parsed: Attach = serde_json::from_str(&later).unwrap();
+    expect_that!(parsed.takeover, some(eq(TakeoverNumber::new(9))));
+}
