Never report a run as not started because its driver has ended

What callers would have seen: if the loop that tracks the runs of a target ended, for instance by a panic, while the agent went on, every run was reported as "not started: leaving", and its task was placed elsewhere at once while the run went on for up to its lease (TWICE). Found by reading in the audit of what ends a run; no record shows it.

Cause: the driver took the loss of the channel on which the end of a run arrives for an end. Nothing is known of the run then, so its future doesn't resolve any more: the task stays with the agent until the entry settles it by time or deadline.

a_run_is_not_reported_as_not_started_when_the_loop_that_tracks_it_has_ended failed before; dfs-agent `--test fenced` passes.

--- a/crates/agent/src/fenced/mod.rs
+++ b/crates/agent/src/fenced/mod.rs
@@ -459,8 +459,11 @@
             end_sender,
         });
         Box::pin(async move {
-            end.await
-                .unwrap_or((0, RunEnd::NotStarted(NotRunReason::Leaving)))
+            match end.await {
+                Ok(end) => end,
+                // Nothing tracks the run any more, so it is never known to have ended.
+                Err(_) => std::future::pending().await,
+            }
         })
     }
 
--- a/crates/agent/tests/fenced.rs
+++ b/crates/agent/tests/fenced.rs
@@ -84,7 +84,10 @@
     }
 
     fn parse_task_spec(&self, _: &RawValue) -> Option<TaskSpec> {
-        None
+        Some(TaskSpec {
+            name: "s/0".into(),
+            payload: "{}".into(),
+        })
     }
 }
 
@@ -97,6 +100,22 @@
     resubmit_ms: None,
 };
 
+fn run_request() -> RunRequest {
+    RunRequest {
+        task: TaskRef {
+            submission: "s".parse().unwrap(),
+            task: TaskIndex::new(0),
+            attempt: Attempt::new(0),
+        },
+        service: "desk".parse().unwrap(),
+        address: ([127, 0, 0, 1], 1).into(),
+        declared_ms: Millis::default(),
+        label: None,
+        time_left: Duration::from_secs(1),
+        body: Arc::from(RawValue::from_string("{}".to_owned()).unwrap()),
+    }
+}
+
 /// Number with which an agent attaches whose first token is 5.
 fn takeover_number(client: impl TargetClient + 'static) -> Option<TakeoverNumber> {
     let target = FencedTarget::new(OPTIONS, FencingToken(5), Arc::new(client));
@@ -139,23 +158,29 @@
 fn a_body_that_is_no_task_of_the_target_ends_as_not_started_instead_of_failed() {
     let target = FencedTarget::new(OPTIONS, FencingToken(1), Arc::new(PickyClient));
     let adapter = target.into_adapter(|_| Router::new(), None);
-    let request = RunRequest {
-        task: TaskRef {
-            submission: "s".parse().unwrap(),
-            task: TaskIndex::new(0),
-            attempt: Attempt::new(0),
-        },
-        service: "desk".parse().unwrap(),
-        address: ([127, 0, 0, 1], 1).into(),
-        declared_ms: Millis::default(),
-        label: None,
-        time_left: Duration::from_secs(1),
-        body: Arc::from(RawValue::from_string("{}".to_owned()).unwrap()),
-    };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .build()
         .unwrap();
-    let (_, end) = runtime.block_on(adapter.driver.start(request));
+    let (_, end) = runtime.block_on(adapter.driver.start(run_request()));
     let is_not_started = matches!(end, RunEnd::NotStarted(NotRunReason::NotOffered));
     expect_true!(is_not_started);
 }
+
+/// The run may go on, so the task must not be placed again.
+#[googletest::test]
+fn a_run_is_not_reported_as_not_started_when_the_loop_that_tracks_it_has_ended() {
+    let client = IdleTarget {
+        seen: FencingToken(0),
+    };
+    let target = FencedTarget::new(OPTIONS, FencingToken(1), Arc::new(client));
+    let adapter = target.into_adapter(|_| Router::new(), None);
+    drop(adapter.router);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .unwrap();
+    let end = adapter.driver.start(run_request());
+    let waited =
+        runtime.block_on(async { tokio::time::timeout(Duration::from_millis(50), end).await });
+    expect_true!(waited.is_err());
+}
