Keep the lease of an entry when it opens a new session

Found by reading; no record shows it.

Cause: the first message of a session renewed the lease on its entry from the time of its receipt. It may have been held up in a buffer while its entry died. Runs of an earlier session of the entry then went on for a whole lease from there, and the driver was told that the entry had just been heard of, which moved the limit of the run leases as well.

A session that replaces one of the same entry incarnation keeps the time of the latest acknowledged report. The lease of an entry that is not known yet still begins with its session; nothing of it starts before its list is acknowledged. Leases that are over are now dealt with before a session opens, as the entry does, so that the list of held tasks has no queued task that the next tick drops, and the session is not closed again to list them anew.

--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -97,7 +97,14 @@
         if previous.is_some_and(|view| session <= view.session) {
             return;
         }
+        // What the lease forbids must not be in the list of held tasks with which the session begins.
+        self.expire_entries(now, out);
+        let previous = self.entries.get(&open.incarnation);
         let mut view = EntryView::open(connection, session, open, now);
+        if let Some(previous) = previous {
+            // The message may have been held up, and its entry be gone: it renews no lease under which tasks run.
+            view.lease_renewed_at = previous.lease_renewed_at;
+        }
         view.may_lack_records = previous.map_or(open.resumed, |view| view.may_lack_records);
         if let Some(fenced) = previous
             .and_then(|view| view.connection)
--- a/crates/policy/src/agent/view.rs
+++ b/crates/policy/src/agent/view.rs
@@ -38,7 +38,8 @@
     pub busy_renew_ms: Millis,
     pub idle_renew_ms: Millis,
     /// When the latest acknowledged report was sent. The lease runs from this time, so that a message that
-    /// was buffered while the agent was paused does not renew it.
+    /// was buffered while the agent was paused does not renew it. Before the first acknowledgement of an entry, of
+    /// which nothing has started then, when its session opened.
     pub lease_renewed_at: Moment,
     pub last_sent_at: Moment,
     /// Whether records of started tasks of this entry may have been dropped since the entry last
