Reckon with a slow clock since it was last read in the end of leases

An agent asks for leases that end at a time on the target's clock, which it expects to have gone on like its own since it was last read. On a clock that is 2% slow the lease then begins late, by 2% of that time, and the agent held it to be over too early: by up to 8 ms when the clock was last read 400 ms ago. A task whose lease has run out may be placed elsewhere, so two of its runs could overlap by that time.

The bound of the lease, and the limit that the death of an entry sets to it, now include that error.

--- a/crates/policy/src/runs/lease.rs
+++ b/crates/policy/src/runs/lease.rs
@@ -22,7 +22,8 @@
 
     /// Extends the latest possible lease end for a request that is about to be sent.
     pub(super) fn extend_lease_bound(&mut self, now: Moment) {
-        let until = now + with_clock_drift(self.lease_ms(now)) + self.options.stop_ms;
+        let longest_ms = self.lease_ms(now) + self.clock_error_ms(now);
+        let until = now + with_clock_drift(longest_ms) + self.options.stop_ms;
         self.lease_expires_at = self.lease_expires_at.max(until);
     }
 
@@ -33,7 +34,19 @@
             return self.options.run_lease_ms;
         };
         let left_ms = until.since(now).saturating_sub(self.options.stop_ms);
-        without_clock_drift(left_ms).min(self.options.run_lease_ms)
+        without_clock_drift(left_ms)
+            .saturating_sub(self.clock_error_ms(now))
+            .min(self.options.run_lease_ms)
+    }
+
+    /// Time by which the target's clock may be behind what is expected of it since it was last read. A lease lasts
+    /// longer by it.
+    fn clock_error_ms(&self, now: Moment) -> Millis {
+        let (numerator, denominator) = MAX_CLOCK_DRIFT;
+        let read_at = self
+            .target_clock
+            .map_or(now, |(_, received_at)| received_at);
+        Millis::new((now.since(read_at).get() * numerator).div_ceil(denominator))
     }
 
     /// Time by which a run must have ended that is to stop, or whose entry is no longer heard of.
--- a/crates/policy/tests/runs/leases.rs
+++ b/crates/policy/tests/runs/leases.rs
@@ -135,3 +135,19 @@
     }
     expect_that!(harness.stops.len(), eq(1));
 }
+
+#[googletest::test]
+fn a_lease_on_a_clock_that_was_read_long_ago_is_over_by_the_slowest_clock() {
+    let mut harness = Harness::with_ready_target();
+    let read_at = harness.now;
+    harness.advance(300);
+    harness.start("s", "a");
+    harness.accept_start();
+    let requested_ms = harness.starts[0].lease_until.0 - read_at.as_micros() / 1_000;
+    let longest_ms = requested_ms * 102 / 100 + STOP_MS;
+    while harness.ended.is_empty() {
+        harness.advance(1);
+        harness.fail_poll();
+    }
+    expect_that!(harness.now, ge(read_at + Millis::new(longest_ms)));
+}
