End no runs when a target refuses its id; wait for its list

When a target answered 421 to an id under which it had answered before, the agent took all its runs for over at once, before any list of the one that is there now. The refusal says that another incarnation is there, not what runs. The next poll names no id, or that of the heartbeat to be confirmed, and is sent at once; its list now decides: what it has goes on, and what it lacks ends, as every start is fenced by the raised token. That costs one round trip to the target.

a_refused_id_ends_no_run_that_the_target_still_lists failed before. a_target_that_restarts_under_another_id_is_ announced_once_it_answers asked that the refusal alone end the run, which is the fault; it now asks that it does not, and that the list of the new incarnation does.

--- a/crates/policy/src/runs/active.rs
+++ b/crates/policy/src/runs/active.rs
@@ -118,28 +118,31 @@
         }
     }
 
-    /// After a restart of the target, ends the runs that were certainly active on the previous incarnation.
-    /// The requests for the other ones may be executed by the present one, which has not seen any token. Those
-    /// in flight are still answered or time out; for the rest, a poll with a raised token shows whether they run.
+    /// After a list of another incarnation of the target, ends the runs that were certainly active on the previous one.
     pub(super) fn end_or_recheck_runs(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
-        self.raise_token(self.token);
-        let resolved_by = self.token;
         // The previous incarnation has answered a poll that was sent after the start was answered.
         let poll_sent_at = self.last_answered_poll_sent_at;
-        let mut lost = Vec::new();
-        for (name, tracked) in &mut self.tracked {
-            if matches!(tracked.phase, Phase::Running { since } if since <= poll_sent_at) {
-                lost.push(name.clone());
-            } else {
-                if tracked.phase != Phase::Requested {
-                    tracked.phase = Phase::Unanswered { resolved_by };
-                }
-                tracked.may_have_run = true;
-            }
-        }
+        let is_lost = |(_, tracked): &(&Arc<str>, &TrackedRun)| matches!(tracked.phase, Phase::Running { since } if since <= poll_sent_at);
+        let lost = self.tracked.iter().filter(is_lost);
+        let lost: Vec<_> = lost.map(|(name, _)| name.clone()).collect();
         for name in lost {
             self.end_run(now, &name, interrupted_end(RESTARTED.to_owned()), None, out);
         }
+        self.recheck_runs();
+    }
+
+    /// Leaves open which runs are active. Their requests may have been executed by any incarnation of the target, and
+    /// the present one has not seen any token. Those in flight are still answered or time out; for the rest, a poll
+    /// with a raised token shows whether they run.
+    pub(super) fn recheck_runs(&mut self) {
+        self.raise_token(self.token);
+        let resolved_by = self.token;
+        for tracked in self.tracked.values_mut() {
+            if tracked.phase != Phase::Requested {
+                tracked.phase = Phase::Unanswered { resolved_by };
+            }
+            tracked.may_have_run = true;
+        }
     }
 
     /// Ends all tracked runs with an unknown outcome: none is active any more, but each may have done its
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -252,13 +252,33 @@
         self.names_by_task.len()
     }
 
-    /// Handles the restart of a target, which has lost the runs and the fencing token of the previous
-    /// incarnation.
+    /// Handles a list of runs by another incarnation, which has lost the runs and the fencing token of the previous
+    /// one.
     fn on_new_incarnation(
         &mut self,
         now: Moment,
         current: Option<TargetIncarnation>,
         out: &mut Vec<RunsAction>,
+    ) {
+        self.forget_incarnation(now, current, out);
+        self.end_or_recheck_runs(now, out);
+        // Without the time of the new incarnation no start can carry a lease end; it refuses such a start.
+        self.send_goodbye(out);
+    }
+
+    /// Handles the refusal of an id under which the target has answered before. Another incarnation is there, but only
+    /// its list shows which runs have ended.
+    fn on_replaced(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
+        self.forget_incarnation(now, None, out);
+        self.recheck_runs();
+        self.send_goodbye(out);
+    }
+
+    fn forget_incarnation(
+        &mut self,
+        now: Moment,
+        current: Option<TargetIncarnation>,
+        out: &mut Vec<RunsAction>,
     ) {
         out.push(RunsAction::TargetRestarted {
             previous: self.incarnation,
@@ -274,9 +294,6 @@
         let until = longest_lease_end(&self.options, now);
         self.lease_expires_at = self.lease_expires_at.max(until);
         self.report_crash(out);
-        self.end_or_recheck_runs(now, out);
-        // Without the time of the new incarnation no start can carry a lease end; it refuses such a start.
-        self.send_goodbye(out);
     }
 
     fn set_incarnation(&mut self, now: Moment, current: Option<TargetIncarnation>) {
--- a/crates/policy/src/runs/order.rs
+++ b/crates/policy/src/runs/order.rs
@@ -319,7 +319,7 @@
             unconfirmed.is_polled = false;
         }
         if refused == self.answered_as {
-            self.on_new_incarnation(now, None, out);
+            self.on_replaced(now, out);
             return;
         }
         self.send_goodbye(out);
--- a/crates/policy/tests/runs/foreign.rs
+++ b/crates/policy/tests/runs/foreign.rs
@@ -10,6 +10,7 @@
 
 use super::bench::Harness;
 use super::bench::heartbeat;
+use super::bench::is_done;
 use super::bench::is_interrupted;
 use super::bench::refused;
 
@@ -98,12 +99,13 @@
     harness.advance(10);
     harness.handle(RunsEvent::Heartbeat(heartbeat("t-2", 2, 1)));
     harness.answer_poll(PollOutcome::WrongIncarnation);
-    expect_that!(harness.ended.len(), eq(1));
+    expect_that!(harness.ended, is_empty());
     expect_that!(
         harness.last_poll().target,
         some(eq(&"t-2".parse().unwrap()))
     );
     harness.answer_poll_of_incarnation(2);
+    expect_that!(harness.ended.len(), eq(1));
     expect_that!(harness.announcement_count, eq(2));
     expect_that!(harness.rejected_heartbeats, eq(0));
 }
@@ -148,3 +150,17 @@
     harness.advance(u64::MAX / 2_000);
     expect_that!(harness.ended, not(is_empty()));
 }
+
+#[googletest::test]
+fn a_refused_id_ends_no_run_that_the_target_still_lists() {
+    let mut harness = with_listed_run();
+    harness.advance(10);
+    harness.answer_poll(PollOutcome::WrongIncarnation);
+    expect_that!(harness.ended, is_empty());
+    harness.advance(60);
+    harness.answer_poll_with(&[("a", 1)], &[]);
+    expect_that!(harness.ended, is_empty());
+    harness.advance(10);
+    harness.answer_poll_with(&[], &[(1, "a", 1, RunOutcome::Done)]);
+    expect_true!(is_done(&harness.ended[0].1));
+}
