Take a target over only with a token above that of every earlier agent

An agent whose clock was set back starts with too low a token and raises it by doubling steps until a poll is accepted. The token that is accepted may equal the last one of its predecessor, and a start of that one which is executed late still takes effect then: after the takeover, when entries have placed its task elsewhere. After a refusal the accepted token is raised once more, and only a list for the higher one completes the takeover.

a_takeover_needs_a_higher_token_than_the_one_that_was_first_accepted_after_a_refusal failed before.

--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -240,7 +240,11 @@
         self.disconnected_at = None;
         self.last_snapshot_at = now;
         self.last_answered_poll_sent_at = self.last_answered_poll_sent_at.max(poll.sent_at);
-        self.fenced_polls = 0;
+        if std::mem::take(&mut self.fenced_polls) > 0 && !self.taken_over {
+            // The token that was accepted may equal that of an earlier incarnation, whose late starts still take effect.
+            self.raise_token(poll.token);
+            self.takeover_token = self.token;
+        }
         let had_clock = self.target_clock.is_some();
         self.record_clock(now, Some(snapshot.clock));
         for ended in &snapshot.ended {
@@ -263,7 +267,9 @@
             std::mem::replace(&mut self.has_read_all_ends, snapshot.is_complete);
         self.use_recalled_heartbeat(now, out);
         let is_judged = self.judge_unconfirmed(poll, snapshot.incarnation, out);
-        if !self.taken_over && snapshot.is_complete && self.orphans(&running).next().is_none() {
+        let is_fenced = poll.token >= self.takeover_token;
+        let has_orphans = self.orphans(&running).next().is_some();
+        if !self.taken_over && is_fenced && snapshot.is_complete && !has_orphans {
             self.complete_takeover(TakeoverEvidence::List, out);
             self.announce_if_ready(now, out);
         } else if was_failing || !had_clock || !had_read_all_ends || is_judged {
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -139,6 +139,8 @@
     next_poll_at: Moment,
     /// Whether all runs of earlier incarnations of the agent have certainly ended.
     taken_over: bool,
+    /// Lowest token of a poll whose answer can complete the takeover.
+    takeover_token: FencingToken,
     /// Whether the last snapshot listed all ends.
     has_read_all_ends: bool,
     /// Stop requests sent to runs of earlier incarnations of the agent.
@@ -201,6 +203,7 @@
             polls_failing_since: None,
             next_poll_at: now,
             taken_over: false,
+            takeover_token: token,
             has_read_all_ends: false,
             orphans_stopped: 0,
             is_announced: false,
--- a/crates/policy/tests/runs/directed.rs
+++ b/crates/policy/tests/runs/directed.rs
@@ -501,3 +501,19 @@
     harness.answer_poll_of_incarnation(2);
     expect_that!(harness.announcement_count, eq(2));
 }
+
+#[googletest::test]
+fn a_takeover_needs_a_higher_token_than_the_one_that_was_first_accepted_after_a_refusal() {
+    let mut harness = Harness::new();
+    harness.answer_poll(PollOutcome::Fenced);
+    let accepted = harness.last_poll();
+    expect_that!(accepted.token, gt(FencingToken(FIRST_TOKEN)));
+    harness.answer_poll_with(&[], &[]);
+    expect_that!(harness.runs.is_taken_over(), eq(false));
+    expect_that!(harness.last_poll().token, gt(accepted.token));
+    // A late start of the earlier incarnation of the agent was executed in between.
+    harness.answer_poll_with(&[("x", 1)], &[]);
+    expect_that!(harness.runs.is_taken_over(), eq(false));
+    harness.answer_poll_with(&[], &[]);
+    expect_that!(harness.runs.is_taken_over(), eq(true));
+}
