--- a/crates/agent/src/fenced/mod.rs
+++ b/crates/agent/src/fenced/mod.rs
@@ -2,6 +2,7 @@
 
 mod memory;
 mod orders;
+mod record;
 
 use std::collections::HashMap;
 use std::pin::Pin;
@@ -12,7 +13,6 @@
 use dfs_ids::AgentId;
 use dfs_ids::Clock;
 use dfs_ids::Label;
-use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::TargetId;
 use dfs_log::ErrorText;
@@ -20,12 +20,9 @@
 use dfs_policy::agent::RunEnd;
 use dfs_policy::runs::FencingToken;
 use dfs_policy::runs::Heartbeat;
-use dfs_policy::runs::ListedEnd;
 use dfs_policy::runs::PollOutcome;
 use dfs_policy::runs::PollRequest;
-use dfs_policy::runs::Refusal;
 use dfs_policy::runs::RequestOutcome;
-use dfs_policy::runs::RunNumber;
 use dfs_policy::runs::Runs;
 use dfs_policy::runs::RunsAction;
 use dfs_policy::runs::RunsEvent;
@@ -50,6 +47,9 @@
 use crate::request::RunRequest;
 use memory::TargetMemory;
 use orders::Orders;
+use record::log_concluded_end;
+use record::log_failed_run;
+use record::record;
 
 /// Time between two checks of leases and timeouts. Requests to the target do not wait for it.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -295,107 +295,11 @@
                     evidence: ErrorText::from(evidence.to_string().as_str()),
                 });
             }
-            RunsAction::StrayRun { name, run } => dfs_log::emit(TargetEvent::StrayRun {
-                name: name.to_string(),
-                run: run.0,
-            }),
-            RunsAction::TargetUnreachable {
-                running_tasks,
-                message,
-            } => dfs_log::emit(TargetEvent::Unreachable {
-                running_tasks,
-                error: ErrorText::from(message.as_str()),
-            }),
-            RunsAction::TargetRestarted {
-                previous,
-                current,
-                tracked_runs,
-            } => dfs_log::emit(TargetEvent::Restarted {
-                previous: previous.map(|incarnation| incarnation.0),
-                current: current.map(|incarnation| incarnation.0),
-                running_tasks: tracked_runs,
-            }),
-            RunsAction::HeartbeatRejected {
-                target,
-                incarnation,
-                current,
-            } => dfs_log::emit(TargetEvent::HeartbeatRejected {
-                target,
-                incarnation: incarnation.map(|incarnation| incarnation.0),
-                current: current.map(|incarnation| incarnation.0),
-            }),
-            RunsAction::StartRefused {
-                task,
-                name,
-                run,
-                refusal,
-            } => log_refused_start(task, &name, run, refusal),
-            RunsAction::StartUnanswered {
-                name,
-                token,
-                message,
-            } => dfs_log::emit(TargetEvent::OrderUnanswered {
-                task: name.to_string(),
-                token: token.0,
-                error: ErrorText::from(message.as_str()),
-            }),
+            action => record(action),
         }
     }
 }
 
-fn log_failed_run(
-    task: &TaskRef,
-    name: &str,
-    run: Option<RunNumber>,
-    listed: Option<ListedEnd>,
-    error: &str,
-) {
-    let incarnation = listed.and_then(|listed| listed.incarnation);
-    dfs_log::emit(TargetEvent::RunFailed {
-        submission: task.submission.clone(),
-        task: task.task,
-        attempt: task.attempt,
-        name: name.to_owned(),
-        run: run.map(|run| run.0),
-        sequence: listed.map(|listed| listed.sequence),
-        target_incarnation: incarnation.map(|incarnation| incarnation.0),
-        error: ErrorText::from(error),
-    });
-}
-
-fn log_concluded_end(
-    task: &TaskRef,
-    name: &str,
-    run: Option<RunNumber>,
-    lease_left_ms: Millis,
-    evidence: &str,
-) {
-    dfs_log::emit(TargetEvent::RunEndConcluded {
-        submission: task.submission.clone(),
-        task: task.task,
-        attempt: task.attempt,
-        name: name.to_owned(),
-        run: run.map(|run| run.0),
-        lease_left_ms,
-        evidence: ErrorText::from(evidence),
-    });
-}
-
-fn log_refused_start(task: TaskRef, name: &str, run: RunNumber, refusal: Refusal) {
-    if refusal == Refusal::NoCapacity {
-        // The hand-back of the task is logged instead.
-        return;
-    }
-    dfs_log::emit(TargetEvent::StartRefused {
-        submission: task.submission,
-        task: task.task,
-        attempt: task.attempt,
-        name: name.to_owned(),
-        run: run.0,
-        refusal: ErrorText::from(refusal.to_string().as_str()),
-    });
-}
-
 struct FencedDriver {
     client: Arc<dyn TargetClient>,
     commands: mpsc::UnboundedSender<Command>,
