End the runs of a target that refuses connections only with their lease

Cause: an agent took a refused connection for the exit of its target. After a broken connection and one refused poll, or two refused polls, it ended all runs as "the target has exited", and completed a takeover. A target whose listener fails for a moment goes on with its runs, and their tasks were started elsewhere within milliseconds. The class is an end that is inferred from what was not heard, where only the target's list or the end of a lease proves it.

Now a refused connection withdraws the target at once and keeps its leases from being renewed, as each failed poll does, and starts in flight are fenced. Runs go on being tracked: the next list decides, or the lease is over by the slowest clock. A takeover is completed by a list or by the end of the longest lease.

A crash is reported once nothing has listened for the time of a whole lease, or with the list of another incarnation. So a moment's failure accuses no task, and targets that crash together are reported together whether they had runs or not. A planned exit is no crash however long the target is away; before, the third refused poll made it one.

--- a/crates/log/src/event/target.rs
+++ b/crates/log/src/event/target.rs
@@ -216,7 +216,7 @@
             /// Number of tasks that were running or may have been running on the previous one.
             running_tasks: usize,
         }
-        /// The target exited or started anew, unplanned, while tasks ran on it.
+        /// The target started anew, unplanned, while tasks ran on it, or has not listened for the time of a lease.
         422 Warn "target_crashed" Crashed {
             /// Number of tasks that ran on it.
             running_tasks: usize,
--- a/crates/policy/src/runs/event.rs
+++ b/crates/policy/src/runs/event.rs
@@ -280,9 +280,6 @@
     /// The longest lease that they can have is over.
     #[display("their lease is over")]
     LeaseOver,
-    /// No process listens at the target's address.
-    #[display("no process listens")]
-    NotListening,
 }
 
 /// Input of [`Runs::handle`](super::Runs::handle).
@@ -371,8 +368,8 @@
         /// Outcome for the entry.
         end: RunEnd,
     },
-    /// The target has exited or started anew, unplanned, under these attempts. Emitted before the ends of their
-    /// runs, or after them if the leases of the runs had expired first.
+    /// The target has started anew, unplanned, under these attempts, or has not listened for the time of a lease.
+    /// Emitted before the ends of their runs, or after them if the leases of the runs had expired first.
     TargetCrashed(Vec<CrashedAttempt>),
     /// Progress of the active runs in percent.
     Progress(Vec<(TaskRef, u8)>),
--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -144,20 +144,19 @@
             }
             PollOutcome::NotListening => {
                 self.next_poll_at = now + POLL_RETRY_DELAY_MS;
-                self.on_not_listening(now, poll, out);
+                self.on_not_listening(now, out);
             }
             // The failure is outdated: a snapshot has arrived since this poll was sent.
             PollOutcome::Disconnected { .. } | PollOutcome::Failed { .. }
                 if poll.sent_at < self.last_snapshot_at => {}
             PollOutcome::Disconnected { message } => {
-                // The next poll shows whether the target's process is gone; later ones are not as urgent.
-                let is_first = self.disconnected_at.is_none();
+                // The first poll after it renews the lease at once if only the connection broke.
+                let is_first = !std::mem::replace(&mut self.is_disconnected, true);
                 self.next_poll_at = if is_first {
                     now
                 } else {
                     now + POLL_RETRY_DELAY_MS
                 };
-                self.disconnected_at.get_or_insert(now);
                 self.on_poll_failed(now, message, out);
             }
             PollOutcome::Failed { message } => {
@@ -187,12 +186,14 @@
         });
     }
 
-    /// Withdraws a target at whose address no process listens. The target has exited, and its runs with it, if the
-    /// connection of an earlier poll broke, or once a poll that was sent later confirms it. A target that is about to
-    /// exit may close its connections before it ends its runs.
-    fn on_not_listening(&mut self, now: Moment, poll: &PollRequest, out: &mut Vec<RunsAction>) {
-        let not_listening_since = *self.not_listening_since.get_or_insert(now);
+    /// Withdraws a target at whose address no process listens. Its runs may go on: only its listener may have failed.
+    fn on_not_listening(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
         self.polls_failing_since.get_or_insert(now);
+        if self.not_listening_since.is_none() {
+            self.not_listening_since = Some(now);
+            // Fences starts in flight, which the target's next process could execute under the same id.
+            self.raise_token(self.token);
+        }
         if self.is_announced {
             self.send_goodbye(out);
             out.push(RunsAction::TargetUnreachable {
@@ -200,19 +201,6 @@
                 message: "no process listens at its address".to_owned(),
             });
         }
-        let follows_disconnect = self.disconnected_at.is_some_and(|at| poll.sent_at >= at);
-        let is_confirmed =
-            poll.sent_at > not_listening_since || (follows_disconnect && !self.is_exit_planned);
-        if !is_confirmed {
-            return;
-        }
-        if !self.taken_over {
-            self.complete_takeover(TakeoverEvidence::NotListening, out);
-        }
-        // Fences starts in flight, which the target's next process could execute under the same id.
-        self.raise_token(self.token);
-        self.report_crash(out);
-        self.interrupt_all(now, "the target has exited", out);
     }
 
     fn on_snapshot(
@@ -236,8 +224,8 @@
         }
         self.maybe_restarted_at.take_if(|at| *at <= poll.sent_at);
         self.expired_tasks.clear();
-        self.is_crash_reported = false;
-        self.disconnected_at = None;
+        self.is_exit_accounted = false;
+        self.is_disconnected = false;
         self.last_snapshot_at = now;
         self.last_answered_poll_sent_at = self.last_answered_poll_sent_at.max(poll.sent_at);
         if std::mem::take(&mut self.fenced_polls) > 0 && !self.taken_over {
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -92,8 +92,8 @@
     answered_as: Option<dfs_ids::TargetId>,
     /// Whether the target has said that it is about to exit, so that its exit is no crash.
     is_exit_planned: bool,
-    /// Whether a crash was reported and the target has not answered since.
-    is_crash_reported: bool,
+    /// Whether a crash was reported, or a planned exit seen, and the target has not answered since.
+    is_exit_accounted: bool,
     /// Runs whose lease has expired since the target last answered. If it turns out to have restarted, it may have
     /// crashed under them.
     expired_tasks: Vec<CrashedAttempt>,
@@ -128,8 +128,8 @@
     last_poll_token: FencingToken,
     /// When a poll first met no process that listens at the target's address, if no later one was answered.
     not_listening_since: Option<Moment>,
-    /// When the connection of a poll broke, if none was answered since.
-    disconnected_at: Option<Moment>,
+    /// Whether the connection of a poll broke and none was answered since.
+    is_disconnected: bool,
     /// When a poll last returned a snapshot.
     last_snapshot_at: Moment,
     /// When the last of the polls that returned a snapshot was sent.
@@ -180,7 +180,7 @@
             unconfirmed: None,
             answered_as: None,
             is_exit_planned: false,
-            is_crash_reported: false,
+            is_exit_accounted: false,
             expired_tasks: Vec::new(),
             stored_heartbeat: None,
             recalled_heartbeat: None,
@@ -197,7 +197,7 @@
             last_poll_sent_at: now,
             last_poll_token: FencingToken::default(),
             not_listening_since: None,
-            disconnected_at: None,
+            is_disconnected: false,
             last_snapshot_at: now,
             last_answered_poll_sent_at: now,
             polls_failing_since: None,
@@ -312,18 +312,31 @@
 
     /// Ends all runs once their lease has certainly expired.
     fn end_expired_runs(&mut self, now: Moment, out: &mut Vec<RunsAction>) {
-        if now < self.lease_expires_at {
+        let crash_at = self.presumed_crash_at();
+        if now < crash_at.map_or(self.lease_expires_at, |at| at.max(self.lease_expires_at)) {
             return;
         }
         if !self.taken_over {
             // The leases of earlier runs have expired even though the target was never reached.
             self.complete_takeover(TakeoverEvidence::LeaseOver, out);
         }
-        let active = self.active_attempts(None);
-        self.expired_tasks.extend(active);
+        if crash_at.is_some() {
+            self.report_crash(out);
+        } else {
+            let active = self.active_attempts(None);
+            self.expired_tasks.extend(active);
+        }
         self.interrupt_all(now, "its lease has lapsed", out);
     }
 
+    /// When a target at whose address no process listens counts as crashed: after the time of a whole lease, so that
+    /// a listener that fails for a moment accuses no task, and targets that crash together are reported together.
+    fn presumed_crash_at(&self) -> Option<Moment> {
+        let lease_ms = lease::with_clock_drift(self.options.run_lease_ms) + self.options.stop_ms;
+        let since = self.not_listening_since?;
+        Some(since + lease_ms)
+    }
+
     /// Attempts that may have runs on the target which were requested up to a time.
     fn active_attempts(&self, until: Option<Moment>) -> Vec<CrashedAttempt> {
         let attempt = |(task, name): (&TaskRef, &Arc<str>)| {
@@ -341,14 +354,15 @@
     fn report_crash(&mut self, out: &mut Vec<RunsAction>) {
         let mut tasks = std::mem::take(&mut self.expired_tasks);
         if std::mem::take(&mut self.is_exit_planned) {
+            self.is_exit_accounted = true;
             return;
         }
         // A start that was sent after the target had gone is refused.
         tasks.extend(self.active_attempts(self.not_listening_since));
         // Also a crash of an idle target shows that others crashed with it for another cause than their tasks.
-        let is_new = self.incarnation.is_some() && !self.is_crash_reported;
+        let is_new = self.incarnation.is_some() && !self.is_exit_accounted;
         if is_new || !tasks.is_empty() {
-            self.is_crash_reported = true;
+            self.is_exit_accounted = true;
             out.push(RunsAction::TargetCrashed(tasks));
         }
     }
--- a/crates/policy/tests/runs/main.rs
+++ b/crates/policy/tests/runs/main.rs
@@ -6,6 +6,7 @@
 mod incomplete;
 mod labels;
 mod leases;
+mod listener;
 mod random;
 mod restarts;
 mod target;
