--- a/crates/daemon/tests/faults/support/daemon.rs
+++ b/crates/daemon/tests/faults/support/daemon.rs
@@ -71,16 +71,41 @@
         settings: &Value,
         directory: &Path,
         fail_points: &str,
+    ) -> Self {
+        Self::spawn_with(run_name, settings, directory, |command, settings_path| {
+            command
+                .args([role.name(), "--settings"])
+                .arg(settings_path)
+                .env("FAILPOINTS", fail_points)
+        })
+    }
+
+    /// Starts the daemon as on the users' platform.
+    pub fn spawn_on_platform(
+        role: Role,
+        run_name: &str,
+        settings: &Value,
+        directory: &Path,
+    ) -> Self {
+        Self::spawn_with(run_name, settings, directory, |command, settings_path| {
+            command
+                .args(["platform", role.name()])
+                .env("DRAGONFLYSHED_CONFIG", settings_path)
+        })
+    }
+
+    fn spawn_with(
+        run_name: &str,
+        settings: &Value,
+        directory: &Path,
+        configure: impl for<'a> FnOnce(&'a mut Command, &Path) -> &'a mut Command,
     ) -> Self {
         let settings_path = directory.join(format!("{run_name}.json"));
         std::fs::write(&settings_path, settings.to_string()).unwrap();
         let log_path = directory.join(format!("{run_name}.log"));
         let log_file = File::create(&log_path).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_dragonflyshedd"))
-            .arg(role.name())
-            .arg("--settings")
-            .arg(&settings_path)
-            .env("FAILPOINTS", fail_points)
+        let mut command = Command::new(env!("CARGO_BIN_EXE_dragonflyshedd"));
+        let child = configure(&mut command, &settings_path)
             .stdin(Stdio::null())
             .stdout(log_file.try_clone().unwrap())
             .stderr(log_file)
@@ -130,6 +155,10 @@
         let _ = self.child.wait();
     }
 
+    pub fn has_exited(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     pub async fn wait_for_exit(&mut self) -> ExitStatus {
         let mut status = None;
         wait_until("the process ends", async || {
--- a/crates/daemon/tests/faults/support/mod.rs
+++ b/crates/daemon/tests/faults/support/mod.rs
@@ -2,14 +2,16 @@
 //! closed-loop load on it, and the check of the answers that the load got.
 
 mod cluster;
+#[allow(dead_code, reason = "shared with the tests on the platform")]
 mod daemon;
 mod http;
 mod judge;
 mod load;
+#[allow(dead_code, reason = "shared with the tests on the platform")]
 mod relay;
+mod wait;
 
 use std::time::Duration;
-use std::time::Instant;
 
 use googletest::prelude::*;
 
@@ -32,22 +34,8 @@
 pub use load::SubmissionKind;
 pub use relay::LinkState;
 pub use relay::Relay;
-
-/// Limit of every wait, generous enough that no test result depends on the speed of the machine.
-pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-
-/// Polls the condition until it holds; panics after [`WAIT_TIMEOUT`].
-pub async fn wait_until(description: &str, mut condition: impl AsyncFnMut() -> bool) {
-    let started = Instant::now();
-    while !condition().await {
-        assert!(
-            started.elapsed() < WAIT_TIMEOUT,
-            "timed out waiting until {description}"
-        );
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
-}
+pub use wait::WAIT_TIMEOUT;
+pub use wait::wait_until;
 
 pub async fn pause_ms(ms: u64) {
     tokio::time::sleep(Duration::from_millis(ms)).await;
--- a/crates/daemon/tests/faults/support/relay.rs
+++ b/crates/daemon/tests/faults/support/relay.rs
@@ -27,21 +27,38 @@
     /// Blocks the direction from the server to the client.
     ToClientBlocked,
     Blocked,
-    /// Closes all connections, and new ones as soon as they are accepted.
+    /// Resets all connections, and new ones as soon as they are accepted.
     Reset,
+    /// Resets all connections and refuses new ones.
+    Refused,
+    /// Refuses new connections; open ones live on.
+    NewRefused,
 }
 
 impl LinkState {
     const fn allows(self, direction: Direction) -> bool {
         match (self, direction) {
-            (Self::Open, _)
+            (Self::Open | Self::NewRefused, _)
             | (Self::ToServerBlocked, Direction::ToClient)
             | (Self::ToClientBlocked, Direction::ToServer) => true,
-            (Self::ToServerBlocked | Self::ToClientBlocked | Self::Blocked | Self::Reset, _) => {
-                false
-            }
+            (
+                Self::ToServerBlocked
+                | Self::ToClientBlocked
+                | Self::Blocked
+                | Self::Reset
+                | Self::Refused,
+                _,
+            ) => false,
         }
     }
+
+    const fn resets(self) -> bool {
+        matches!(self, Self::Reset | Self::Refused)
+    }
+
+    const fn accepts(self) -> bool {
+        !matches!(self, Self::Refused | Self::NewRefused)
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -62,7 +79,11 @@
 
 impl Relay {
     pub async fn start(upstream: Option<SocketAddr>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self::start_at("127.0.0.1:0".parse().unwrap(), upstream).await
+    }
+
+    pub async fn start_at(address: SocketAddr, upstream: Option<SocketAddr>) -> Self {
+        let listener = TcpListener::bind(address).await.unwrap();
         let address = listener.local_addr().unwrap();
         let upstream = watch::Sender::new(upstream);
         let state = watch::Sender::new(LinkState::Open);
@@ -109,18 +130,33 @@
 async fn accept_connections(
     listener: TcpListener,
     upstream: watch::Receiver<Option<SocketAddr>>,
-    state: watch::Receiver<LinkState>,
+    mut state: watch::Receiver<LinkState>,
     accepted_count: Arc<AtomicUsize>,
 ) {
+    let address = listener.local_addr().unwrap();
+    let mut listener = Some(listener);
     let mut connections = JoinSet::new();
     loop {
+        if !state.borrow_and_update().accepts() {
+            listener = None;
+        } else if listener.is_none() {
+            listener = Some(TcpListener::bind(address).await.unwrap());
+        }
+        let accept = async {
+            match &listener {
+                Some(listener) => listener.accept().await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
-            client = listener.accept() => {
+            client = accept => {
                 let Ok((client, _)) = client else { continue };
                 accepted_count.fetch_add(1, Ordering::Relaxed);
                 connections.spawn(forward(client, *upstream.borrow(), state.clone()));
             }
             Some(_) = connections.join_next() => {}
+            Ok(()) = state.changed() => {}
+            else => return,
         }
     }
 }
@@ -131,12 +167,14 @@
     upstream: Option<SocketAddr>,
     mut state: watch::Receiver<LinkState>,
 ) {
-    if *state.borrow() == LinkState::Reset
-        || wait_until_allowed(&mut state, Direction::ToServer)
-            .await
-            .is_none()
-    {
-        return;
+    let mut reset = state.clone();
+    tokio::select! {
+        opened = wait_until_allowed(&mut state, Direction::ToServer) => {
+            if opened.is_none() {
+                return;
+            }
+        }
+        _ = reset.wait_for(|state| state.resets()) => return reset_connection(&client),
     }
     let Some(upstream) = upstream else { return };
     let Ok(server) = TcpStream::connect(upstream).await else {
@@ -144,24 +182,45 @@
     };
     // A failure only adds latency.
     let _ = (client.set_nodelay(true), server.set_nodelay(true));
-    let (from_client, to_client) = client.into_split();
-    let (from_server, to_server) = server.into_split();
+    let (mut from_client, mut to_client) = client.into_split();
+    let (mut from_server, mut to_server) = server.into_split();
     let both_directions = async {
+        let to_server = &mut to_server;
+        let to_client = &mut to_client;
         tokio::try_join!(
-            forward_direction(from_client, to_server, state.clone(), Direction::ToServer),
-            forward_direction(from_server, to_client, state.clone(), Direction::ToClient),
+            forward_direction(
+                &mut from_client,
+                to_server,
+                state.clone(),
+                Direction::ToServer
+            ),
+            forward_direction(
+                &mut from_server,
+                to_client,
+                state.clone(),
+                Direction::ToClient
+            ),
         )
     };
-    let mut reset = state.clone();
-    tokio::select! {
-        _ = both_directions => {}
-        _ = reset.wait_for(|state| *state == LinkState::Reset) => {}
+    let is_reset = tokio::select! {
+        _ = both_directions => false,
+        _ = reset.wait_for(|state| state.resets()) => true,
+    };
+    if is_reset {
+        reset_connection(to_client.as_ref());
+        to_client.forget();
     }
 }
 
+/// Makes the close of the connection send a reset.
+fn reset_connection(connection: &TcpStream) {
+    // Fails only if the peer has closed the connection.
+    let _ = connection.set_zero_linger();
+}
+
 async fn forward_direction(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
     mut state: watch::Receiver<LinkState>,
     direction: Direction,
 ) -> Result<(), ()> {
