--- a/crates/agent/src/fenced/record.rs
+++ b/crates/agent/src/fenced/record.rs
@@ -3,15 +3,26 @@
 use dfs_ids::Millis;
 use dfs_log::ErrorText;
 use dfs_log::TargetEvent;
+use dfs_policy::agent::RunEnd;
 use dfs_policy::runs::ListedEnd;
 use dfs_policy::runs::Refusal;
 use dfs_policy::runs::RunNumber;
 use dfs_policy::runs::RunsAction;
+use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
 
 /// Logs an action that only says what was observed; the others are performed.
 pub(super) fn record(action: RunsAction) {
     match action {
+        RunsAction::TakenOver {
+            token,
+            stopped_runs,
+            evidence,
+        } => dfs_log::emit(TargetEvent::TakenOver {
+            token: token.0,
+            stopped_runs,
+            evidence: ErrorText::from(evidence.to_string().as_str()),
+        }),
         RunsAction::StrayRun { name, run } => dfs_log::emit(TargetEvent::StrayRun {
             name: name.to_string(),
             run: run.0,
@@ -60,7 +71,26 @@
     }
 }
 
-pub(super) fn log_failed_run(
+pub(super) fn log_end(
+    task: &TaskRef,
+    name: &str,
+    run: Option<RunNumber>,
+    listed: Option<ListedEnd>,
+    lease_left_ms: Millis,
+    end: &RunEnd,
+) {
+    match end {
+        RunEnd::Finished(TaskOutcome::Failed(error)) => {
+            log_failed_run(task, name, run, listed, error);
+        }
+        RunEnd::Finished(TaskOutcome::Unknown(evidence)) if listed.is_none() => {
+            log_concluded_end(task, name, run, lease_left_ms, evidence);
+        }
+        RunEnd::Finished(_) | RunEnd::NotStarted(_) => {}
+    }
+}
+
+fn log_failed_run(
     task: &TaskRef,
     name: &str,
     run: Option<RunNumber>,
@@ -80,7 +110,7 @@
     });
 }
 
-pub(super) fn log_concluded_end(
+fn log_concluded_end(
     task: &TaskRef,
     name: &str,
     run: Option<RunNumber>,
