--- a/crates/agent/src/fenced/mod.rs
+++ b/crates/agent/src/fenced/mod.rs
@@ -14,9 +14,8 @@
 use dfs_ids::Clock;
 use dfs_ids::Label;
 use dfs_ids::Moment;
+use dfs_ids::TakeoverNumber;
 use dfs_ids::TargetId;
-use dfs_log::ErrorText;
-use dfs_log::TargetEvent;
 use dfs_policy::agent::RunEnd;
 use dfs_policy::runs::FencingToken;
 use dfs_policy::runs::Heartbeat;
@@ -29,11 +28,11 @@
 use dfs_policy::runs::RunsOptions;
 use dfs_policy::runs::StartRequest;
 use dfs_policy::runs::StopRequest;
+use dfs_policy::runs::TakeoverEvidence;
 use dfs_policy::runs::TaskSpec;
 use dfs_store::Presence;
 use dfs_store::TargetRows;
 use dfs_wire::session::NotRunReason;
-use dfs_wire::session::TaskOutcome;
 use dfs_wire::session::TaskRef;
 use serde_json::value::RawValue;
 use tokio::sync::mpsc;
@@ -47,8 +46,7 @@
 use crate::request::RunRequest;
 use memory::TargetMemory;
 use orders::Orders;
-use record::log_concluded_end;
-use record::log_failed_run;
+use record::log_end;
 use record::record;
 
 /// Time between two checks of leases and timeouts. Requests to the target do not wait for it.
@@ -106,6 +104,20 @@
     }
 }
 
+/// A complete takeover, with its number if the target itself has shown that nothing else runs there.
+#[derive(Debug, Clone, Copy)]
+struct Takeover(Option<TakeoverNumber>);
+
+impl Takeover {
+    /// The token of the poll whose list completed the takeover orders the takeovers: the target had seen no higher one
+    /// and refuses lower ones from then on. The present token may be higher already, and a lease that is over without
+    /// an answer says nothing of tokens.
+    fn new(evidence: TakeoverEvidence, answered_poll: Option<FencingToken>) -> Self {
+        let proof = answered_poll.filter(|_| evidence == TakeoverEvidence::List);
+        Self(proof.map(|token| TakeoverNumber::new(token.0)))
+    }
+}
+
 /// Event loop that drives [`Runs`] and performs its actions through a [`TargetClient`].
 pub struct FencedTarget {
     runs: Runs,
@@ -116,7 +128,7 @@
     commands: mpsc::UnboundedReceiver<Command>,
     command_sender: mpsc::UnboundedSender<Command>,
     end_senders: HashMap<TaskRef, oneshot::Sender<(u64, RunEnd)>>,
-    taken_over: watch::Sender<bool>,
+    taken_over: watch::Sender<Option<Takeover>>,
 }
 
 impl FencedTarget {
@@ -135,7 +147,7 @@
             commands,
             command_sender,
             end_senders: HashMap::new(),
-            taken_over: watch::Sender::new(false),
+            taken_over: watch::Sender::new(None),
         }
     }
 
@@ -170,8 +182,10 @@
                 router(heartbeat_sender)
             }),
             takeover_complete: Box::pin(async move {
+                let taken_over = taken_over.wait_for(Option::is_some).await;
                 // The sender is dropped only with the process.
-                let _ = taken_over.wait_for(|taken_over| *taken_over).await;
+                let Takeover(number) = (*taken_over.ok()?)?;
+                number
             }),
             presence,
         }
@@ -202,7 +216,12 @@
                 },
                 _ = tick.tick() => RunsEvent::Tick,
             };
+            let answered_poll = answered_poll(&event);
             for action in self.runs.handle(self.clock.now(), event) {
+                if let RunsAction::TakenOver { evidence, .. } = &action {
+                    let takeover = Takeover::new(*evidence, answered_poll);
+                    self.taken_over.send_replace(Some(takeover));
+                }
                 self.perform(action, &target_events);
             }
         }
@@ -264,15 +283,7 @@
                 run_us,
                 end,
             } => {
-                match &end {
-                    RunEnd::Finished(TaskOutcome::Failed(error)) => {
-                        log_failed_run(&task, &name, run, listed, error);
-                    }
-                    RunEnd::Finished(TaskOutcome::Unknown(evidence)) if listed.is_none() => {
-                        log_concluded_end(&task, &name, run, lease_left_ms, evidence);
-                    }
-                    RunEnd::Finished(_) | RunEnd::NotStarted(_) => {}
-                }
+                log_end(&task, &name, run, listed, lease_left_ms, &end);
                 if let Some(end_sender) = self.end_senders.remove(&task) {
                     // The agent may not wait for the run any more.
                     let _ = end_sender.send((run_us, end));
@@ -283,23 +294,22 @@
             RunsAction::Announce(announcement) => target_events.announced(announcement),
             RunsAction::Goodbye => target_events.goodbye(),
             RunsAction::StoreHeartbeat(heartbeat) => self.store_heartbeat(heartbeat),
-            RunsAction::TakenOver {
-                token,
-                stopped_runs,
-                evidence,
-            } => {
-                self.taken_over.send_replace(true);
-                dfs_log::emit(TargetEvent::TakenOver {
-                    token: token.0,
-                    stopped_runs,
-                    evidence: ErrorText::from(evidence.to_string().as_str()),
-                });
-            }
             action => record(action),
         }
     }
 }
 
+/// Token of the poll that the target has answered with its runs.
+const fn answered_poll(event: &RunsEvent) -> Option<FencingToken> {
+    match event {
+        RunsEvent::PollCompleted {
+            poll,
+            outcome: PollOutcome::Runs(_),
+        } => Some(poll.token),
+        _ => None,
+    }
+}
+
 struct FencedDriver {
     client: Arc<dyn TargetClient>,
     commands: mpsc::UnboundedSender<Command>,
