Soak the real programs on the platform's fakes

`crates/daemon/tests/platform/soak.rs` plays twelve faults a seed, in series and overlapping, on three entries and five agents as processes: SIGKILL, SIGSTOP, SIGTERM with replacement, SIGHUP; listeners that fail in four ways, crashes with return under the same or another id and kind, drains, lost responses, late orders; a silent or failing store; new configurations. Eight callers submit again 1,300 ms after a broken connection, a 502 or a 504.

The other one also asks that each entry serves each label again within 30 s and that nothing runs.

RULES.md holds TWICE for jobs that need not be kept only for runs at the same time, so such a start counts now only where no fault between worker and entry lay between the two starts or up to 2 s before.

--- a/crates/daemon/tests/platform/callers.rs
+++ b/crates/daemon/tests/platform/callers.rs
@@ -33,16 +33,26 @@
 #[derive(Debug, Clone)]
 pub struct Submission {
     pub job: String,
+    pub tasks: u32,
+    pub label: Option<&'static str>,
     /// Replies to all attempts.
     pub replies: Vec<Reply>,
 }
 
+/// Jobs that callers submit.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    pub callers: usize,
+    /// Labels that tasks may need.
+    pub labels: &'static [&'static str],
+}
+
 pub struct Callers(Vec<JoinHandle<Vec<Submission>>>);
 
 impl Callers {
     /// Submits jobs until `until`.
     pub fn start(
-        callers: usize,
+        load: Load,
         random: &mut SmallRng,
         entries: &[SocketAddr],
         until: Instant,
@@ -53,13 +63,13 @@
             tokio::spawn(async move {
                 let mut submissions = Vec::new();
                 while Instant::now() < until {
-                    submissions.push(submit(&mut random, &entries).await);
+                    submissions.push(submit(load, &mut random, &entries).await);
                     tokio::time::sleep(PAUSE).await;
                 }
                 submissions
             })
         };
-        Self((0..callers).map(spawn).collect())
+        Self((0..load.callers).map(spawn).collect())
     }
 
     /// Waits for the last answers.
@@ -72,13 +82,22 @@
     }
 }
 
-async fn submit(random: &mut SmallRng, entries: &[SocketAddr]) -> Submission {
+async fn submit(load: Load, random: &mut SmallRng, entries: &[SocketAddr]) -> Submission {
     let tasks = random.random_range(2..=7);
     let run_ms = random.random_range(RUN_MS);
-    let mut body = client::job(tasks, &run_ms.to_string());
+    let label = load
+        .labels
+        .get(random.random_range(0..=load.labels.len()))
+        .copied();
+    let mut body = match label {
+        Some(label) => client::job_with_label(tasks, &run_ms.to_string(), label),
+        None => client::job(tasks, &run_ms.to_string()),
+    };
     body["steps"][0]["estimateMs"] = json!(run_ms);
     let mut submission = Submission {
         job: client::new_id(),
+        tasks,
+        label,
         replies: Vec::new(),
     };
     let started = Instant::now();
--- a/crates/daemon/tests/platform/listener.rs
+++ b/crates/daemon/tests/platform/listener.rs
@@ -12,8 +12,11 @@
 use tokio::task::JoinSet;
 
 use crate::callers::Callers;
+use crate::callers::Load;
 use crate::callers::Reply;
 use crate::callers::Submission;
+use crate::judge::MIN_OVERLAP;
+use crate::judge::describe_pair;
 use crate::ledger::LoggedRun;
 use crate::pool::Pool;
 use crate::relay::LinkState;
@@ -21,10 +24,11 @@
 const ENTRIES: usize = 3;
 const WORKERS: usize = 5;
 const SEED: u64 = 1;
-const CALLERS: usize = 8;
+const LOAD: Load = Load {
+    callers: 8,
+    labels: &[],
+};
 const RUN: Duration = Duration::from_secs(8);
-/// Runs at the same time for less than this are due to the timers of the fake workers.
-const MIN_OVERLAP: Duration = Duration::from_millis(20);
 const CRASHES: usize = 3;
 const OUTAGE_MS: Range<u64> = 20..700;
 const GAP_MS: Range<u64> = 200..800;
@@ -39,7 +43,7 @@
     let mut random = SmallRng::seed_from_u64(SEED);
     let pool = Pool::start(ENTRIES, WORKERS).await;
     let until = Instant::now() + RUN;
-    let callers = Callers::start(CALLERS, &mut random, &pool.entry_addresses(), until);
+    let callers = Callers::start(LOAD, &mut random, &pool.entry_addresses(), until);
     let mut failing = JoinSet::new();
     for listener in &pool.listeners {
         let listener = Arc::clone(listener);
@@ -60,7 +64,7 @@
 async fn verify(mut pool: Pool, submissions: Vec<Submission>) {
     pool.wait_idle().await;
     let pairs = pool.ledger.doubled(MIN_OVERLAP);
-    let pairs: Vec<_> = pairs.iter().map(describe).collect();
+    let pairs: Vec<_> = pairs.iter().map(describe_pair).collect();
     let not_done: Vec<_> = submissions.iter().filter(|job| !is_done(job)).collect();
     println!(
         "{} jobs, {} not done; {} pairs of runs at once; {} ends concluded (427), {} stray runs (428)",
@@ -77,12 +81,6 @@
     }
 }
 
-fn describe((first, second): &(LoggedRun, LoggedRun)) -> String {
-    let overlap = first.overlap(second);
-    let (task, workers) = (&first.task, (first.worker, second.worker));
-    format!("{task} on workers {workers:?} for {overlap:?}")
-}
-
 fn is_done(submission: &Submission) -> bool {
     matches!(submission.replies.last(), Some(Reply::Status(200, body)) if body.contains("succeeded"))
 }
@@ -117,7 +115,7 @@
     let mut random = SmallRng::seed_from_u64(SEED);
     let mut pool = Pool::start(ENTRIES, WORKERS).await;
     let until = Instant::now() + RUN;
-    let callers = Callers::start(CALLERS, &mut random, &pool.entry_addresses(), until);
+    let callers = Callers::start(LOAD, &mut random, &pool.entry_addresses(), until);
     while Instant::now() < until {
         pause(&mut random, GAP_MS).await;
         let index = random.random_range(0..WORKERS);
@@ -156,12 +154,12 @@
     let (mut crashes, mut submissions) = (Vec::new(), Vec::new());
     for index in 0..CRASHES {
         let until = Instant::now() + Duration::from_secs(1);
-        let callers = Callers::start(CALLERS, &mut random, &pool.entry_addresses(), until);
+        let callers = Callers::start(LOAD, &mut random, &pool.entry_addresses(), until);
         pause(&mut random, GAP_MS).await;
         pool.crash_worker(index);
         crashes.push((index, Instant::now()));
         pause(&mut random, 200..2_000).await;
-        pool.boot_worker(index, &id_after(index));
+        pool.boot_worker(index, &id_after(index), &pool.workers[index].label());
         submissions.extend(callers.finish().await);
     }
     let runs = pool.ledger.runs();
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -1,8 +1,10 @@
 //! The daemon's programs for the users' platform, as processes, against fakes of its store, workers and callers.
 
 mod callers;
+mod judge;
 mod listener;
 mod pool;
+mod soak;
 
 #[path = "../../../../platform/tests/cluster/client.rs"]
 #[allow(dead_code, reason = "shared with the tests of the adapter")]
--- a/crates/daemon/tests/platform/pool.rs
+++ b/crates/daemon/tests/platform/pool.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::Value;
 use serde_json::json;
@@ -27,6 +29,7 @@
 use crate::wait_until;
 use crate::worker::FakeWorker;
 
+const SERVED_POLL_INTERVAL: Duration = Duration::from_millis(50);
 const SUBNETS_PER_PROCESS: u32 = 64;
 const WORKER_HOST: u8 = 1;
 const AGENT_HOST: u8 = 100;
@@ -42,6 +45,7 @@
 static POOLS: AtomicU32 = AtomicU32::new(0);
 
 pub struct Pool {
+    pub store: FakeStore,
     pub ledger: Ledger,
     pub workers: Vec<FakeWorker>,
     /// Listeners of the workers.
@@ -67,6 +71,7 @@
         let [_, _, high, low] = number.to_be_bytes();
         let directory = tempfile::tempdir_in(env!("CARGO_TARGET_TMPDIR")).unwrap();
         let mut pool = Self {
+            store,
             ledger: Ledger::default(),
             workers: Vec::new(),
             listeners: Vec::new(),
@@ -128,6 +133,11 @@
         Daemon::spawn_on_platform(role, &run_name, settings, self.directory.path())
     }
 
+    /// Starts an entry again after it was killed.
+    pub fn restart_entry(&mut self, index: usize) {
+        self.entries[index] = self.spawn_entry(index);
+    }
+
     /// Starts an agent again after it was killed.
     pub fn restart_agent(&mut self, index: usize) {
         self.agents[index] = self.spawn_agent(index);
@@ -139,10 +149,9 @@
         self.workers[index].crash();
     }
 
-    /// Starts a worker again after a crash, under an id.
-    pub fn boot_worker(&self, index: usize, id: &str) {
-        let worker = &self.workers[index];
-        worker.restart_as(id, &worker.label());
+    /// Starts a worker again after a crash, under an id and as one of a kind.
+    pub fn boot_worker(&self, index: usize, id: &str, label: &str) {
+        self.workers[index].restart_as(id, label);
         self.listeners[index].set_state(LinkState::Open);
     }
 
@@ -166,6 +175,19 @@
             .collect()
     }
 
+    /// Whether an entry serves a job of a label until `until`.
+    pub async fn is_label_served(&self, index: usize, label: &str, until: Instant) -> bool {
+        let address = self.entry_address(index);
+        while Instant::now() < until {
+            let (id, job) = (client::new_id(), client::job_with_label(1, "1", label));
+            if client::post(address, &id, &job).await.status == 200 {
+                return true;
+            }
+            tokio::time::sleep(SERVED_POLL_INTERVAL).await;
+        }
+        false
+    }
+
     /// Waits until an entry serves a job.
     pub async fn wait_served(&self, index: usize) {
         let address = self.entry_address(index);
