Accuse tasks of a crash only with the list that shows another incarnation

A target that refuses the id under which it had answered counted as crashed at once, so its tasks were accused before any list showed which incarnation is there. If the same one listed them, they stayed accused, and its planned exit later counted as a crash. Accused tasks run one at a time, and are given up after further crashes. The report now waits for the list, one round trip later, and still comes before the ends of the runs.

a_refused_id_accuses_no_task_before_another_incarnation_has_listed_its_runs failed before. The test of a target that does not listen now also checks that the crash is reported before its runs end.

--- a/crates/policy/src/runs/look.rs
+++ b/crates/policy/src/runs/look.rs
@@ -214,10 +214,17 @@
             return;
         }
         if snapshot.incarnation.is_some() && snapshot.incarnation != self.incarnation {
+            // After a refused id the list is the first to show which incarnation is there.
+            let is_replaced = self.incarnation.is_none()
+                && self.previous_incarnation.is_some()
+                && self.previous_incarnation != snapshot.incarnation;
             if self.incarnation.is_some() {
                 self.on_new_incarnation(now, snapshot.incarnation, out);
             }
             self.set_incarnation(now, snapshot.incarnation);
+            if is_replaced {
+                self.report_crash(out);
+            }
         }
         if poll.target.is_some() {
             self.answered_as.clone_from(&poll.target);
--- a/crates/policy/src/runs/mod.rs
+++ b/crates/policy/src/runs/mod.rs
@@ -264,6 +264,7 @@
         out: &mut Vec<RunsAction>,
     ) {
         self.forget_incarnation(now, current, out);
+        self.report_crash(out);
         self.end_or_recheck_runs(now, out);
         // Without the time of the new incarnation no start can carry a lease end; it refuses such a start.
         self.send_goodbye(out);
@@ -296,7 +297,6 @@
         // shortens the lease to the longest that it grants.
         let until = longest_lease_end(&self.options, now);
         self.lease_expires_at = self.lease_expires_at.max(until);
-        self.report_crash(out);
     }
 
     fn set_incarnation(&mut self, now: Moment, current: Option<TargetIncarnation>) {
--- a/crates/policy/tests/runs/bench.rs
+++ b/crates/policy/tests/runs/bench.rs
@@ -96,6 +96,8 @@
     pub goodbye_count: usize,
     /// Tasks of each reported crash.
     pub crashes: Vec<Vec<CrashedAttempt>>,
+    /// Number of ends before each reported crash.
+    pub ends_before_crash: Vec<usize>,
     pub stored: Vec<Heartbeat>,
     pub rejected_heartbeats: usize,
 }
@@ -113,6 +115,7 @@
             announcement_count: 0,
             goodbye_count: 0,
             crashes: Vec::new(),
+            ends_before_crash: Vec::new(),
             stored: Vec::new(),
             rejected_heartbeats: 0,
         };
@@ -136,7 +139,10 @@
                 RunsAction::SendPoll(poll) => self.polls.push(poll),
                 RunsAction::TaskEnded { task, end, .. } => self.ended.push((task, end)),
                 RunsAction::Announce(_) => self.announcement_count += 1,
-                RunsAction::TargetCrashed(tasks) => self.crashes.push(tasks),
+                RunsAction::TargetCrashed(tasks) => {
+                    self.crashes.push(tasks);
+                    self.ends_before_crash.push(self.ended.len());
+                }
                 RunsAction::Goodbye => self.goodbye_count += 1,
                 RunsAction::StoreHeartbeat(heartbeat) => self.stored.push(heartbeat),
                 RunsAction::HeartbeatRejected { .. } => self.rejected_heartbeats += 1,
--- a/crates/policy/tests/runs/foreign.rs
+++ b/crates/policy/tests/runs/foreign.rs
@@ -164,3 +164,17 @@
     harness.answer_poll_with(&[], &[(1, "a", 1, RunOutcome::Done)]);
     expect_true!(is_done(&harness.ended[0].1));
 }
+
+#[googletest::test]
+fn a_refused_id_accuses_no_task_before_another_incarnation_has_listed_its_runs() {
+    for (incarnation, crashes) in [(1, 0), (2, 1)] {
+        let mut harness = with_listed_run();
+        harness.advance(10);
+        harness.answer_poll(PollOutcome::WrongIncarnation);
+        expect_that!(harness.crashes, is_empty());
+        harness.advance(60);
+        harness.answer_poll_of_incarnation(incarnation);
+        expect_that!(harness.crashes.len(), eq(crashes));
+        expect_that!(harness.ends_before_crash, each(eq(&0)));
+    }
+}
--- a/crates/policy/tests/runs/listener.rs
+++ b/crates/policy/tests/runs/listener.rs
@@ -94,6 +94,7 @@
     refuse_polls(&mut harness, until);
     expect_that!(harness.crashes.len(), eq(1));
     expect_that!(harness.crashes[0].len(), eq(1));
+    expect_that!(harness.ends_before_crash, elements_are![eq(&0)]);
     harness.ended.clear();
     refuse_polls(&mut harness, until);
     harness.answer_poll_of_incarnation(2);
