--- a/crates/daemon/tests/platform/soak.rs
+++ b/crates/daemon/tests/platform/soak.rs
@@ -42,6 +42,7 @@
     labels: LABELS,
 };
 const STEPS_PER_PLAN: usize = 12;
+const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(500);
 const MAX_GAP_MS: u64 = 700;
 /// Longer than every lease and shorter than the deadline of the jobs.
 const MAX_FAULT_MS: u64 = 2_500;
@@ -243,7 +244,9 @@
             Fault::Crash { worker, keeps_id } => self.boot(worker, keeps_id),
             Fault::Drain(worker) => {
                 let id = self.pool.workers[worker].id();
-                client::deregister(self.pool.agent_address(worker), &id).await;
+                let deregister = client::deregister(self.pool.agent_address(worker), &id);
+                // A worker whose agent does not answer, as a paused one, ends nevertheless.
+                let _ = tokio::time::timeout(DEREGISTER_TIMEOUT, deregister).await;
                 self.pool.crash_worker(worker);
                 self.boot(worker, false);
             }
