Log how late an entry sends its reads of the configuration

Cause: 505 and 506 do not tell a store that answers late from an entry that handles the answer late.

Change: 505 and 506 have late_ms, by how much the process missed the time at which its latest read was due. The jitter of the built-in poll is reckoned in whole milliseconds for it.

--- a/crates/entry/src/version/follow.rs
+++ b/crates/entry/src/version/follow.rs
@@ -82,7 +82,9 @@
         let now = self.clock.now();
         self.schedule.abandon_old(now);
         self.reads.retain(|id, _| self.schedule.is_open(*id));
+        let due_at = self.schedule.due_at();
         if let Some(read) = self.schedule.start_due(now) {
+            self.health.record_sent(now, due_at);
             self.send(read, now);
         }
         let until_due = self.schedule.due_at().since(now).max(Millis::new(1));
--- a/crates/entry/src/version/poll.rs
+++ b/crates/entry/src/version/poll.rs
@@ -1,7 +1,5 @@
 //! Polls the table service for the newest version of the configuration.
 
-use std::time::Duration;
-
 use dfs_conf::StoreSettings;
 use dfs_ids::Clock;
 use dfs_ids::Millis;
@@ -21,13 +19,17 @@
     active_config: ActiveConfig,
 ) {
     let mut health = StoreHealth::default();
+    let mut due_at = clock.now();
     loop {
         let sent_at = clock.now();
+        health.record_sent(sent_at, due_at);
         match refresh(&store, &active_config).await {
             Ok(()) => health.record_success(&active_config, clock.now().since(sent_at)),
             Err(error) => health.record_failure(&active_config, &error),
         }
-        tokio::time::sleep(jittered(settings.poll_ms)).await;
+        let until_due_ms = jittered(settings.poll_ms);
+        due_at = clock.now() + until_due_ms;
+        tokio::time::sleep(until_due_ms.into()).await;
     }
 }
 
@@ -44,8 +46,9 @@
     Ok(())
 }
 
-fn jittered(interval_ms: Millis) -> Duration {
-    let jitter = f64::from(StoreSettings::POLL_JITTER_PERCENT) / 100.0;
-    let factor = rand::rng().random_range(1.0 - jitter..1.0 + jitter);
-    Duration::from(interval_ms).mul_f64(factor)
+fn jittered(interval_ms: Millis) -> Millis {
+    let interval_ms = interval_ms.get();
+    let jitter_ms = interval_ms * u64::from(StoreSettings::POLL_JITTER_PERCENT) / 100;
+    let range_ms = interval_ms - jitter_ms..=interval_ms + jitter_ms;
+    Millis::new(rand::rng().random_range(range_ms))
 }
--- a/crates/log/src/event/config.rs
+++ b/crates/log/src/event/config.rs
@@ -70,6 +70,8 @@
             silent_ms: Millis,
             /// Active version, if there is one.
             version: Option<ConfigVersion>,
+            /// How much later than due this process sent the latest read.
+            late_ms: Millis,
             /// Error of the failed request.
             error: ErrorText,
         }
@@ -81,6 +83,8 @@
             failed_reads: u64,
             /// Time that the read with the response took.
             read_ms: Millis,
+            /// How much later than due this process sent the latest read.
+            late_ms: Millis,
         }
         /// An entry that had no configuration received one from an agent.
         507 Info "config_from_agent" FromAgent {
