--- /dev/null
+++ b/crates/daemon/tests/platform/config.rs
@@ -0,0 +1,105 @@
+//! Changes of the desired state at entries that are short of processor time.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use googletest::prelude::*;
+use tokio::task::JoinHandle;
+
+use crate::client;
+use crate::daemon::Daemon;
+use crate::daemon::Signal;
+use crate::pool::Pool;
+use crate::settings::PREFIX;
+use crate::settings::config;
+use crate::wait_until;
+
+/// Time within which the users require a change to be active.
+const BOUND: Duration = Duration::from_secs(2);
+/// Higher than the version with which the pool starts.
+const FIRST_VERSION: u64 = 100;
+const CHANGES: u64 = 3;
+/// Requests that the entry has at any time.
+const OPEN_REQUESTS: usize = 2_500;
+const TASKS: u32 = 32;
+const RUN_MS: &str = "100";
+const DEADLINE_MS: u64 = 1_500;
+/// An allotment of processor time, and the period for which it is.
+const ALLOTMENT: Duration = Duration::from_millis(12);
+const ALLOTMENT_PERIOD: Duration = Duration::from_millis(100);
+/// Time until the requests wait for each other.
+const WARM_UP: Duration = Duration::from_secs(2);
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Sends requests to an entry until they are stopped, each as soon as the one before is answered.
+struct Crowd {
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl Crowd {
+    fn start(pool: &Pool, entry: usize) -> Self {
+        let address = pool.entry_address(entry);
+        let caller = |_| {
+            tokio::spawn(async move {
+                let client = client::http_client();
+                let job = client::job(TASKS, RUN_MS);
+                loop {
+                    let id = client::new_id();
+                    client::post_with_client(&client, address, &id, &job, DEADLINE_MS).await;
+                }
+            })
+        };
+        Self {
+            callers: (0..OPEN_REQUESTS).map(caller).collect(),
+        }
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.callers.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// Lets a process run for [`ALLOTMENT`] of each [`ALLOTMENT_PERIOD`].
+async fn limit_processor_time(process: &Daemon) -> ! {
+    loop {
+        process.signal(Signal::Stop);
+        tokio::time::sleep(ALLOTMENT_PERIOD.saturating_sub(ALLOTMENT)).await;
+        process.signal(Signal::Continue);
+        tokio::time::sleep(ALLOTMENT).await;
+    }
+}
+
+/// Writes a version, and returns how long the entry needs to adopt it.
+async fn adoption_delay(pool: &Pool, entry: usize, version: u64) -> Duration {
+    let line = format!("version_adopted version={version} ");
+    pool.store.put_config(&config(version, PREFIX));
+    let confirmed_at = Instant::now();
+    wait_until(&line, async || {
+        tokio::time::sleep(POLL_INTERVAL).await;
+        pool.entries[entry].log_text().contains(&line)
+    })
+    .await;
+    confirmed_at.elapsed()
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_is_active_in_time_at_an_entry_whose_requests_wait_for_processor_time() {
+    let pool = Pool::start(2, 1).await;
+    let _crowd = Crowd::start(&pool, 0);
+    let measure = async {
+        tokio::time::sleep(WARM_UP).await;
+        let mut delays = Vec::new();
+        for version in FIRST_VERSION..FIRST_VERSION + CHANGES {
+            delays.push(adoption_delay(&pool, 0, version).await);
+        }
+        delays
+    };
+    let delays = tokio::select! {
+        delays = measure => delays,
+        never = limit_processor_time(&pool.entries[0]) => never,
+    };
+    expect_that!(delays, each(lt(&BOUND)));
+}
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! The daemon's programs for the users' platform, as processes, against fakes of its store, workers and callers.
 
 mod callers;
+mod config;
 mod evacuation;
 mod judge;
 mod listener;
