Read the configuration on a thread of its own

Callers saw: 404 for a route that had been added, by entries of little processor time, seconds after the change was confirmed (suspected, see the evidence).

Cause: all tasks of an entry on the platform run on one thread. Each step of a read of the configuration, from connecting to decoding, waits until every request that is ready had its turn. Reads that overlap don't help, as they wait in the same queue.

Evidence: an entry that runs for 12 ms of each 100 ms beside 2,500 open requests adopted versions after 1.48 to 3.95 s, and logged late_ms up to 1,783 while the store answered at once.

Change: the feed and the poll of the built-in store run on a thread with a runtime of its own, on connections that no other client uses. The operating system shares the processor between the two threads whatever waits on either.

--- a/crates/entry/src/process/error.rs
+++ b/crates/entry/src/process/error.rs
@@ -22,6 +22,14 @@
         /// Error of the RPC library.
         source: jsonrpsee::core::RegisterMethodError,
     },
+    /// The thread that reads the configuration could not be started.
+    #[snafu(display(
+        "cannot start the thread that reads the configuration: raise the limits of threads and descriptors"
+    ))]
+    ConfigThread {
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
     /// Logs or metrics could not be set up.
     #[snafu(transparent)]
     Log {
--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -48,6 +48,7 @@
 use super::Phase;
 use super::StartError;
 use super::core::Outgoing;
+use super::error::ConfigThreadSnafu;
 use super::error::ListenSnafu;
 use super::presence;
 use crate::connection::SessionServer;
@@ -58,6 +59,7 @@
 use crate::version::ActiveConfig;
 use crate::version::follow_feed;
 use crate::version::poll_head;
+use crate::version::spawn_on_own_thread;
 
 /// A running entry.
 #[derive(Debug)]
@@ -184,7 +186,7 @@
             clock,
             active_config,
             &mut background_tasks,
-        );
+        )?;
         let caller_server = tokio::spawn(serve_callers(
             listener,
             router,
@@ -253,18 +255,26 @@
 struct StoreClients {
     presence: Presence,
     config_store: ConfigStore,
+    /// The same rows on connections that no other client uses.
+    polled_config_store: ConfigStore,
     claimer: Claimer,
 }
 
 impl StoreClients {
     fn new(settings: &EntrySettings) -> Self {
         let store = &settings.store;
-        let table: Arc<dyn TableService> =
-            Arc::new(HttpTable::new(store.table_address, store.timeout_ms));
-        let objects = Arc::new(HttpObjects::new(store.object_address, store.timeout_ms));
+        let connect_table = || -> Arc<dyn TableService> {
+            Arc::new(HttpTable::new(store.table_address, store.timeout_ms))
+        };
         let budget = Arc::new(WriteBudget::per_second(store.max_writes_per_s));
+        let connect_config = |table| {
+            let objects = Arc::new(HttpObjects::new(store.object_address, store.timeout_ms));
+            ConfigStore::new(table, objects, Arc::clone(&budget))
+        };
+        let table = connect_table();
         Self {
-            config_store: ConfigStore::new(Arc::clone(&table), objects, Arc::clone(&budget)),
+            config_store: connect_config(Arc::clone(&table)),
+            polled_config_store: connect_config(connect_table()),
             claimer: Claimer::spawn(
                 Arc::clone(&table),
                 Arc::clone(&budget),
@@ -299,7 +309,7 @@
         }
     }
 
-    /// Builds the routes for callers, and spawns the task that follows the configuration.
+    /// Builds the routes for callers, and starts to follow the configuration.
     fn build_router(
         self,
         settings: &EntrySettings,
@@ -307,30 +317,32 @@
         clock: Clock,
         active_config: ActiveConfig,
         background_tasks: &mut Vec<JoinHandle<()>>,
-    ) -> Router {
-        match self {
+    ) -> Result<Router, StartError> {
+        let (follower, router) = match self {
             Self::Standalone(clients) => {
-                let store = clients.config_store.clone();
-                background_tasks.push(tokio::spawn(poll_head(
+                let poll = poll_head(
                     settings.store.clone(),
-                    store,
+                    clients.polled_config_store,
                     clock,
                     active_config,
-                )));
-                request::router(Arc::new(request::ApiState {
+                );
+                let router = request::router(Arc::new(request::ApiState {
                     shared: state,
                     config_store: clients.config_store,
                     claimer: clients.claimer,
                     bootstrap_token: TokenDigest::of(&settings.session_secret),
-                }))
+                }));
+                (spawn_on_own_thread(poll), router)
             }
             Self::Adapted(adapter) => {
                 let timing = ReadTiming::within(adapter.config_bound_ms);
                 let follow = follow_feed(adapter.feed, timing, clock, active_config);
-                background_tasks.push(tokio::spawn(follow));
-                (adapter.router)(Ingress { state })
+                let router = (adapter.router)(Ingress { state });
+                (spawn_on_own_thread(follow), router)
             }
-        }
+        };
+        background_tasks.push(follower.context(ConfigThreadSnafu)?);
+        Ok(router)
     }
 }
 
