Keep versions in order that two threads adopt at the same time

Cause: since the configuration is read on a thread of its own, a version of a session and one of the store can be adopted at once. The lower one could reach the gauge config_version last, and stay there until the next version; the decisions ignore it. Found by reading. Besides, the number of agents to ask stayed doubled when no agent held a newer version any more.

Change: the gauge and the event for the decisions are set under the lock of the version, and the number is reset.

--- a/crates/entry/src/version/holder.rs
+++ b/crates/entry/src/version/holder.rs
@@ -95,13 +95,16 @@
 
     /// Activates a version if it is higher than the active one, and notifies the core.
     pub fn adopt(&self, update: ConfigUpdate, source: ConfigSource) {
-        let Some(config) = self.lock().adopt(update) else {
+        let mut state = self.lock();
+        let Some(config) = state.adopt(update) else {
             return;
         };
         let version = config.version;
+        // Under the lock, since the threads of sessions and of the source may adopt versions at the same time.
         self.core.send_event(EntryEvent::Configured(config));
-        self.is_settled.send_replace(true);
         self.metrics.set(Gauge::ConfigVersion, version.get());
+        drop(state);
+        self.is_settled.send_replace(true);
         let domain = self.domain.clone();
         dfs_log::emit(ConfigEvent::Adopted {
             version,
--- a/crates/policy/src/entry/config.rs
+++ b/crates/policy/src/entry/config.rs
@@ -106,6 +106,7 @@
             .collect();
         if holders.is_empty() {
             self.config_stale_since = None;
+            self.unanswered_config_requests = 0;
             return;
         }
         let config_stale_since = *self.config_stale_since.get_or_insert(now);
