--- a/crates/daemon/tests/platform/config.rs
+++ b/crates/daemon/tests/platform/config.rs
@@ -35,7 +35,7 @@
 const ALLOTMENT_PERIOD: Duration = Duration::from_millis(100);
 /// Time until the requests wait for each other.
 const WARM_UP: Duration = Duration::from_secs(2);
-/// The same where there has to be time for a fault before entries ask agents, which is after a quarter of it.
+/// A bound that leaves time for a fault before entries ask agents, which they do after a quarter of it.
 const LONG_BOUND: Duration = Duration::from_secs(4);
 /// Renewal interval of idle sessions where an entry has 59 agents.
 const IDLE_RENEW_MS: u64 = 13_800;
