Wait until an entry reads the store again before the next cut of a test

Cause: an_entry_that_the_store_ignores_has_a_change_in_time_beside_an_ agent_that_hangs panicked in one of three runs. Which entry an agent has its configuration from is random; where less than two have it from the second entry, the test cuts that one off instead. The first one read the store again only up to 1 s after its own cut, so no agent held the version at 0.5 s.

Change: the test waits for the first answered read in between.

--- a/crates/daemon/tests/platform/config.rs
+++ b/crates/daemon/tests/platform/config.rs
@@ -148,15 +148,29 @@
             hang_last_holder(&pool, version)
         );
         callers.finish().await;
-        pool.entry_links[ignored].set_cut(false);
         if is_hanging {
             expect_that!(delay, lt(LONG_BOUND));
             return;
         }
+        restore_link(&pool, ignored).await;
     }
     panic!("no entry is the source of less than three agents");
 }
 
+/// Connects an entry to the store again, and waits until it has read the store.
+async fn restore_link(pool: &Pool, entry: usize) {
+    let answered_reads = || {
+        let log = pool.entries[entry].log_text();
+        log.matches(" store_reachable ").count()
+    };
+    let answered_before = answered_reads();
+    pool.entry_links[entry].set_cut(false);
+    wait_until("the entry reads the store", async || {
+        answered_reads() > answered_before
+    })
+    .await;
+}
+
 /// Stops the last of the agents that hold a version before one of them is asked for it, unless less than two hold it.
 async fn hang_last_holder(pool: &Pool, version: u64) -> bool {
     tokio::time::sleep(REPORTED_AFTER).await;
