review: an evacuation doesn't reach the agents past a cut entry (EVAC)

The only entry is cut off from the store for 11 s, and the operator evacuates a zone meanwhile. The agent there, which is in touch, goes on starting tasks.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,9 +1,11 @@
 //! Plays a case of the review: `case NAME ROOT FOLDER`. The exit code is that of the case's script.
 
 mod cancel;
+mod evacuate;
 mod http;
 mod json;
 mod pool;
+mod proxy;
 mod record;
 mod store;
 mod worker;
@@ -27,6 +29,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match name.as_str() {
         "cancel" => cancel::play(root, folder, &record, has_trouble),
+        "evacuate" => evacuate::play(root, folder, &record, has_trouble),
         _ => Err(format!("there is no case {name}")),
     };
     match verdict {
--- a/review/standin-2/pool.rs
+++ b/review/standin-2/pool.rs
@@ -15,6 +15,7 @@
 use crate::http;
 use crate::http::Outcome;
 use crate::http::Request;
+use crate::proxy::Proxy;
 use crate::record::Record;
 use crate::store::Store;
 use crate::worker::Worker;
@@ -23,7 +24,8 @@
 pub const SERVICE: &str = "huvo11a";
 pub const HOST: &str = "nony24.example";
 pub const PREFIX: &str = "/lohu930/";
-const ZONE: &str = "lagos";
+/// Zones of the workers in turn; the entries are in the first.
+pub const ZONES: [&str; 2] = ["be-west-a", "be-west-b"];
 
 const SIGTERM: i32 = 15;
 const SIGCONT: i32 = 18;
@@ -119,6 +121,8 @@
     folder: PathBuf,
     pub record: Record,
     pub store: Store,
+    /// The path of the entries to the store.
+    pub entries_to_store: Proxy,
     pub entries: Vec<Node>,
     pub agents: Vec<Node>,
     pub workers: Vec<Worker>,
@@ -155,37 +159,41 @@
         capacity_cpu: i128,
         desired: &Desired,
     ) -> Result<Self, String> {
-        let base = free_network(entries + workers + 1)?;
+        let base = free_network(entries + workers + 2)?;
         let ip = |index: usize| format!("{base}.{}", index + 1);
         let store = Store::start(address(&ip(0), 8169));
+        let entries_to_store = Proxy::start(address(&ip(entries + workers + 1), 8169), store.address);
         store.put("op", "config", &desired.encode());
         let mut pool = Self {
             root: root.to_owned(),
             folder: folder.to_owned(),
             record: record.clone(),
             store,
+            entries_to_store,
             entries: Vec::new(),
             agents: Vec::new(),
             workers: Vec::new(),
         };
         for index in 0..entries {
-            let name = format!("front-{ZONE}-{}", index + 1);
-            let node = pool.start_node(&name, &ip(1 + index), "entry");
+            let zone = ZONES[0];
+            let name = format!("front-{zone}-{}", index + 1);
+            let node = pool.start_node(&name, &ip(1 + index), zone, "entry");
             pool.entries.push(node);
         }
         for index in 0..workers {
-            let name = format!("side-{ZONE}-{}", index + 1);
+            let zone = ZONES[index % ZONES.len()];
+            let name = format!("side-{zone}-{}", index + 1);
             let ip = ip(1 + entries + index);
             let worker = Worker::start(
                 record,
                 &format!("i-{}", index + 1),
                 address(&ip, 8165),
-                ZONE,
+                zone,
                 SERVICE,
                 capacity_cpu,
                 &["a", "r1-1"],
             );
-            let node = pool.start_node(&name, &ip, "agent");
+            let node = pool.start_node(&name, &ip, zone, "agent");
             pool.workers.push(worker);
             pool.agents.push(node);
         }
@@ -196,11 +204,11 @@
         Ok(pool)
     }
 
-    fn start_node(&self, name: &str, ip: &str, role: &'static str) -> Node {
+    fn start_node(&self, name: &str, ip: &str, zone: &str, role: &'static str) -> Node {
         let template = self.root.join(format!("deploy/{role}.json"));
         let template = std::fs::read_to_string(template).expect("the template can be read");
         let settings = self.folder.join(format!("{name}.json"));
-        let text = render(&template, &self.values(name, ip));
+        let text = render(&template, &self.values(name, ip, zone, role));
         std::fs::write(&settings, text).expect("the settings can be written");
         let log = self.folder.join(format!("{name}.log"));
         let child = Node::spawn(&self.root, role, &settings, &log);
@@ -215,13 +223,23 @@
         }
     }
 
-    /// Fields of the platform's settings, as on the sheet of the member desk.
-    fn values(&self, node: &str, ip: &str) -> BTreeMap<&'static str, String> {
+    /// Fields of the platform's settings, with figures that the sheets have in common.
+    fn values(
+        &self,
+        node: &str,
+        ip: &str,
+        zone: &str,
+        role: &str,
+    ) -> BTreeMap<&'static str, String> {
         let text = |text: &str| text.to_owned();
+        let store = match role {
+            "entry" => self.entries_to_store.address,
+            _ => self.store.address,
+        };
         BTreeMap::from([
             ("node", text(node)),
-            ("zone", text(ZONE)),
-            ("zones", text(ZONE)),
+            ("zone", text(zone)),
+            ("zones", ZONES.join("\",\"")),
             ("ip", text(ip)),
             ("portRange.0", text("7720")),
             ("listenAddrs.front", address(ip, 8161).to_string()),
@@ -230,7 +248,7 @@
             ("app", address(ip, 8165).to_string()),
             ("service", text(SERVICE)),
             ("heartbeatMs", HEARTBEAT_MS.to_string()),
-            ("platform.address", self.store.address.to_string()),
+            ("platform.address", store.to_string()),
             ("limits.memoryMb", text("260")),
             ("bounds.configMs", text("2000")),
             ("bounds.farX", text("1.5")),
