review: large legal jobs take entries over their memory (Fault)

Six clients per entry submit one job at a time, of 320 tasks with a spec of 4,000 bytes that JSON has to escape. Three entries of 160 MB are ended for their memory again and again, as the platform would end them.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 mod evacuate;
 mod http;
 mod json;
+mod memory;
 mod pool;
 mod proxy;
 mod record;
@@ -29,6 +30,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match name.as_str() {
         "cancel" => cancel::play(root, folder, &record, has_trouble),
+        "memory" => memory::play(root, folder, &record, has_trouble),
         "evacuate" => evacuate::play(root, folder, &record, has_trouble),
         _ => Err(format!("there is no case {name}")),
     };
--- a/review/standin-2/pool.rs
+++ b/review/standin-2/pool.rs
@@ -27,6 +27,10 @@
 /// Zones of the workers in turn; the entries are in the first.
 pub const ZONES: [&str; 2] = ["be-west-a", "be-west-b"];
 
+/// The least memory of a front in the sheets of `demands/`.
+pub const ENTRY_MEMORY_MB: u64 = 160;
+const AGENT_MEMORY_MB: u64 = 128;
+
 const SIGTERM: i32 = 15;
 const SIGCONT: i32 = 18;
 const SIGSTOP: i32 = 19;
@@ -97,6 +101,15 @@
         status.map(|status| status.to_string())
     }
 
+    /// Memory of the process without the pages of its program file; 0 if it has ended.
+    pub fn anonymous_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+
     pub fn front(&self) -> SocketAddr {
         address(&self.ip, 8161)
     }
@@ -232,9 +245,9 @@
         role: &str,
     ) -> BTreeMap<&'static str, String> {
         let text = |text: &str| text.to_owned();
-        let store = match role {
-            "entry" => self.entries_to_store.address,
-            _ => self.store.address,
+        let (store, memory_mb) = match role {
+            "entry" => (self.entries_to_store.address, ENTRY_MEMORY_MB),
+            _ => (self.store.address, AGENT_MEMORY_MB),
         };
         BTreeMap::from([
             ("node", text(node)),
@@ -249,7 +262,7 @@
             ("service", text(SERVICE)),
             ("heartbeatMs", HEARTBEAT_MS.to_string()),
             ("platform.address", store.to_string()),
-            ("limits.memoryMb", text("260")),
+            ("limits.memoryMb", memory_mb.to_string()),
             ("bounds.configMs", text("2000")),
             ("bounds.farX", text("1.5")),
             ("bounds.retransmitMs", text("1300")),
@@ -258,8 +271,9 @@
         ])
     }
 
-    /// Starts the process of an entry or agent again, as the platform does after an end.
-    pub fn restart(&self, node: &mut Node) {
+    /// Starts the process of an entry again, as the platform does after an end.
+    pub fn restart_entry(&mut self, index: usize) {
+        let node = &mut self.entries[index];
         node.child = Node::spawn(&self.root, node.role, &node.settings, &node.log);
         self.record.line(&format!("{} is started again", node.name));
     }
