--- a/review/standin-2/evacuate.rs
+++ b/review/standin-2/evacuate.rs
@@ -1,21 +1,21 @@
 //! A zone is evacuated while the entry is cut off from the store. No task may start there after the bound.
 
 use std::path::Path;
+use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
 use std::time::Duration;
 
+use crate::Verdict;
 use crate::http;
 use crate::http::Outcome;
 use crate::http::Request;
 use crate::pool::Desired;
-use crate::pool::Pool;
 use crate::pool::HOST;
 use crate::pool::PREFIX;
+use crate::pool::Pool;
 use crate::pool::ZONES;
 use crate::record::Record;
-use crate::Verdict;
 
 /// Bound of the sheet.
 const EVACUATE_MS: u64 = 5_000;
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -43,10 +43,10 @@
     pub body: String,
 }
 
-/// Serves requests; a handler that returns nothing leaves the request without an answer and its channel open.
+/// Serves requests on a thread a connection.
 pub fn serve(
     address: SocketAddr,
-    handler: impl Fn(Request) -> Option<Response> + Send + Sync + 'static,
+    handler: impl Fn(Request) -> Response + Send + Sync + 'static,
 ) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(address)?;
     let address = listener.local_addr()?;
@@ -63,18 +63,12 @@
     Ok(address)
 }
 
-fn serve_connection(
-    stream: TcpStream,
-    handler: &dyn Fn(Request) -> Option<Response>,
-) -> io::Result<()> {
+fn serve_connection(stream: TcpStream, handler: &dyn Fn(Request) -> Response) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader)? {
-        let Some(response) = handler(request) else {
-            std::thread::sleep(Duration::from_secs(60));
-            return Ok(());
-        };
+        let response = handler(request);
         let text = format!(
             "HTTP/1.1 {} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{}",
             response.status,
@@ -185,7 +179,7 @@
     /// No answer within the time that the client waits.
     NoAnswer,
     /// The channel broke, or could not be opened.
-    Broken(String),
+    Broken(#[allow(dead_code, reason = "it is printed")] String),
 }
 
 /// An open channel of a client to an entry.
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,5 @@
 //! Plays a case of the review: `case NAME ROOT FOLDER`. The exit code is that of the case's script.
 
-mod cancel;
 mod evacuate;
 mod http;
 mod json;
@@ -29,7 +28,6 @@
     let record = Record::create(Path::new(record));
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match name.as_str() {
-        "cancel" => cancel::play(root, folder, &record, has_trouble),
         "memory" => memory::play(root, folder, &record, has_trouble),
         "evacuate" => evacuate::play(root, folder, &record, has_trouble),
         _ => Err(format!("there is no case {name}")),
--- a/review/standin-2/memory.rs
+++ b/review/standin-2/memory.rs
@@ -3,22 +3,22 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::Verdict;
 use crate::http;
 use crate::http::Outcome;
 use crate::http::Request;
 use crate::pool::Desired;
-use crate::pool::Pool;
 use crate::pool::ENTRY_MEMORY_MB;
 use crate::pool::HOST;
 use crate::pool::PREFIX;
+use crate::pool::Pool;
 use crate::record::Record;
-use crate::Verdict;
 
 const ENTRIES: usize = 3;
 const CLIENTS_PER_ENTRY: u64 = 6;
@@ -62,7 +62,9 @@
                 continue;
             }
             let name = &pool.entries[index].name;
-            record.line(&format!("{name} uses {used_kb} kB, and the platform ends it"));
+            record.line(&format!(
+                "{name} uses {used_kb} kB, and the platform ends it"
+            ));
             ends[index] += 1;
             pool.entries[index].kill();
             std::thread::sleep(RESTART);
@@ -110,7 +112,10 @@
             path: format!("{PREFIX}{id}"),
             headers: vec![
                 ("Host".to_owned(), HOST.to_owned()),
-                ("Dragonflyshed-Deadline-Ms".to_owned(), WAIT.as_millis().to_string()),
+                (
+                    "Dragonflyshed-Deadline-Ms".to_owned(),
+                    WAIT.as_millis().to_string(),
+                ),
             ],
             body: body.clone(),
             ..Request::default()
--- a/review/standin-2/pool.rs
+++ b/review/standin-2/pool.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -18,8 +19,8 @@
 use crate::proxy::Proxy;
 use crate::record::Record;
 use crate::store::Store;
-use crate::worker::Worker;
 use crate::worker::HEARTBEAT_MS;
+use crate::worker::Worker;
 
 pub const SERVICE: &str = "huvo11a";
 pub const HOST: &str = "nony24.example";
@@ -31,12 +32,11 @@
 pub const ENTRY_MEMORY_MB: u64 = 160;
 const AGENT_MEMORY_MB: u64 = 128;
 
-const SIGTERM: i32 = 15;
-const SIGCONT: i32 = 18;
-const SIGSTOP: i32 = 19;
+const SIGKILL: i32 = 9;
+const PR_SET_PDEATHSIG: i32 = 1;
 
 extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, signal: i32) -> i32;
 }
 
 /// A process of the system.
@@ -69,25 +69,16 @@
                 command.env(name, value);
             }
         }
-        command.spawn().expect("the program of the deploy file starts")
-    }
-
-    pub fn signal_stop(&self) {
-        self.signal(SIGSTOP);
-    }
-
-    pub fn signal_continue(&self) {
-        self.signal(SIGCONT);
-    }
-
-    pub fn signal_terminate(&self) {
-        self.signal(SIGTERM);
-    }
-
-    fn signal(&self, signal: i32) {
-        let pid = i32::try_from(self.child.id()).expect("a process id");
-        // SAFETY: the child has not been waited for, so the id is still its own.
-        unsafe { kill(pid, signal) };
+        // SAFETY: the call only sets an attribute of the new process: it ends with this one, whatever ends this one.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        command
+            .spawn()
+            .expect("the program of the deploy file starts")
     }
 
     pub fn kill(&mut self) {
@@ -95,17 +86,13 @@
         let _ = self.child.wait();
     }
 
-    /// How the process has ended; nothing while it runs.
-    pub fn ended(&mut self) -> Option<String> {
-        let status = self.child.try_wait().expect("the child can be waited for");
-        status.map(|status| status.to_string())
-    }
-
     /// Memory of the process without the pages of its program file; 0 if it has ended.
     pub fn anonymous_memory_kb(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:"));
         let number = line.and_then(|line| line.split_whitespace().next());
         number.and_then(|number| number.parse().ok()).unwrap_or(0)
     }
@@ -175,7 +162,8 @@
         let base = free_network(entries + workers + 2)?;
         let ip = |index: usize| format!("{base}.{}", index + 1);
         let store = Store::start(address(&ip(0), 8169));
-        let entries_to_store = Proxy::start(address(&ip(entries + workers + 1), 8169), store.address);
+        let entries_to_store =
+            Proxy::start(address(&ip(entries + workers + 1), 8169), store.address);
         store.put("op", "config", &desired.encode());
         let mut pool = Self {
             root: root.to_owned(),
--- a/review/standin-2/proxy.rs
+++ b/review/standin-2/proxy.rs
@@ -5,9 +5,9 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
 use std::time::Duration;
 
 #[derive(Clone)]
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -38,7 +38,7 @@
             address,
         };
         let handler = store.clone();
-        store.address = http::serve(address, move |request| Some(handler.handle(&request)))
+        store.address = http::serve(address, move |request| handler.handle(&request))
             .expect("the store's address is free");
         store
     }
@@ -74,7 +74,10 @@
         let (from, target) = (request.parameter("from"), request.parameter("target"));
         let rows = self.rows.0.lock().unwrap();
         let found = rows.rows.iter().filter(|((t, p, key), _)| {
-            t == table && p == part && key.as_str() >= from && (target.is_empty() || key.as_str() < target)
+            t == table
+                && p == part
+                && key.as_str() >= from
+                && (target.is_empty() || key.as_str() < target)
         });
         let found = found.map(|(key, (value, version))| row(key, Some(value), *version));
         answer(
@@ -138,7 +141,10 @@
             return answer(403, Json::Null);
         }
         let holds = body.get("expect").list().iter().all(|expected| {
-            let version = rows.rows.get(&key(expected)).map_or(0, |(_, version)| *version);
+            let version = rows
+                .rows
+                .get(&key(expected))
+                .map_or(0, |(_, version)| *version);
             expected.get("ver").int() == Some(version)
         });
         if !holds {
@@ -165,7 +171,11 @@
 
 pub fn object(fields: Vec<(&str, Json)>) -> Json {
     let fields = fields.into_iter();
-    Json::Object(fields.map(|(name, value)| (name.to_owned(), value)).collect())
+    Json::Object(
+        fields
+            .map(|(name, value)| (name.to_owned(), value))
+            .collect(),
+    )
 }
 
 pub fn answer(status: u16, body: Json) -> Response {
@@ -193,7 +203,9 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let bits = chunk.iter().fold(0u32, |bits, byte| bits << 8 | u32::from(*byte));
+        let bits = chunk
+            .iter()
+            .fold(0u32, |bits, byte| bits << 8 | u32::from(*byte));
         let bits = bits << (8 * (3 - chunk.len()));
         for digit in 0..4 {
             if digit <= chunk.len() {
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -53,9 +53,6 @@
     refused_up_to: BTreeMap<String, i128>,
     ended: Vec<Json>,
     forgotten: i128,
-    is_draining: bool,
-    /// Start orders that get no answer and are carried out after this time.
-    late: Option<Duration>,
 }
 
 #[derive(Clone)]
@@ -91,8 +88,6 @@
             refused_up_to: BTreeMap::new(),
             ended: Vec::new(),
             forgotten: 0,
-            is_draining: false,
-            late: None,
         };
         let mut worker = Self {
             state: Arc::new((Mutex::new(state), Condvar::new())),
@@ -107,9 +102,11 @@
         worker.address = http::serve(address, move |request| handler.handle(&request))
             .expect("the worker's address is free");
         let clock = worker.clone();
-        std::thread::spawn(move || loop {
-            std::thread::sleep(Duration::from_millis(2));
-            clock.end_due_runs();
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(Duration::from_millis(2));
+                clock.end_due_runs();
+            }
         });
         worker
     }
@@ -117,9 +114,11 @@
     /// Sends heartbeats to an agent until the process ends.
     pub fn beat(&self, agent: SocketAddr) {
         let worker = self.clone();
-        std::thread::spawn(move || loop {
-            worker.beat_once(agent);
-            std::thread::sleep(Duration::from_millis(HEARTBEAT_MS));
+        std::thread::spawn(move || {
+            loop {
+                worker.beat_once(agent);
+                std::thread::sleep(Duration::from_millis(HEARTBEAT_MS));
+            }
         });
     }
 
@@ -128,14 +127,13 @@
             let mut state = self.state.0.lock().unwrap();
             state.sequence += 1;
             let labels = self.labels.iter().cloned().map(Json::Text).collect();
-            let phase = if state.is_draining { "draining" } else { "ready" };
             let body = object(vec![
                 ("service", Json::Text(self.service.clone())),
                 ("address", Json::Text(self.address.to_string())),
                 ("zone", Json::Text(self.zone.clone())),
                 ("version", Json::Text("v1".to_owned())),
                 ("slots", Json::Int(8)),
-                ("state", Json::Text(phase.to_owned())),
+                ("state", Json::Text("ready".to_owned())),
                 ("coldRemainingMs", Json::Int(0)),
                 (
                     "capacity",
@@ -162,37 +160,20 @@
         let _ = http::call(agent, &request, Duration::from_secs(1));
     }
 
-    /// From now on start orders get no answer and are carried out later; `None` ends this.
-    pub fn delay_starts(&self, late: Option<Duration>) {
-        self.state.0.lock().unwrap().late = late;
-    }
-
-    pub fn running(&self) -> Vec<String> {
-        self.state.0.lock().unwrap().running.keys().cloned().collect()
-    }
-
-    fn handle(&self, request: &Request) -> Option<Response> {
+    fn handle(&self, request: &Request) -> Response {
         if let Some(expected) = request.header("Dragonflyshed-Expect-Instance") {
             if expected != self.state.0.lock().unwrap().id {
-                return Some(answer(421, object(vec![])));
+                return answer(421, object(vec![]));
             }
         }
         let Some(body) = Json::parse(&request.body) else {
-            return Some(answer(400, object(vec![])));
+            return answer(400, object(vec![]));
         };
         match request.path.as_str() {
-            "/run-start" => {
-                let late = self.state.0.lock().unwrap().late;
-                if let Some(late) = late {
-                    std::thread::sleep(late);
-                    let _ = self.start_run(&body);
-                    return None;
-                }
-                Some(self.start_run(&body))
-            }
-            "/run-stop" => Some(self.stop_run(&body)),
-            "/hold" => Some(self.hold(&body)),
-            _ => Some(answer(404, object(vec![]))),
+            "/run-start" => self.start_run(&body),
+            "/run-stop" => self.stop_run(&body),
+            "/hold" => self.hold(&body),
+            _ => answer(404, object(vec![])),
         }
     }
 
@@ -222,14 +203,19 @@
             }
             return state.refuse("old");
         }
-        if state.refused_up_to.get(task).is_some_and(|up_to| number <= *up_to) {
+        if state
+            .refused_up_to
+            .get(task)
+            .is_some_and(|up_to| number <= *up_to)
+        {
             return state.refuse("old");
         }
         let used: i128 = state.running.values().map(|run| run.cpu).sum();
         if used + work.cpu > self.capacity_cpu {
             return state.refuse("room");
         }
-        self.record.line(&format!("worker {} starts {task} run {number}", state.id));
+        self.record
+            .line(&format!("worker {} starts {task} run {number}", state.id));
         state.running.insert(
             task.to_owned(),
             Run {
@@ -325,7 +311,10 @@
             state.running.remove(&task);
             let up_to = state.refused_up_to.entry(task.clone()).or_default();
             *up_to = number.max(*up_to);
-            self.record.line(&format!("worker {} ends {task} run {number} {how}", state.id));
+            self.record.line(&format!(
+                "worker {} ends {task} run {number} {how}",
+                state.id
+            ));
             let index = state.ended.len() as i128 + 1;
             state.ended.push(Json::List(vec![
                 Json::Int(index),
