--- a/crates/agent/src/edge.rs
+++ b/crates/agent/src/edge.rs
@@ -6,12 +6,16 @@
 
 use axum::Router;
 use dfs_ids::Clock;
+use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_ids::TakeoverNumber;
 use dfs_policy::agent::AgentEvent;
 use dfs_policy::agent::RunEnd;
 use dfs_policy::runs::CrashedAttempt;
 use dfs_store::Presence;
+use dfs_store::ResultFuture;
+use dfs_store::StoreError;
+use dfs_wire::session::Evacuations;
 use dfs_wire::session::TaskRef;
 use dfs_wire::target::Announcement;
 
@@ -43,6 +47,20 @@
     fn stop(&self, task: &TaskRef);
 }
 
+/// Reads the evacuated failure domains from the source that entries follow.
+pub trait EvacuationReader: Send + Sync {
+    /// Reads the whole set. Reads may overlap; the caller drops those that it no longer waits for.
+    fn read(&self) -> ResultFuture<'static, Evacuations, StoreError>;
+}
+
+/// How an agent reads the evacuated failure domains when no entry tells it of them.
+pub struct EvacuationReads {
+    /// Sends the reads.
+    pub reader: Box<dyn EvacuationReader>,
+    /// Time within which no task may start any more in a domain after its evacuation was confirmed by the source.
+    pub bound_ms: Millis,
+}
+
 /// The parts of an agent that an adapter to another platform supplies.
 pub struct AgentAdapter {
     /// Clock of the agent, by which the driver is told times.
@@ -57,6 +75,8 @@
     /// Store of the presence rows of entries; `None` if entries are known only from the settings
     /// and from each other.
     pub presence: Option<Presence>,
+    /// Reads of the evacuated failure domains; `None` if the agent learns of them from entries alone.
+    pub evacuations: Option<EvacuationReads>,
 }
 
 /// Passes the target's announcements and progress to the agent.
--- a/crates/agent/src/fenced/mod.rs
+++ b/crates/agent/src/fenced/mod.rs
@@ -189,6 +189,7 @@
                 number
             }),
             presence,
+            evacuations: None,
         }
     }
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,8 @@
 
 pub use dfs_inbox::ShutdownOutcome;
 pub use edge::AgentAdapter;
+pub use edge::EvacuationReader;
+pub use edge::EvacuationReads;
 pub use edge::RunFuture;
 pub use edge::TargetDriver;
 pub use edge::TargetEvents;
--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -23,7 +23,9 @@
 use dfs_policy::agent as policy;
 use dfs_policy::agent::AgentAction;
 use dfs_policy::agent::AgentEvent;
+use dfs_policy::agent::EvacuationSource;
 use dfs_policy::agent::Observation;
+use dfs_policy::reads::ReadId;
 use dfs_wire::session::Report;
 use dfs_wire::target::Announcement;
 use fail::fail_point;
@@ -31,6 +33,7 @@
 
 use super::roster::DialEvent;
 use super::version::HeldConfig;
+use crate::edge::EvacuationReads;
 use crate::edge::TargetDriver;
 use crate::request::RunRequest;
 
@@ -60,6 +63,7 @@
     handle: CoreHandle,
     report_senders: HashMap<ConnectionId, mpsc::UnboundedSender<Report>>,
     driver: Arc<dyn TargetDriver>,
+    evacuations: Option<EvacuationReads>,
     held_config: HeldConfig,
     dial_events: mpsc::UnboundedSender<DialEvent>,
     /// The latest announcement of the target; `None` before the first one and after the target has
@@ -74,6 +78,7 @@
         clock: Clock,
         metrics: Metrics,
         driver: Arc<dyn TargetDriver>,
+        evacuations: Option<EvacuationReads>,
         held_config: HeldConfig,
         dial_events: mpsc::UnboundedSender<DialEvent>,
     ) -> (Self, CoreHandle, tokio::sync::watch::Receiver<bool>) {
@@ -87,6 +92,7 @@
             handle: handle.clone(),
             report_senders: HashMap::new(),
             driver,
+            evacuations,
             held_config,
             dial_events,
             announcement: None,
@@ -106,6 +112,9 @@
             }
             let actions = self.policy.flush(self.clock.now());
             self.perform_actions(actions);
+            if let Some(age_ms) = self.policy.evacuations_age_ms(self.clock.now()) {
+                self.metrics.set(Gauge::EvacuationsAgeMs, age_ms.get());
+            }
             let queued = self.policy.queued();
             self.metrics.set(Gauge::QueuedTasks, queued.into());
             let open = queued + self.policy.running();
@@ -200,6 +209,7 @@
             AgentAction::DomainEvacuated(is_evacuated) => {
                 self.driver.domain_evacuated(is_evacuated);
             }
+            AgentAction::ReadEvacuations { read } => self.read_evacuations(read),
             AgentAction::StartRun {
                 task,
                 service,
@@ -264,6 +274,19 @@
         }
     }
 
+    fn read_evacuations(&self, read: ReadId) {
+        let Some(EvacuationReads { reader, bound_ms }) = &self.evacuations else {
+            return;
+        };
+        self.metrics.count(Counter::EvacuationReads, 1);
+        let answer = tokio::time::timeout((*bound_ms).into(), reader.read());
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            let answer = answer.await.ok().and_then(Result::ok);
+            handle.send_event(AgentEvent::EvacuationsRead { read, answer });
+        });
+    }
+
     fn record(&self, observation: Observation) {
         match observation {
             Observation::RunStarted {
@@ -299,15 +322,33 @@
                 reason,
                 load_permille,
             }),
-            Observation::EvacuationsChanged(evacuations) => {
+            Observation::EvacuationsChanged {
+                evacuations,
+                source,
+            } => {
                 let domains = u64::try_from(evacuations.domains.len()).unwrap_or(u64::MAX);
                 self.metrics.set(Gauge::EvacuatedDomains, domains);
                 dfs_log::emit(ConfigEvent::EvacuationsChanged {
                     domains: evacuations.domains.iter().collect(),
                     revision: evacuations.revision,
-                    source: ConfigSource::Session,
+                    source: match source {
+                        EvacuationSource::Store => ConfigSource::Store,
+                        EvacuationSource::Entry => ConfigSource::Session,
+                    },
                 });
             }
+            Observation::EvacuationsUnconfirmed { age_ms } => {
+                dfs_log::emit(ConfigEvent::EvacuationsUnconfirmed { age_ms });
+            }
+            Observation::EvacuationsConfirmed {
+                unconfirmed_ms,
+                reads,
+                answered,
+            } => dfs_log::emit(ConfigEvent::EvacuationsConfirmed {
+                unconfirmed_ms,
+                reads,
+                answered,
+            }),
             Observation::TargetCrashed { runs } => {
                 self.metrics.count(Counter::TargetCrashes, 1);
                 dfs_log::emit(TargetEvent::Crashed {
--- a/crates/agent/src/process/start.rs
+++ b/crates/agent/src/process/start.rs
@@ -93,6 +93,7 @@
             router: Box::new(request::router),
             takeover_complete: Box::pin(std::future::ready(None)),
             presence: settings.store.as_ref().map(http_presence),
+            evacuations: None,
         };
         Self::start_with_adapter(settings, metrics, adapter).await
     }
@@ -123,12 +124,17 @@
             .context(ListenSnafu { address })?;
         let address = listener.local_addr().context(ListenSnafu { address })?;
         let (dial_sender, dial_events) = mpsc::unbounded_channel();
+        let mut policy = policy::Agent::new(incarnation, settings.keep_results_ms)
+            .in_domain(settings.domain.clone());
+        if let Some(reads) = &adapter.evacuations {
+            policy = policy.reading_evacuations(reads.bound_ms);
+        }
         let (core, handle, stopped) = Core::new(
-            policy::Agent::new(incarnation, settings.keep_results_ms)
-                .in_domain(settings.domain.clone()),
+            policy,
             adapter.clock,
             metrics,
             adapter.driver,
+            adapter.evacuations,
             HeldConfig::new(settings.domain.clone()),
             dial_sender.clone(),
         );
--- a/crates/conf/src/evacuation.rs
+++ b/crates/conf/src/evacuation.rs
@@ -30,6 +30,18 @@
 }
 
 impl EvacuationUpdate {
+    /// Whether the set held has every request that the source had confirmed when the read was sent, once the update
+    /// is applied. An update that is older than the set held, or that leaves changes out, shows nothing.
+    #[must_use]
+    pub fn confirms(&self, held: &Evacuations) -> bool {
+        match self {
+            Self::Full(evacuations) => evacuations.revision >= held.revision,
+            Self::Changes {
+                after, revision, ..
+            } => (*after..=*revision).contains(&held.revision),
+        }
+    }
+
     /// The set that follows from the update and the one held; `None` if the update is older than that, or if changes
     /// are missing between the two.
     #[must_use]
--- a/crates/daemon/tests/platform/evacuation.rs
+++ b/crates/daemon/tests/platform/evacuation.rs
@@ -1,4 +1,4 @@
-//! Evacuation of a zone while processes are paused and killed and the store is silent.
+//! Evacuation of a zone while processes are paused and killed, and while the store is silent or can't be reached.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -30,9 +30,16 @@
 const HELD: Duration = Duration::from_secs(3);
 /// From the start of the load to its end.
 const RUN: Duration = Duration::from_secs(16);
+/// The same with entries that are cut off, which learn of the withdrawal later.
+const CUT_RUN: Duration = Duration::from_secs(20);
 /// Longer than every lease, so that a paused agent is lost to the entries.
 const PAUSE: Duration = Duration::from_millis(1_500);
 
+fn starts(pool: &Pool, after: Instant) -> usize {
+    let runs = pool.ledger.runs();
+    runs.iter().filter(|run| run.started > after).count()
+}
+
 fn starts_in_lagos(pool: &Pool, after: Instant) -> usize {
     let runs = pool.ledger.runs();
     let in_lagos = runs.iter().filter(|run| LAGOS.contains(&run.worker));
@@ -83,3 +90,40 @@
         println!("logs: {}", pool.keep_logs().display());
     }
 }
+
+/// Cuts all entries off from the store, which the agents still reach, or connects them again.
+fn set_entries_cut(pool: &Pool, is_cut: bool) {
+    pool.entry_links
+        .iter()
+        .for_each(|link| link.set_cut(is_cut));
+}
+
+/// Guards against agents that learn of an evacuation, and of its withdrawal, from entries alone: those know of neither
+/// while the store is out of their reach. An agent that starts meanwhile has nothing but the store to learn it from.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_evacuation_reaches_agents_whose_entries_are_all_cut_off_from_the_store() {
+    let mut random = SmallRng::seed_from_u64(SEED);
+    let mut pool = Pool::start_in_zones(ENTRIES, &ZONES).await;
+    let until = Instant::now() + CUT_RUN;
+    let callers = Callers::start(LOAD, &mut random, &pool.entry_addresses(), until);
+    wait_for_start(&pool).await;
+    set_entries_cut(&pool, true);
+    pool.store.evacuate("lagos");
+    let bound_over_at = Instant::now() + BOUND;
+    tokio::time::sleep_until(bound_over_at.into()).await;
+    pool.agents[1].kill();
+    pool.restart_agent(1);
+    tokio::time::sleep_until((bound_over_at + HELD).into()).await;
+    expect_that!(starts_in_lagos(&pool, bound_over_at), eq(0));
+    expect_that!(
+        starts(&pool, bound_over_at),
+        gt(0),
+        "the other zone is used"
+    );
+    pool.store.withdraw_evacuation("lagos");
+    wait_for_start(&pool).await;
+    set_entries_cut(&pool, false);
+    callers.finish().await;
+    pool.wait_idle().await;
+}
--- a/crates/entry/src/version/follow.rs
+++ b/crates/entry/src/version/follow.rs
@@ -120,7 +120,7 @@
         };
         match answer {
             Ok(changes) => {
-                self.adopt(now, id, read.is_full, changes);
+                self.adopt(now, id, &read, changes);
                 let read_ms = now.since(read.sent_at);
                 self.health.record_success(&self.active_config, read_ms);
             }
@@ -133,20 +133,21 @@
         }
     }
 
-    fn adopt(&mut self, now: Moment, id: ReadId, is_full: bool, changes: ConfigChanges) {
+    fn adopt(&mut self, now: Moment, id: ReadId, read: &OpenRead, changes: ConfigChanges) {
         // Ahead of a first configuration, with which the entry begins to place tasks.
-        self.active_config.update_evacuations(changes.evacuations);
+        self.active_config
+            .update_evacuations(changes.evacuations, read.sent_at);
         for config in changes.configs {
             let update = ConfigUpdate::Full(Box::new(config));
             self.active_config.adopt(update, ConfigSource::Store);
         }
         // A full read may be served from a copy that lags behind what was read before.
-        let is_stale = is_full && Some(changes.revision) < self.revision;
+        let is_stale = read.is_full && Some(changes.revision) < self.revision;
         if is_stale {
             self.schedule.on_failure(now, id);
             return;
         }
-        self.is_history_lost &= !is_full;
+        self.is_history_lost &= !read.is_full;
         self.revision = self.revision.max(Some(changes.revision));
         self.schedule.on_answer(now, id);
     }
--- a/crates/entry/src/version/holder.rs
+++ b/crates/entry/src/version/holder.rs
@@ -113,9 +113,10 @@
         });
     }
 
-    /// Passes on what the source shows of evacuated failure domains; the core holds the set.
-    pub fn update_evacuations(&self, update: EvacuationUpdate) {
-        self.core.send_event(EntryEvent::EvacuationsRead(update));
+    /// Passes on what a read of the source shows of evacuated failure domains; the core holds the set.
+    pub fn update_evacuations(&self, update: EvacuationUpdate, sent_at: Moment) {
+        self.core
+            .send_event(EntryEvent::EvacuationsRead { update, sent_at });
     }
 
     /// Ends the wait for the first version, because its source has failed.
--- a/crates/log/src/event/config.rs
+++ b/crates/log/src/event/config.rs
@@ -112,5 +112,19 @@
             /// Source of the set.
             source: ConfigSource,
         }
+        /// No entry has confirmed the set of evacuated failure domains for too long; the agent reads the store itself.
+        511 Info "evacuations_unconfirmed" EvacuationsUnconfirmed {
+            /// Age of the set, if it was ever confirmed.
+            age_ms: Option<Millis>,
+        }
+        /// An entry confirms the set of evacuated failure domains again.
+        512 Info "evacuations_confirmed" EvacuationsConfirmed {
+            /// Time since the agent began to read the store.
+            unconfirmed_ms: Millis,
+            /// Reads of the agent in this time.
+            reads: u64,
+            /// Reads that the store has answered.
+            answered: u64,
+        }
     }
 }
--- a/crates/log/src/metrics/name.rs
+++ b/crates/log/src/metrics/name.rs
@@ -55,6 +55,8 @@
         Ejections = "ejections",
         /// Crashes of the target while tasks ran on it.
         TargetCrashes = "target_crashes",
+        /// Reads of the evacuated failure domains that an agent has sent to the store.
+        EvacuationReads = "evacuation_reads",
         /// Tasks that are not run again, because targets have crashed under them.
         TasksGivenUp = "tasks_given_up",
         /// Times that a queue was contained.
@@ -89,6 +91,8 @@
         ConfigAgeMs = "config_age_ms",
         /// Failure domains that are evacuated.
         EvacuatedDomains = "evacuated_domains",
+        /// Age of an agent's set of evacuated failure domains, in milliseconds.
+        EvacuationsAgeMs = "evacuations_age_ms",
         /// Memory that requests hold which arrive or wait for their answer, in bytes.
         RequestBytes = "request_bytes",
     }
--- a/crates/policy/src/agent/evacuation.rs
+++ b/crates/policy/src/agent/evacuation.rs
@@ -5,6 +5,7 @@
 
 use super::Agent;
 use super::AgentAction;
+use super::EvacuationSource;
 use super::Observation;
 
 impl Agent {
@@ -24,12 +25,24 @@
         if let Some(view) = self.entries.get_mut(&entry) {
             view.known_evacuations.adopt(evacuations.clone());
         }
+        self.adopt_evacuations(evacuations, EvacuationSource::Entry, out);
+    }
+
+    /// Adopts a set if it is newer. Queued tasks are handed back if it evacuates the domain of the target.
+    pub(super) fn adopt_evacuations(
+        &mut self,
+        evacuations: Evacuations,
+        source: EvacuationSource,
+        out: &mut Vec<AgentAction>,
+    ) {
         let was_evacuated = self.is_evacuated();
         if !self.evacuations.adopt(evacuations) {
             return;
         }
-        let changed = Observation::EvacuationsChanged(self.evacuations.clone());
-        out.push(AgentAction::Observe(changed));
+        out.push(AgentAction::Observe(Observation::EvacuationsChanged {
+            evacuations: self.evacuations.clone(),
+            source,
+        }));
         let is_evacuated = self.is_evacuated();
         if is_evacuated == was_evacuated {
             return;
--- a/crates/policy/src/agent/event.rs
+++ b/crates/policy/src/agent/event.rs
@@ -26,6 +26,7 @@
 use serde_json::value::RawValue;
 
 use crate::ConnectionId;
+use crate::reads::ReadId;
 use crate::runs::CrashedAttempt;
 
 /// Input of [`Agent::handle`](super::Agent::handle).
@@ -70,6 +71,13 @@
     },
     /// Progress of runs in percent.
     RunProgress(Vec<(TaskRef, u8)>),
+    /// A read of the evacuated domains has ended; answers [`AgentAction::ReadEvacuations`].
+    EvacuationsRead {
+        /// The read.
+        read: ReadId,
+        /// The whole set, `None` if the read has failed.
+        answer: Option<Evacuations>,
+    },
     /// The process adopted a configuration with a higher version.
     ConfigAdopted(Arc<Config>),
     /// The configuration that an entry requested; answers [`AgentAction::ConfigRequested`].
@@ -120,6 +128,12 @@
     /// Whether the failure domain of the target is evacuated, when that has changed: no run may be requested meanwhile,
     /// also none that was to be started before.
     DomainEvacuated(bool),
+    /// Reads the evacuated domains from the store; the caller answers with [`AgentEvent::EvacuationsRead`]. Reads may
+    /// overlap; one without an answer is no longer waited for after the bound of the agent.
+    ReadEvacuations {
+        /// Number of the read.
+        read: ReadId,
+    },
     /// Starts a task on the target.
     StartRun {
         /// Attempt that the run belongs to.
@@ -206,7 +220,26 @@
         load_permille: u32,
     },
     /// The set of evacuated failure domains has changed.
-    EvacuationsChanged(Evacuations),
+    EvacuationsChanged {
+        /// The new set.
+        evacuations: Evacuations,
+        /// Where it came from.
+        source: EvacuationSource,
+    },
+    /// No entry has confirmed the set for too long: the agent reads the store itself.
+    EvacuationsUnconfirmed {
+        /// Age of the set; `None` if it was never confirmed.
+        age_ms: Option<Millis>,
+    },
+    /// An entry confirms the set again.
+    EvacuationsConfirmed {
+        /// Time since the agent began to read the store.
+        unconfirmed_ms: Millis,
+        /// Number of reads in this time.
+        reads: u64,
+        /// Number of those that the store has answered.
+        answered: u64,
+    },
     /// The target has crashed.
     TargetCrashed {
         /// Runs that ended with it.
@@ -220,3 +253,12 @@
         cause: &'static str,
     },
 }
+
+/// Source of a set of evacuated failure domains.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EvacuationSource {
+    /// A read of the agent.
+    Store,
+    /// An entry, over a session.
+    Entry,
+}
--- a/crates/policy/src/agent/lease.rs
+++ b/crates/policy/src/agent/lease.rs
@@ -15,6 +15,7 @@
 use super::record::Stage;
 use super::record::TaskRecord;
 use super::view::EntryView;
+use super::view::PendingConfirmation;
 use super::view::Phase;
 use crate::ConnectionId;
 use crate::membership::hash_pair;
@@ -53,6 +54,10 @@
         for item in message.items {
             self.on_item(now, connection, incarnation, item, out);
         }
+        let view = self.entries.get_mut(&incarnation);
+        if let Some(known_at) = view.and_then(EntryView::take_confirmation) {
+            self.confirm_evacuations(now, known_at);
+        }
     }
 
     fn on_item(
@@ -138,6 +143,7 @@
 
     pub(super) fn on_ack(
         &mut self,
+        now: Moment,
         connection: ConnectionId,
         seq: u64,
         ack: &Ack,
@@ -157,6 +163,14 @@
         view.sent_messages = view
             .sent_messages
             .max(ack.sent_messages.unwrap_or_default());
+        if let (Some(age_ms), Some(sent_messages)) = (ack.evacuations_age_ms, ack.sent_messages) {
+            // The age is as of a time after the report was sent.
+            view.pending_confirmation = Some(PendingConfirmation {
+                known_at: report.sent_at - age_ms,
+                sent_messages,
+            });
+        }
+        let confirmed_at = view.take_confirmation();
         view.min_hint_interval_ms = ack.hint_ms.unwrap_or(view.min_hint_interval_ms);
         if seq == 0 {
             view.phase = Phase::Established;
@@ -171,6 +185,9 @@
         for task in &ack.drop {
             self.drop_unwanted_task(incarnation, task, out);
         }
+        if let Some(known_at) = confirmed_at {
+            self.confirm_evacuations(now, known_at);
+        }
     }
 
     pub(super) fn on_connection_lost(&mut self, connection: ConnectionId) {
@@ -183,6 +200,7 @@
             view.unacked_reports.clear();
             view.pending_not_run.clear();
             view.pending_given_up.clear();
+            view.pending_confirmation = None;
         }
         self.mark_results_unsent(incarnation);
         self.choose_config_source();
--- a/crates/policy/src/agent/mod.rs
+++ b/crates/policy/src/agent/mod.rs
@@ -4,6 +4,7 @@
 mod evacuation;
 mod event;
 mod evidence;
+mod freshness;
 mod lease;
 mod progress;
 mod queue;
@@ -32,9 +33,12 @@
 use crash::CrashHistory;
 pub use event::AgentAction;
 pub use event::AgentEvent;
+pub use event::EvacuationSource;
 pub use event::Observation;
 pub use event::RunEnd;
 use evidence::Evidence;
+use freshness::Freshness;
+pub use freshness::evacuation_read_timing;
 use queue::Queue;
 use record::Stage;
 use record::TaskRecord;
@@ -58,6 +62,8 @@
     /// Failure domain of the target; `None` if it is never evacuated.
     domain: Option<FailureDomain>,
     evacuations: Evacuations,
+    /// `None` if the agent can't read the store.
+    freshness: Option<Freshness>,
     /// Incarnation of this agent; seeds the choice of a configuration source, so that agents choose different
     /// entries.
     incarnation: Incarnation,
@@ -111,6 +117,7 @@
             config_version: None,
             domain: None,
             evacuations: Evacuations::default(),
+            freshness: None,
             incarnation,
             result_retention_ms,
             running_tasks: 0,
@@ -154,7 +161,7 @@
                 connection,
                 seq,
                 ack,
-            } => self.on_ack(connection, seq, &ack, &mut out),
+            } => self.on_ack(now, connection, seq, &ack, &mut out),
             AgentEvent::ConnectionLost { connection } => self.on_connection_lost(connection),
             AgentEvent::TargetAnnounced(announcement) => {
                 self.on_target_announced(now, announcement);
@@ -165,6 +172,9 @@
                 self.on_run_ended(now, &task, run_us, end, &mut out);
             }
             AgentEvent::RunProgress(progress) => self.on_progress(now, &progress, &mut out),
+            AgentEvent::EvacuationsRead { read, answer } => {
+                self.on_evacuations_read(now, read, answer, &mut out);
+            }
             AgentEvent::ConfigAdopted(config) => self.on_config_adopted(&config),
             AgentEvent::ConfigBody { connection, body } => self.on_config_body(connection, body),
             AgentEvent::Shutdown => self.on_shutdown(),
@@ -181,6 +191,7 @@
         let mut out = Vec::new();
         self.expire_target(now);
         self.start_ready(now, &mut out);
+        self.refresh_evacuations(now, &mut out);
         self.report_entries_heard(&mut out);
         self.send_reports(now, &mut out);
         out.extend(self.observations.drain(..).map(AgentAction::Observe));
--- a/crates/policy/src/agent/start.rs
+++ b/crates/policy/src/agent/start.rs
@@ -241,6 +241,9 @@
             let Some(task) = self.next_task(now) else {
                 return;
             };
+            if !self.may_start_by_freshness(now) {
+                return;
+            }
             self.start(now, &task, out);
         }
     }
--- a/crates/policy/src/agent/view.rs
+++ b/crates/policy/src/agent/view.rs
@@ -54,6 +54,8 @@
     pub pending_config: Option<Box<RawValue>>,
     /// Evacuations that the entry is known to hold or to receive in this session.
     pub known_evacuations: Evacuations,
+    /// What the entry has told of the age of its set, while earlier messages of it have not arrived.
+    pub pending_confirmation: Option<PendingConfirmation>,
     pub sent_hint: LoadHint,
     pub hint_sent_at: Moment,
     /// Minimum time between two reports that are sent only for a load hint, as requested by the entry.
@@ -88,6 +90,13 @@
     pub last_crash: u64,
 }
 
+/// The set of an entry was complete at some time, and is known here once so many messages have arrived.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PendingConfirmation {
+    pub known_at: Moment,
+    pub sent_messages: u64,
+}
+
 impl EntryView {
     pub fn open(
         connection: ConnectionId,
@@ -115,6 +124,7 @@
             pending_given_up: Vec::new(),
             pending_config: None,
             known_evacuations: Evacuations::default(),
+            pending_confirmation: None,
             sent_hint: LoadHint::default(),
             hint_sent_at: now,
             min_hint_interval_ms: Millis::default(),
@@ -127,6 +137,14 @@
         }
     }
 
+    /// The time at which the set of the entry was complete, once the messages before it have arrived.
+    pub fn take_confirmation(&mut self) -> Option<Moment> {
+        let next_message_seq = self.next_message_seq;
+        let arrived = |pending: &mut PendingConfirmation| pending.sent_messages <= next_message_seq;
+        let pending = self.pending_confirmation.take_if(arrived)?;
+        Some(pending.known_at)
+    }
+
     pub fn may_start(&self, now: Moment) -> bool {
         self.is_established() && !self.is_lease_expired(now)
     }
--- a/crates/policy/src/entry/evacuation.rs
+++ b/crates/policy/src/entry/evacuation.rs
@@ -5,6 +5,8 @@
 
 use dfs_conf::EvacuationUpdate;
 use dfs_ids::AgentId;
+use dfs_ids::Millis;
+use dfs_ids::Moment;
 use dfs_ids::SubmissionId;
 use dfs_wire::api::FailureReason;
 use dfs_wire::session::EntryItem;
@@ -18,6 +20,10 @@
 use super::job::Job;
 use crate::ConnectionId;
 
+/// Shortest time between two reads of the store of which an agent is told: reads come in quick succession while the
+/// configuration changes, and reports many times a second.
+const AGE_INTERVAL_MS: Millis = Millis::new(200);
+
 /// Targets that have returned from an evacuation and may be cold. Each takes one task from this entry at first, and one
 /// more for each that has ended well there.
 #[derive(Debug, Default)]
@@ -58,8 +64,12 @@
     pub(super) fn on_evacuations_read(
         &mut self,
         update: EvacuationUpdate,
+        sent_at: Moment,
         out: &mut Vec<EntryAction>,
     ) {
+        if update.confirms(&self.evacuations) {
+            self.evacuations_known_at = self.evacuations_known_at.max(Some(sent_at));
+        }
         if let Some(evacuations) = update.apply_to(&self.evacuations) {
             self.adopt_evacuations(evacuations, EvacuationSource::Store, out);
         }
@@ -110,6 +120,18 @@
         self.send_evacuations(out);
     }
 
+    /// Age of the set, if the store was read since an agent was last told it.
+    pub(super) fn take_evacuations_age(&mut self, now: Moment, agent: &AgentId) -> Option<Millis> {
+        let known_at = self.evacuations_known_at?;
+        let view = self.agents.get_mut(agent)?;
+        let is_newer = |told: Moment| known_at.since(told) >= AGE_INTERVAL_MS;
+        if !view.told_evacuations_known_at.is_none_or(is_newer) {
+            return None;
+        }
+        view.told_evacuations_known_at = Some(known_at);
+        Some(now.since(known_at))
+    }
+
     /// Sends the set to all agents that are not known to hold it.
     fn send_evacuations(&mut self, out: &mut Vec<EntryAction>) {
         let connections: Vec<_> = self.connections.keys().copied().collect();
--- a/crates/policy/src/entry/event.rs
+++ b/crates/policy/src/entry/event.rs
@@ -12,6 +12,7 @@
 use dfs_ids::JobName;
 use dfs_ids::Label;
 use dfs_ids::Millis;
+use dfs_ids::Moment;
 use dfs_ids::QueueName;
 use dfs_ids::ServiceName;
 use dfs_ids::SubmissionId;
@@ -63,7 +64,12 @@
     /// A configuration is available; ignored unless its version is higher than the active one.
     Configured(Arc<Config>),
     /// The source of the configuration was read for evacuated failure domains.
-    EvacuationsRead(EvacuationUpdate),
+    EvacuationsRead {
+        /// What the read shows.
+        update: EvacuationUpdate,
+        /// When the read was sent, by the clock of the entry.
+        sent_at: Moment,
+    },
     /// The list of entries that agents may connect to, sent whenever it has changed.
     EntriesChanged(Vec<EntryAddress>),
     /// Sends an item to an agent.
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -127,6 +127,8 @@
     orphans: BTreeMap<OrphanKey, Orphan>,
     /// The evacuated failure domains. Known before the configuration, without which nothing is placed.
     evacuations: Evacuations,
+    /// The set has every request that the store had confirmed by this time; `None` before the first read.
+    evacuations_known_at: Option<Moment>,
     /// Targets to which load returns after the evacuation of their domain.
     returning: ReturningTargets,
     /// Whether queued submissions may have lost their last target to an evacuation since they were last reviewed.
@@ -182,6 +184,7 @@
             queue_work: QueueWork::default(),
             orphans: BTreeMap::new(),
             evacuations: Evacuations::default(),
+            evacuations_known_at: None,
             returning: ReturningTargets::default(),
             is_evacuation_review_due: false,
             starting_until: None,
@@ -215,7 +218,9 @@
             }
             EntryEvent::ConnectionLost { connection } => self.on_connection_lost(connection),
             EntryEvent::Configured(config) => self.on_configured(now, config, &mut out),
-            EntryEvent::EvacuationsRead(update) => self.on_evacuations_read(update, &mut out),
+            EntryEvent::EvacuationsRead { update, sent_at } => {
+                self.on_evacuations_read(update, sent_at, &mut out);
+            }
             EntryEvent::EntriesChanged(entries) => self.on_entries_changed(&entries, &mut out),
             EntryEvent::SendItem { connection, item } => {
                 self.send_items(connection, vec![item], &mut out);
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -107,6 +107,11 @@
         }
         ack.hint_ms = self.hint_interval_update(&agent);
         ack.typical = self.typical_update(&agent);
+        ack.evacuations_age_ms = self.take_evacuations_age(now, &agent);
+        if ack.evacuations_age_ms.is_some() {
+            let view = self.agents.get(&agent);
+            ack.sent_messages = view.map(|view| view.next_seq);
+        }
         Ok(ack)
     }
 
--- a/crates/policy/src/entry/session.rs
+++ b/crates/policy/src/entry/session.rs
@@ -140,6 +140,7 @@
             is_evacuated,
             speed_class: self.speed_class(&attach.agent),
             known_evacuations: Evacuations::default(),
+            told_evacuations_known_at: None,
             target_seq: 0,
             hint: LoadHint::default(),
             hint_seq: 0,
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -50,6 +50,8 @@
     pub speed_class: SpeedClass,
     /// Evacuations that the agent is known to hold or to receive in this session.
     pub known_evacuations: Evacuations,
+    /// Time up to which the agent was last told in this session that the set is complete.
+    pub told_evacuations_known_at: Option<Moment>,
     /// Sequence number of the report with the target's state; reports may arrive out of order, and an
     /// older one does not replace it.
     pub target_seq: u64,
--- a/crates/policy/src/reads.rs
+++ b/crates/policy/src/reads.rs
@@ -133,6 +133,13 @@
             .retain(|(_, sent_at)| now.since(*sent_at) < abandon_ms);
     }
 
+    /// When an open read was sent; `None` if it is no longer waited for.
+    #[must_use]
+    pub fn sent_at(&self, id: ReadId) -> Option<Moment> {
+        let open = self.open.iter().find(|(open, _)| *open == id);
+        open.map(|(_, sent_at)| *sent_at)
+    }
+
     /// Whether a read is still waited for.
     #[must_use]
     pub fn is_open(&self, id: ReadId) -> bool {
--- a/crates/policy/tests/evacuation/main.rs
+++ b/crates/policy/tests/evacuation/main.rs
@@ -1,6 +1,9 @@
 //! Evacuation of failure domains: entries and agents together, and an entry's sets from the store.
 
+mod deployment;
+mod freshness;
 mod random;
+mod random_paths;
 mod returning;
 mod spread;
 mod unservable;
--- a/crates/policy/tests/evacuation/world.rs
+++ b/crates/policy/tests/evacuation/world.rs
@@ -32,6 +32,7 @@
 use dfs_policy::entry::EntryEvent;
 use dfs_policy::entry::Identity;
 use dfs_policy::entry::Submission;
+use dfs_policy::reads::ReadId;
 use dfs_wire::api::Answer;
 use dfs_wire::session::Ack;
 use dfs_wire::session::AgentItem;
@@ -50,7 +51,7 @@
 pub const SLOTS: u32 = 4;
 const TICK_MS: u64 = 100;
 const RETENTION_MS: u64 = 10_000;
-const TARGET_LEASE_MS: u64 = 60_000;
+const TARGET_LEASE_MS: u64 = 600_000;
 
 /// Where a message goes.
 #[derive(Debug)]
@@ -79,12 +80,18 @@
     pub held: BTreeSet<(usize, usize)>,
     /// Agent and task of each start, in order.
     pub starts: Vec<(usize, TaskRef)>,
+    /// Time of each start.
+    pub start_times: Vec<Moment>,
     running: Vec<(usize, TaskRef)>,
     pub answers: BTreeMap<String, Answer>,
     /// Last evacuation state that each agent has told its driver.
     pub driver_evacuated: Vec<bool>,
     /// Number of items that named evacuations, in either direction.
     pub evacuation_items: usize,
+    /// Bound within which agents follow an evacuation by reads of their own; `None` if they can't read the store.
+    bound_ms: Option<Millis>,
+    /// Reads of agents that the test has not answered yet: agent, read, time of sending.
+    pub reads: Vec<(usize, ReadId, Moment)>,
     next_number: u64,
 }
 
@@ -145,6 +152,11 @@
 impl World {
     /// Entries with a configuration, and one agent in each of these failure domains, not connected.
     pub fn new(entries: usize, domains: &[&'static str]) -> Self {
+        Self::with_reads(entries, domains, None)
+    }
+
+    /// The same with agents that follow an evacuation within a bound.
+    pub fn with_reads(entries: usize, domains: &[&'static str], bound_ms: Option<Millis>) -> Self {
         let mut world = Self {
             now: Moment::from_millis(10_000),
             entries: Vec::new(),
@@ -154,10 +166,13 @@
             links: BTreeMap::new(),
             held: BTreeSet::new(),
             starts: Vec::new(),
+            start_times: Vec::new(),
             running: Vec::new(),
             answers: BTreeMap::new(),
             driver_evacuated: vec![false; domains.len()],
             evacuation_items: 0,
+            bound_ms,
+            reads: Vec::new(),
             next_number: 0,
         };
         for index in 0..entries {
@@ -176,12 +191,17 @@
     /// A world in which every agent has a session with every entry.
     pub fn connected(entries: usize, domains: &[&'static str]) -> Self {
         let mut world = Self::new(entries, domains);
-        for entry in 0..entries {
-            for agent in 0..domains.len() {
-                world.connect(entry, agent);
+        world.connect_all();
+        world
+    }
+
+    /// Opens a session of every agent with every entry.
+    pub fn connect_all(&mut self) {
+        for entry in 0..self.entries.len() {
+            for agent in 0..self.agents.len() {
+                self.connect(entry, agent);
             }
         }
-        world
     }
 
     fn next_number(&mut self) -> u64 {
@@ -191,14 +211,21 @@
 
     fn new_entry(&mut self, index: usize) -> Entry {
         let incarnation = Incarnation::new(self.next_number());
+        let mut lease = LeaseSettings {
+            startup_ms: Millis::new(0),
+            ..LeaseSettings::default()
+        };
+        if self.bound_ms.is_some() {
+            // As on the platform whose users have such a bound.
+            lease.lease_ms = Millis::new(700);
+            lease.busy_renew_ms = Millis::new(200);
+            lease.idle_renew_ms = Millis::new(1_000);
+        }
         let identity = Identity {
             entry: format!("entry-{index}").parse().unwrap(),
             domain: domain("lagos"),
             incarnation,
-            lease: LeaseSettings {
-                startup_ms: Millis::new(0),
-                ..LeaseSettings::default()
-            },
+            lease,
             propagation_ms: Millis::new(1_000),
         };
         Entry::new(identity, incarnation.get())
@@ -207,7 +234,12 @@
     fn new_agent(&mut self, index: usize) -> Agent {
         let incarnation = Incarnation::new(self.next_number());
         self.incarnations[index] = incarnation;
-        Agent::new(incarnation, Millis::new(RETENTION_MS)).in_domain(domain(self.domains[index]))
+        let agent = Agent::new(incarnation, Millis::new(RETENTION_MS))
+            .in_domain(domain(self.domains[index]));
+        match self.bound_ms {
+            Some(bound_ms) => agent.reading_evacuations(bound_ms),
+            None => agent,
+        }
     }
 
     /// Announces the target of an agent, with its domain as a label.
@@ -265,6 +297,7 @@
         let entries = 0..self.entries.len();
         entries.for_each(|entry| self.disconnect(entry, agent));
         self.running.retain(|(at, _)| *at != agent);
+        self.reads.retain(|(reader, ..)| *reader != agent);
         self.agents[agent] = self.new_agent(agent);
         self.driver_evacuated[agent] = false;
         self.announce(agent);
@@ -280,7 +313,20 @@
 
     /// An entry reads this from the store.
     pub fn read(&mut self, entry: usize, update: EvacuationUpdate) {
-        self.on_entry(entry, EntryEvent::EvacuationsRead(update));
+        self.read_late(entry, update, self.now);
+    }
+
+    /// An entry receives the answer to a read that it has sent before.
+    pub fn read_late(&mut self, entry: usize, update: EvacuationUpdate, sent_at: Moment) {
+        self.on_entry(entry, EntryEvent::EvacuationsRead { update, sent_at });
+        self.deliver();
+    }
+
+    /// An agent receives the answer to a read, `None` for a failed one.
+    pub fn answer(&mut self, agent: usize, read: ReadId, answer: Option<Evacuations>) {
+        self.reads
+            .retain(|(reader, open, _)| (*reader, *open) != (agent, read));
+        self.on_agent(agent, AgentEvent::EvacuationsRead { read, answer });
         self.deliver();
     }
 
@@ -328,17 +374,22 @@
     /// Lets time pass; leases are renewed meanwhile.
     pub fn advance(&mut self, ms: u64) {
         for _ in 0..ms / TICK_MS {
-            self.now = self.now + Millis::new(TICK_MS);
-            for index in 0..self.entries.len() {
-                self.on_entry(index, EntryEvent::Tick);
-            }
-            for index in 0..self.agents.len() {
-                self.on_agent(index, AgentEvent::Tick);
-            }
-            self.deliver();
+            self.tick(TICK_MS);
         }
     }
 
+    /// Lets so much time pass until the next tick of all processes.
+    pub fn tick(&mut self, ms: u64) {
+        self.now = self.now + Millis::new(ms);
+        for index in 0..self.entries.len() {
+            self.on_entry(index, EntryEvent::Tick);
+        }
+        for index in 0..self.agents.len() {
+            self.on_agent(index, AgentEvent::Tick);
+        }
+        self.deliver();
+    }
+
     /// Delivers all messages that are not held up, and those that follow from them.
     pub fn deliver(&mut self) {
         loop {
@@ -421,9 +472,13 @@
                 AgentAction::DomainEvacuated(is_evacuated) => {
                     self.driver_evacuated[index] = is_evacuated;
                 }
+                AgentAction::ReadEvacuations { read } => {
+                    self.reads.push((index, read, self.now));
+                }
                 AgentAction::StartRun { task, .. } => {
                     assert!(!self.driver_evacuated[index], "{task} starts in vain");
                     self.starts.push((index, task.clone()));
+                    self.start_times.push(self.now);
                     self.running.push((index, task));
                 }
                 _ => {}
--- a/crates/wire/src/session/report.rs
+++ b/crates/wire/src/session/report.rs
@@ -157,10 +157,15 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub drop: Vec<TaskRef>,
     /// Number of messages that the entry has sent in the session; present if the report contained a state
-    /// of the target. The reply may arrive before those messages, so an agent that shuts down must read
-    /// all of them first: they may place tasks.
+    /// of the target, and beside `evacuations_age_ms`. The reply may arrive before those messages, so an agent that
+    /// shuts down must read all of them first: they may place tasks.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub sent_messages: Option<u64>,
+    /// Age of the entry's set of evacuated domains: every request that the table service had confirmed this long ago
+    /// is in it, and in the messages that the entry had sent by then. Present when the entry has read the table
+    /// service since it last told this; an entry that can't read it tells nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations_age_ms: Option<Millis>,
     /// Shortest interval between reports that are sent only for a load hint; present when it has changed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub hint_ms: Option<Millis>,
