--- a/crates/policy/tests/evacuation/deployment.rs
+++ b/crates/policy/tests/evacuation/deployment.rs
@@ -79,8 +79,10 @@
     }
 
     pub fn set_agent_path(&mut self, agent: usize, path: Path) {
-        self.agent_paths[agent] = path;
-        self.agent_path_changed_at[agent] = self.world.now;
+        if self.agent_paths[agent] != path {
+            self.agent_paths[agent] = path;
+            self.agent_path_changed_at[agent] = self.world.now;
+        }
     }
 
     /// Time for which the reads of an agent have been answered well.
--- a/crates/policy/tests/evacuation/freshness.rs
+++ b/crates/policy/tests/evacuation/freshness.rs
@@ -24,10 +24,10 @@
 use super::deployment::TICK_MS;
 use super::world::domain;
 
-/// Enough that a spread shows.
+/// Agents of the test that spreads their reads.
 const AGENTS: usize = 200;
 
-/// Number of tasks that start in the first domain under load, from now on for this time.
+/// Number of tasks that start in the first domain in so much time under load.
 fn starts_in_lagos(deployment: &mut Deployment, ms: u64) -> usize {
     let before = deployment.world.started_at(LAGOS);
     deployment.run(ms);
--- a/crates/policy/tests/evacuation/random_paths.rs
+++ b/crates/policy/tests/evacuation/random_paths.rs
@@ -45,7 +45,7 @@
     }
 }
 
-/// One action. The entries lose the store together more often than not, since that is when agents depend on it.
+/// One action. The entries often lose the store together, since that is when agents depend on their own reads.
 fn act(
     deployment: &mut Deployment,
     random: &mut SmallRng,
@@ -84,9 +84,11 @@
 struct Judge {
     /// Times at which the evacuation of a domain was requested and withdrawn in turn.
     requests: Vec<(Moment, &'static str)>,
+    /// Number of starts that were judged.
     judged: usize,
     /// Starts in domains that were evacuated for less than the bound, or at agents that were cut off.
     early: usize,
+    /// Agents of the other starts.
     late: Vec<usize>,
 }
 
