Test that an entry tells the age of its read, not that of the answer

An entry that is short of processor time handles an answer long after it has sent the read. Counting from the answer would let its agents take an old set for a fresh one. Passes on the code as it is.

--- a/crates/policy/tests/evacuation/freshness.rs
+++ b/crates/policy/tests/evacuation/freshness.rs
@@ -22,7 +22,9 @@
 use super::deployment::Deployment;
 use super::deployment::Path;
 use super::deployment::TICK_MS;
+use super::world::World;
 use super::world::domain;
+use super::world::full;
 
 /// Agents of the test that spreads their reads.
 const AGENTS: usize = 200;
@@ -192,6 +194,20 @@
     expect_true!(deployment.world.driver_evacuated[LAGOS]);
 }
 
+/// An entry that is short of processor time handles an answer long after it has sent the read.
+#[googletest::test]
+fn an_entry_tells_the_age_of_its_read_and_not_that_of_the_answer() {
+    const READ_MS: u64 = 3_000;
+    let mut world = World::with_reads(1, &DOMAINS, Some(Millis::new(BOUND_MS)));
+    world.connect_all();
+    let sent_at = world.now;
+    world.advance(READ_MS);
+    world.read_late(0, full(5, &[]), sent_at);
+    world.advance(1_000);
+    let age_ms = world.agents[LAGOS].evacuations_age_ms(world.now);
+    expect_that!(age_ms, some(eq(Millis::new(READ_MS + 1_000))));
+}
+
 fn new_agent(number: u64) -> Agent {
     Agent::new(Incarnation::new(number), Millis::new(10_000))
         .in_domain(domain("lagos"))
