Log what an entry reads and passes on of the configuration

Event 513 sums up a second in which there was a new version: reads, their bytes, the longest time until an answer, versions in them; updates, how many were whole, their bytes, and the longest queue of a session. The same as counters and a gauge. Without a new version nothing is logged.

--- a/crates/entry/src/edge.rs
+++ b/crates/entry/src/edge.rs
@@ -66,6 +66,8 @@
     pub evacuations: EvacuationUpdate,
     /// Revision of the source up to which changes were read.
     pub revision: Revision,
+    /// Size of the answer of the source.
+    pub read_bytes: u64,
 }
 
 /// Accepts submissions from the HTTP routes of an [`EntryAdapter`].
--- a/crates/entry/src/process/core.rs
+++ b/crates/entry/src/process/core.rs
@@ -27,6 +27,7 @@
 use dfs_wire::api::Answer;
 use dfs_wire::api::EntryStatus;
 use dfs_wire::session::Ack;
+use dfs_wire::session::EntryItem;
 use dfs_wire::session::EntryMessage;
 use dfs_wire::session::ReportError;
 use fail::fail_point;
@@ -80,6 +81,8 @@
         connection: ConnectionId,
         have: ConfigVersion,
     },
+    /// An update was queued for an agent, for which this many messages wait now.
+    UpdateQueued { queued_messages: u64 },
     /// An agent sent the configuration that it holds.
     ConfigReceived(Box<RawValue>),
     /// Every submission is answered, and the graceful shutdown may go on.
@@ -279,7 +282,15 @@
         let Some(sink) = self.sinks.get(&connection) else {
             return;
         };
+        let is_update = |item: &EntryItem| matches!(item, EntryItem::Config(_));
+        let has_update = message.items.iter().any(is_update);
         match sink.messages.try_send(message) {
+            Ok(()) if has_update => {
+                let queued = sink.messages.max_capacity() - sink.messages.capacity();
+                self.send_outgoing(Outgoing::UpdateQueued {
+                    queued_messages: queued as u64,
+                });
+            }
             Ok(()) => {}
             // A session whose queue is full or closed counts as lost. That is safe because the
             // agent's next session fences it, so that nothing of it takes effect later.
--- a/crates/entry/src/process/start.rs
+++ b/crates/entry/src/process/start.rs
@@ -357,10 +357,14 @@
         match outgoing {
             Outgoing::OfferConfig { connection, have } => {
                 if let Some(update) = active_config.update_for(have) {
-                    let item = EntryItem::Config(RawValue::to_owned(&update));
+                    active_config.record_update(&update);
+                    let item = EntryItem::Config(RawValue::to_owned(&update.json));
                     core.send_event(EntryEvent::SendItem { connection, item });
                 }
             }
+            Outgoing::UpdateQueued { queued_messages } => {
+                active_config.record_queue(queued_messages);
+            }
             Outgoing::ConfigReceived(body) => {
                 if let Ok(update) = serde_json::from_str(body.get()) {
                     active_config.adopt(update, ConfigSource::Session);
--- a/crates/entry/src/version/follow.rs
+++ b/crates/entry/src/version/follow.rs
@@ -21,6 +21,7 @@
 
 use super::ActiveConfig;
 use super::link::StoreHealth;
+use super::traffic::AnsweredRead;
 use crate::edge::ConfigChanges;
 use crate::edge::ConfigFeed;
 
@@ -79,6 +80,7 @@
 impl Follower {
     /// Sends the read that is due, then waits for an answer or until the next one is due.
     async fn step(&mut self) {
+        self.active_config.log_traffic();
         let now = self.clock.now();
         self.schedule.abandon_old(now);
         self.reads.retain(|id, _| self.schedule.is_open(*id));
@@ -120,8 +122,13 @@
         };
         match answer {
             Ok(changes) => {
-                self.adopt(now, id, &read, changes);
                 let read_ms = now.since(read.sent_at);
+                self.active_config.record_read(AnsweredRead {
+                    bytes: changes.read_bytes,
+                    read_ms,
+                    versions: changes.configs.len() as u64,
+                });
+                self.adopt(now, id, &read, changes);
                 self.health.record_success(&self.active_config, read_ms);
             }
             Err(error) => {
--- a/crates/entry/src/version/holder.rs
+++ b/crates/entry/src/version/holder.rs
@@ -30,6 +30,9 @@
 use serde_json::value::to_raw_value;
 use tokio::sync::watch;
 
+use super::traffic::AnsweredRead;
+use super::traffic::ConfigTraffic;
+use super::traffic::SentUpdate;
 use crate::process::CoreHandle;
 
 /// Number of diffs between successive versions that are kept to update agents with an older
@@ -61,6 +64,15 @@
     /// for the whole configuration.
     encoded_updates: BTreeMap<ConfigVersion, Arc<RawValue>>,
     confirmed_at: Option<Moment>,
+    traffic: ConfigTraffic,
+}
+
+/// A serialized update to the active version.
+#[derive(Debug, Clone)]
+pub(crate) struct EncodedUpdate {
+    pub json: Arc<RawValue>,
+    /// Whether it is the whole configuration.
+    pub is_full: bool,
 }
 
 impl ActiveConfig {
@@ -136,24 +148,61 @@
     /// The serialized update for a process that holds version `held`, `None` if it needs none.
     ///
     /// An update is computed and serialized once, however many processes need it.
-    pub fn update_for(&self, held: ConfigVersion) -> Option<Arc<RawValue>> {
+    pub fn update_for(&self, held: ConfigVersion) -> Option<EncodedUpdate> {
         let mut state = self.lock();
         let current = state.holder.current()?;
         if held >= current.version {
             return None;
         }
         let from = state.diffs.iter().position(|diff| diff.base == held);
+        let is_full = from.is_none();
         let base = from.map_or(ConfigVersion::default(), |_| held);
         if let Some(encoded) = state.encoded_updates.get(&base) {
-            return Some(Arc::clone(encoded));
+            let json = Arc::clone(encoded);
+            return Some(EncodedUpdate { json, is_full });
         }
         let update = match from {
             Some(from) => ConfigUpdate::Diffs(state.diffs.range(from..).cloned().collect()),
             None => ConfigUpdate::Full(Box::new(Config::clone(current))),
         };
-        let message: Arc<RawValue> = Arc::from(to_raw_value(&update).ok()?);
-        state.encoded_updates.insert(base, Arc::clone(&message));
-        Some(message)
+        let json: Arc<RawValue> = Arc::from(to_raw_value(&update).ok()?);
+        state.encoded_updates.insert(base, Arc::clone(&json));
+        Some(EncodedUpdate { json, is_full })
+    }
+
+    /// Records an answered read of the store.
+    pub(super) fn record_read(&self, read: AnsweredRead) {
+        let now = self.clock.now();
+        self.lock().traffic.record_read(now, read, &self.metrics);
+    }
+
+    /// Records an update that is sent to an agent.
+    pub fn record_update(&self, update: &EncodedUpdate) {
+        let now = self.clock.now();
+        let update = SentUpdate {
+            bytes: update.json.get().len() as u64,
+            is_full: update.is_full,
+        };
+        let mut state = self.lock();
+        state.traffic.record_update(now, update, &self.metrics);
+    }
+
+    /// Records how many messages wait for an agent, after an update was queued for it.
+    pub fn record_queue(&self, queued_messages: u64) {
+        let mut state = self.lock();
+        state.traffic.record_queue(queued_messages, &self.metrics);
+    }
+
+    /// Logs what was read and passed on since the last time, at most once a second.
+    pub fn log_traffic(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let version = state.holder.version().unwrap_or_default();
+        let event = state.traffic.take_event(now, version);
+        drop(state);
+        if let Some(event) = event {
+            dfs_log::emit(event);
+        }
     }
 
     /// Records that the store has just confirmed the active version as the latest.
--- a/crates/entry/src/version/mod.rs
+++ b/crates/entry/src/version/mod.rs
@@ -6,6 +6,7 @@
 mod link;
 mod poll;
 mod thread;
+mod traffic;
 
 pub(crate) use apply::apply;
 pub(crate) use follow::follow_feed;
--- a/crates/entry/src/version/poll.rs
+++ b/crates/entry/src/version/poll.rs
@@ -21,6 +21,7 @@
     let mut health = StoreHealth::default();
     let mut due_at = clock.now();
     loop {
+        active_config.log_traffic();
         let sent_at = clock.now();
         health.record_sent(sent_at, due_at);
         match refresh(&store, &active_config).await {
--- a/crates/entry/tests/startup.rs
+++ b/crates/entry/tests/startup.rs
@@ -89,6 +89,7 @@
                 configs: vec![config],
                 evacuations: EvacuationUpdate::Full(Evacuations::default()),
                 revision: Revision::new(1),
+                read_bytes: 0,
             })
         })
     }
--- a/crates/log/src/event/config.rs
+++ b/crates/log/src/event/config.rs
@@ -126,5 +126,26 @@
             /// Reads that the store has answered.
             answered: u64,
         }
+        /// What the process has read and passed on of the configuration in about a second in which there was a new version.
+        513 Info "config_traffic" Traffic {
+            /// Active version.
+            version: ConfigVersion,
+            /// Reads of the store that were answered.
+            reads: u64,
+            /// Bytes of these answers.
+            read_bytes: u64,
+            /// Longest time until one of them.
+            read_ms: Millis,
+            /// Versions in these answers.
+            read_versions: u64,
+            /// Updates sent to agents.
+            updates: u64,
+            /// Those of them that were the whole configuration.
+            full_updates: u64,
+            /// Bytes of all updates.
+            update_bytes: u64,
+            /// Largest number of messages that waited for one agent when an update was sent to it.
+            queued_messages: u64,
+        }
     }
 }
--- a/crates/log/src/metrics/name.rs
+++ b/crates/log/src/metrics/name.rs
@@ -57,6 +57,12 @@
         TargetCrashes = "target_crashes",
         /// Reads of the evacuated failure domains that an agent has sent to the store.
         EvacuationReads = "evacuation_reads",
+        /// Bytes of configurations read from the store.
+        ConfigBytesRead = "config_bytes_read",
+        /// Updates of the configuration sent to agents.
+        ConfigUpdatesSent = "config_updates_sent",
+        /// Bytes of these updates.
+        ConfigBytesSent = "config_bytes_sent",
         /// Tasks that are not run again, because targets have crashed under them.
         TasksGivenUp = "tasks_given_up",
         /// Times that a queue was contained.
@@ -93,6 +99,8 @@
         EvacuatedDomains = "evacuated_domains",
         /// Age of an agent's set of evacuated failure domains, in milliseconds.
         EvacuationsAgeMs = "evacuations_age_ms",
+        /// Messages that waited for one agent when an update of the configuration was last sent to it.
+        QueuedMessages = "queued_messages",
         /// Memory that requests hold which arrive or wait for their answer, in bytes.
         RequestBytes = "request_bytes",
     }
