Move the updates for older versions into dfs-conf

What an entry sends to an agent with an older version was decided under the lock of `ActiveConfig`, where no test without I/O reaches it. `UpdateLog` holds the differences and the serialized updates now. No change of logic.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -15,6 +15,7 @@
 mod rules;
 mod settings;
 mod token;
+mod update_log;
 
 pub use config::Config;
 pub use dfs_wire::session::Evacuations;
@@ -65,3 +66,5 @@
 pub use settings::SettingsError;
 pub use settings::StoreSettings;
 pub use token::TokenDigest;
+pub use update_log::EncodedUpdate;
+pub use update_log::UpdateLog;
--- a/crates/entry/src/version/holder.rs
+++ b/crates/entry/src/version/holder.rs
@@ -1,7 +1,5 @@
 //! The active version of the configuration in this process.
 
-use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -9,13 +7,14 @@
 
 use dfs_conf::Adoption;
 use dfs_conf::Config;
-use dfs_conf::ConfigDiff;
 use dfs_conf::ConfigHolder;
 use dfs_conf::ConfigUpdate;
+use dfs_conf::EncodedUpdate;
 use dfs_conf::EvacuationUpdate;
 use dfs_conf::Identity;
 use dfs_conf::QueueIndex;
 use dfs_conf::TokenIndex;
+use dfs_conf::UpdateLog;
 use dfs_ids::Clock;
 use dfs_ids::ConfigVersion;
 use dfs_ids::FailureDomain;
@@ -26,8 +25,6 @@
 use dfs_log::Gauge;
 use dfs_log::Metrics;
 use dfs_policy::entry::EntryEvent;
-use serde_json::value::RawValue;
-use serde_json::value::to_raw_value;
 use tokio::sync::watch;
 
 use super::traffic::AnsweredRead;
@@ -35,10 +32,6 @@
 use super::traffic::SentUpdate;
 use crate::process::CoreHandle;
 
-/// Number of diffs between successive versions that are kept to update agents with an older
-/// version.
-const MAX_DIFFS: usize = 16;
-
 /// Shared handle to the active version, which is only ever replaced by a higher one.
 #[derive(Debug, Clone)]
 pub(crate) struct ActiveConfig {
@@ -57,24 +50,11 @@
     holder: ConfigHolder,
     tokens: TokenIndex,
     queues: Arc<QueueIndex>,
-    /// Diffs between the versions that were active, the newest last. The base of each is the result
-    /// of the one before it.
-    diffs: VecDeque<ConfigDiff>,
-    /// Serialized updates to the active version, by the version that they start from; zero stands
-    /// for the whole configuration.
-    encoded_updates: BTreeMap<ConfigVersion, Arc<RawValue>>,
+    updates: UpdateLog,
     confirmed_at: Option<Moment>,
     traffic: ConfigTraffic,
 }
 
-/// A serialized update to the active version.
-#[derive(Debug, Clone)]
-pub(crate) struct EncodedUpdate {
-    pub json: Arc<RawValue>,
-    /// Whether it is the whole configuration.
-    pub is_full: bool,
-}
-
 impl ActiveConfig {
     pub fn new(
         clock: Clock,
@@ -146,28 +126,10 @@
     }
 
     /// The serialized update for a process that holds version `held`, `None` if it needs none.
-    ///
-    /// An update is computed and serialized once, however many processes need it.
     pub fn update_for(&self, held: ConfigVersion) -> Option<EncodedUpdate> {
         let mut state = self.lock();
-        let current = state.holder.current()?;
-        if held >= current.version {
-            return None;
-        }
-        let from = state.diffs.iter().position(|diff| diff.base == held);
-        let is_full = from.is_none();
-        let base = from.map_or(ConfigVersion::default(), |_| held);
-        if let Some(encoded) = state.encoded_updates.get(&base) {
-            let json = Arc::clone(encoded);
-            return Some(EncodedUpdate { json, is_full });
-        }
-        let update = match from {
-            Some(from) => ConfigUpdate::Diffs(state.diffs.range(from..).cloned().collect()),
-            None => ConfigUpdate::Full(Box::new(Config::clone(current))),
-        };
-        let json: Arc<RawValue> = Arc::from(to_raw_value(&update).ok()?);
-        state.encoded_updates.insert(base, Arc::clone(&json));
-        Some(EncodedUpdate { json, is_full })
+        let current = Arc::clone(state.holder.current()?);
+        state.updates.update_for(held, &current)
     }
 
     /// Records an answered read of the store.
@@ -250,24 +212,7 @@
         let config = self.holder.current()?.clone();
         self.tokens = TokenIndex::new(&config.inventory);
         self.queues = Arc::new(QueueIndex::new(&config.inventory.queues));
-        self.encoded_updates.clear();
-        if let Some(previous) = previous {
-            self.append_diffs(&previous, &config, received);
-        }
+        self.updates.record(previous.as_deref(), &config, received);
         Some(config)
     }
-
-    /// Stores the diffs from the previous version to the active one.
-    fn append_diffs(&mut self, previous: &Config, config: &Config, received: Vec<ConfigDiff>) {
-        let diffs: Vec<_> = received
-            .into_iter()
-            .filter(|diff| diff.version > previous.version)
-            .collect();
-        if diffs.is_empty() {
-            self.diffs.push_back(ConfigDiff::between(previous, config));
-        }
-        self.diffs.extend(diffs);
-        let surplus = self.diffs.len().saturating_sub(MAX_DIFFS);
-        self.diffs.drain(..surplus);
-    }
 }
