Offer an agent one version at a time, the newest

Cause: an entry offered each version to each of its agents, whatever it had sent before. An update begins at the version that the agent has last reported, so a second one that is sent while the first is on its way repeats it: up to 16 differences in each. Once updates come faster than the link carries them, every further one is larger than the one before. Reads of the store, placements and acknowledgements share the link and the sessions with them.

Now an agent is offered nothing more until it has reported another version, then the newest; after four propagation times without a report, again. What waits for an agent is one update, whatever the rate.

--- a/crates/policy/src/entry/config.rs
+++ b/crates/policy/src/entry/config.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use dfs_conf::Config;
+use dfs_ids::ConfigVersion;
 use dfs_ids::Millis;
 use dfs_ids::Moment;
 use dfs_wire::session::EntryItem;
@@ -15,15 +16,12 @@
 
 /// Limit on how often the number of agents that are asked at a time doubles. Each answer is a whole configuration.
 const MAX_REQUEST_DOUBLINGS: u32 = 4;
+/// Propagation times after which an agent that has not confirmed an offered version is offered the newest one.
+const CONFIRMATION_PROPAGATIONS: u64 = 4;
 
 impl Entry {
-    /// Adopts the configuration if its version is higher, and offers it to the agents that fetch it here.
-    pub(super) fn on_configured(
-        &mut self,
-        now: Moment,
-        config: Arc<Config>,
-        out: &mut Vec<EntryAction>,
-    ) {
+    /// Adopts the configuration if its version is higher.
+    pub(super) fn on_configured(&mut self, now: Moment, config: Arc<Config>) {
         if self
             .config
             .as_ref()
@@ -37,21 +35,12 @@
             .iter()
             .map(|g| (g.group.clone(), g.share));
         self.shares.set_shares(shares);
-        for view in self.agents.values() {
-            let have = view.config_version.unwrap_or_default();
-            if let Some(connection) = view.connection
-                && view.is_config_client
-                && have < config.version
-            {
-                out.push(EntryAction::OfferConfig { connection, have });
-            }
-        }
         let startup_ms = self.identity.lease.startup_ms;
         self.starting_until.get_or_insert(now + startup_ms);
+        self.adopted_versions.push_back((now, config.version));
         self.config = Some(config);
         self.config_stale_since = None;
         self.unanswered_config_requests = 0;
-        self.config_adopted_at = now;
         self.update_containment();
     }
 
@@ -61,31 +50,61 @@
         self.starting_until.is_some_and(|until| now < until)
     }
 
-    /// Offers the active configuration to agents that have not received it from their configuration
-    /// source; that entry may itself be waiting for it from its agents.
-    pub(super) fn offer_config_to_lagging_agents(
-        &mut self,
-        now: Moment,
-        out: &mut Vec<EntryAction>,
-    ) {
+    /// Offers the active configuration to agents with an older version.
+    ///
+    /// An agent is offered no further version until it has confirmed one, and then the newest: what waits for it stays
+    /// bounded, however fast versions follow each other. Agents with another configuration source are offered
+    /// a version only if that entry has not delivered it; it may itself be waiting for it from its agents.
+    pub(super) fn offer_config(&mut self, now: Moment, out: &mut Vec<EntryAction>) {
         let Some(version) = self.config.as_ref().map(|config| config.version) else {
             return;
         };
-        if now < self.config_adopted_at + self.identity.propagation_ms {
-            return;
-        }
+        let delivered_version = self.delivered_version(now);
+        let propagation_ms = self.identity.propagation_ms;
+        let confirm_ms = Millis::new(propagation_ms.get() * CONFIRMATION_PROPAGATIONS);
+        let mut probed = Vec::new();
         for view in self.agents.values_mut() {
+            let Some(connection) = view.connection.filter(|_| view.is_session_open) else {
+                continue;
+            };
             let Some(have) = view.config_version.filter(|have| *have < version) else {
                 continue;
             };
-            let was_offered = view.offered_version.replace(version) == Some(version);
-            if let Some(connection) = view
-                .connection
-                .filter(|_| view.is_session_open && !was_offered)
-            {
-                out.push(EntryAction::OfferConfig { connection, have });
+            let is_waiting = |at: Option<Moment>| at.is_some_and(|at| now < at + confirm_ms);
+            if is_waiting(view.config_offered_at) {
+                continue;
+            }
+            if !view.is_config_client {
+                if have >= delivered_version {
+                    continue;
+                }
+                // Without tasks the agent reports its version only when it renews its session.
+                if now >= view.last_heard_at + propagation_ms {
+                    if !is_waiting(view.version_asked_at) {
+                        view.version_asked_at = Some(now);
+                        probed.push(connection);
+                    }
+                    continue;
+                }
             }
+            view.config_offered_at = Some(now);
+            out.push(EntryAction::OfferConfig { connection, have });
+        }
+        for connection in probed {
+            self.send_items(connection, vec![EntryItem::Probe], out);
+        }
+    }
+
+    /// The version that all agents should have received from their configuration source by now.
+    fn delivered_version(&mut self, now: Moment) -> ConfigVersion {
+        let propagation_ms = self.identity.propagation_ms;
+        let is_due =
+            |(adopted_at, _): &(Moment, ConfigVersion)| now >= *adopted_at + propagation_ms;
+        while self.adopted_versions.get(1).is_some_and(is_due) {
+            self.adopted_versions.pop_front();
         }
+        let first = self.adopted_versions.front().filter(|first| is_due(first));
+        first.map(|(_, version)| *version).unwrap_or_default()
     }
 
     /// Requests a higher version from agents if the table service has not delivered it in time, or at
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -25,12 +25,14 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use dfs_conf::Config;
 use dfs_conf::Evacuations;
 use dfs_conf::LeaseSettings;
 use dfs_ids::AgentId;
+use dfs_ids::ConfigVersion;
 use dfs_ids::EntryId;
 use dfs_ids::FailureDomain;
 use dfs_ids::Incarnation;
@@ -138,8 +140,9 @@
     starting_until: Option<Moment>,
     /// Submissions that were queued before `starting_until`, until they are reviewed then.
     queued_at_start: Vec<SubmissionId>,
-    /// When the active configuration was adopted.
-    config_adopted_at: Moment,
+    /// Versions with the times at which they were adopted, the newest last. Of those older than
+    /// [`propagation_ms`](Identity::propagation_ms) only the newest is kept.
+    adopted_versions: VecDeque<(Moment, ConfigVersion)>,
     /// Since when an agent has reported a higher configuration version than that of this entry.
     config_stale_since: Option<Moment>,
     /// When an agent was last asked to send its configuration.
@@ -189,7 +192,7 @@
             is_evacuation_review_due: false,
             starting_until: None,
             queued_at_start: Vec::new(),
-            config_adopted_at: Moment::default(),
+            adopted_versions: VecDeque::new(),
             config_stale_since: None,
             config_requested_at: None,
             unanswered_config_requests: 0,
@@ -217,7 +220,7 @@
                 self.on_report(now, connection, report, &mut out);
             }
             EntryEvent::ConnectionLost { connection } => self.on_connection_lost(connection),
-            EntryEvent::Configured(config) => self.on_configured(now, config, &mut out),
+            EntryEvent::Configured(config) => self.on_configured(now, config),
             EntryEvent::EvacuationsRead { update, sent_at } => {
                 self.on_evacuations_read(update, sent_at, &mut out);
             }
@@ -236,7 +239,7 @@
     pub fn flush(&mut self, now: Moment) -> Vec<EntryAction> {
         let mut out = Vec::new();
         self.request_newer_config(now, &mut out);
-        self.offer_config_to_lagging_agents(now, &mut out);
+        self.offer_config(now, &mut out);
         self.review_speeds(now);
         self.review_queue(now, &mut out);
         self.dispatch(now, &mut out);
--- a/crates/policy/src/entry/report.rs
+++ b/crates/policy/src/entry/report.rs
@@ -301,24 +301,15 @@
             return;
         };
         view.config_version_seq = seq;
-        view.config_version = Some(version);
+        if view.config_version.replace(version) != Some(version) {
+            view.config_offered_at = None;
+        }
         let was_config_client = std::mem::replace(&mut view.is_config_client, is_config_client);
         let becomes_config_client = is_config_client && !was_config_client;
-        let own = self
-            .config
-            .as_ref()
-            .map(|config| config.version)
-            .unwrap_or_default();
         // Agents with another configuration source receive the addresses from that entry.
         if becomes_config_client && !self.known_entries.is_empty() {
             let addresses = vec![EntryItem::Entries(self.known_entries.clone())];
             self.send_items(connection, addresses, out);
         }
-        if is_config_client && version < own {
-            out.push(EntryAction::OfferConfig {
-                connection,
-                have: version,
-            });
-        }
     }
 }
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -73,8 +73,10 @@
     pub config_version_seq: u64,
     /// Whether the agent has chosen this entry as the source of its configuration.
     pub is_config_client: bool,
-    /// Version that was last offered in this session although the agent has another configuration source.
-    pub offered_version: Option<ConfigVersion>,
+    /// When the agent was last offered a version in this session, if it has not reported its own since.
+    pub config_offered_at: Option<Moment>,
+    /// When the agent was last probed in this session for its version.
+    pub version_asked_at: Option<Moment>,
     /// When the agent was last asked for its configuration in this session.
     pub config_requested_at: Option<Moment>,
     /// When the agent was probed since its last report.
--- a/crates/policy/tests/policy_config.rs
+++ b/crates/policy/tests/policy_config.rs
@@ -36,6 +36,8 @@
     sessions: BTreeMap<ConnectionId, (SessionNumber, u64)>,
     /// Agents that were asked for their configuration.
     asked: Vec<ConnectionId>,
+    /// Probes of agents for their version.
+    probes: usize,
     /// Version held by the agent at each configuration offer.
     offered_from: Vec<ConfigVersion>,
     sent_hint_intervals_ms: Vec<Millis>,
@@ -56,6 +58,7 @@
             now: Moment::from_millis(10_000),
             sessions: BTreeMap::new(),
             asked: Vec::new(),
+            probes: 0,
             offered_from: Vec::new(),
             sent_hint_intervals_ms: Vec::new(),
         };
@@ -108,7 +111,20 @@
     }
 
     fn report_version_on(&mut self, connection: ConnectionId, version: u64) {
-        let is_config_client = false;
+        self.report_version_as(connection, version, false);
+    }
+
+    /// Reports the version of an agent that has this entry as the source of its configuration.
+    fn report_client_version(&mut self, version: u64) {
+        self.report_version_as(AGENT, version, true);
+    }
+
+    fn report_version_as(
+        &mut self,
+        connection: ConnectionId,
+        version: u64,
+        is_config_client: bool,
+    ) {
         let version = ConfigVersion::new(version);
         let items = vec![AgentItem::Version(version, is_config_client)];
         self.report_on(connection, items);
@@ -142,12 +158,14 @@
                 EntryAction::Send {
                     connection,
                     message,
-                } if message
-                    .items
-                    .iter()
-                    .any(|item| matches!(item, EntryItem::WantConfig)) =>
-                {
-                    self.asked.push(connection);
+                } => {
+                    for item in message.items {
+                        match item {
+                            EntryItem::WantConfig => self.asked.push(connection),
+                            EntryItem::Probe => self.probes += 1,
+                            _ => {}
+                        }
+                    }
                 }
                 _ => {}
             }
@@ -169,6 +187,49 @@
     );
 }
 
+#[googletest::test]
+fn an_agent_has_at_most_one_update_that_it_has_not_confirmed() {
+    let mut entry = TestEntry::new();
+    entry.report_client_version(1);
+    for version in 2..=40 {
+        entry.now = entry.now + Millis::new(50);
+        entry.configure(version);
+    }
+    let first = ConfigVersion::new(1);
+    expect_that!(entry.offered_from, elements_are![eq(&first)]);
+    entry.report_client_version(2);
+    let second = ConfigVersion::new(2);
+    expect_that!(entry.offered_from, elements_are![eq(&first), eq(&second)]);
+    entry.report_client_version(40);
+    expect_that!(entry.offered_from, len(eq(2)));
+}
+
+#[googletest::test]
+fn an_agent_whose_source_delivers_nothing_is_offered_versions_in_quick_succession() {
+    let mut entry = TestEntry::new();
+    for version in 2..=40 {
+        entry.configure(version);
+        entry.report_after(50);
+    }
+    let held = ConfigVersion::new(1);
+    expect_that!(entry.offered_from, elements_are![eq(&held)]);
+}
+
+#[googletest::test]
+fn an_agent_that_rarely_reports_is_asked_for_its_version_before_it_is_offered_one() {
+    let mut entry = TestEntry::new();
+    entry.configure(2);
+    for _ in 0..3 {
+        entry.now = entry.now + Millis::new(1_000);
+        entry.handle(EntryEvent::Tick);
+    }
+    expect_that!(entry.probes, eq(1));
+    expect_that!(entry.offered_from, is_empty());
+    entry.report_version(2);
+    entry.report_after(500);
+    expect_that!(entry.offered_from, is_empty());
+}
+
 #[googletest::test]
 fn an_agent_that_holds_the_version_is_offered_nothing() {
     let mut entry = TestEntry::new();
