Make a diff as long as the change, whatever its place in the list

Cause: a queue that is added elsewhere than at the end of the list made the diff the whole list.

A section can now be spliced: elements that are inserted or moved come with their place, the others keep their order. The shortest such diff is found by a longest ordered selection of the common elements. A diff over several versions is replaced by the whole configuration where that is smaller.

--- a/crates/conf/src/diff/mod.rs
+++ b/crates/conf/src/diff/mod.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use snafu::Snafu;
 
+pub use section::Insertion;
 pub use section::Keyed;
 pub use section::SectionDiff;
 
--- a/crates/conf/src/diff/section.rs
+++ b/crates/conf/src/diff/section.rs
@@ -1,6 +1,7 @@
 //! Diffs between two lists of elements with unique names.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::hash::Hash;
 
 use dfs_ids::GroupId;
@@ -77,10 +78,28 @@
         /// Names of the removed elements.
         removed: Vec<T::Key>,
     },
-    /// The new list in full, because the order of its elements cannot be reached by edits.
+    /// Elements are replaced in place, removed, or inserted; the others keep their order.
+    Spliced {
+        /// Elements that keep their place.
+        changed: Vec<T>,
+        /// Names of the removed elements, and of those that move.
+        removed: Vec<T::Key>,
+        /// New elements and those that move, in ascending order of their places.
+        inserted: Vec<Insertion<T>>,
+    },
+    /// The new list in full, because most of its elements are new.
     Replaced(Vec<T>),
 }
 
+/// An element and its place in the new list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Insertion<T> {
+    /// Index in the new list.
+    pub index: usize,
+    /// The element.
+    pub element: T,
+}
+
 impl<T: Keyed> SectionDiff<T> {
     /// Whether the lists are equal.
     #[must_use]
@@ -96,12 +115,31 @@
         }
         let edited = Self::edits(old, new);
         if edited.apply(old) == new {
-            edited
+            return edited;
+        }
+        let spliced = Self::splices(old, new);
+        // Lists with repeated names can't be spliced; they only occur before the checks.
+        if spliced.len() < new.len() && spliced.apply(old) == new {
+            spliced
         } else {
             Self::Replaced(new.to_vec())
         }
     }
 
+    /// Number of elements and names in the diff.
+    fn len(&self) -> usize {
+        match self {
+            Self::Unchanged => 0,
+            Self::Edited { changed, removed } => changed.len() + removed.len(),
+            Self::Spliced {
+                changed,
+                removed,
+                inserted,
+            } => changed.len() + removed.len() + inserted.len(),
+            Self::Replaced(new) => new.len(),
+        }
+    }
+
     fn edits(old: &[T], new: &[T]) -> Self {
         let old_by_key = by_key(old);
         let new_by_key = by_key(new);
@@ -117,6 +155,34 @@
         }
     }
 
+    fn splices(old: &[T], new: &[T]) -> Self {
+        let old_by_key = by_key(old);
+        let old_places: HashMap<_, _> = old.iter().map(T::key).zip(0..).collect();
+        let kept = keys_in_order(new, &old_places);
+        let is_kept = |element: &&T| kept.contains(element.key());
+        let is_changed = |element: &&T| old_by_key.get(element.key()) != Some(element);
+        let removed = old.iter().filter(|element| !is_kept(element));
+        let inserted = new
+            .iter()
+            .enumerate()
+            .filter(|(_, element)| !is_kept(element));
+        Self::Spliced {
+            changed: new
+                .iter()
+                .filter(is_kept)
+                .filter(is_changed)
+                .cloned()
+                .collect(),
+            removed: removed.map(|element| element.key().clone()).collect(),
+            inserted: inserted
+                .map(|(index, element)| Insertion {
+                    index,
+                    element: element.clone(),
+                })
+                .collect(),
+        }
+    }
+
     /// Applies the changes to `old` and returns the new list.
     #[must_use]
     pub fn apply(&self, old: &[T]) -> Vec<T> {
@@ -124,8 +190,43 @@
             Self::Unchanged => old.to_vec(),
             Self::Replaced(new) => new.clone(),
             Self::Edited { changed, removed } => apply_edits(old, changed, removed),
+            Self::Spliced {
+                changed,
+                removed,
+                inserted,
+            } => {
+                let mut list = apply_edits(old, changed, removed);
+                for Insertion { index, element } in inserted {
+                    list.insert((*index).min(list.len()), element.clone());
+                }
+                list
+            }
+        }
+    }
+}
+
+/// Names of a longest selection of elements that stand in the same order in the old list.
+fn keys_in_order<'a, T: Keyed>(
+    new: &'a [T],
+    old_places: &HashMap<&T::Key, usize>,
+) -> HashSet<&'a T::Key> {
+    let place = |element: &'a T| Some((element.key(), *old_places.get(element.key())?));
+    let common: Vec<_> = new.iter().filter_map(place).collect();
+    // For each length the selection of that length with the lowest last place, by the index of its last element.
+    let mut ends: Vec<usize> = Vec::new();
+    let mut previous = Vec::with_capacity(common.len());
+    for (index, (_, place)) in common.iter().enumerate() {
+        let length = ends.partition_point(|end| common[*end].1 < *place);
+        previous.push(length.checked_sub(1).map(|shorter| ends[shorter]));
+        if length == ends.len() {
+            ends.push(index);
+        } else {
+            ends[length] = index;
         }
     }
+    let last = ends.last().copied();
+    let selection = std::iter::successors(last, |index| previous[*index]);
+    selection.map(|index| common[index].0).collect()
 }
 
 fn apply_edits<T: Keyed>(old: &[T], changed: &[T], removed: &[T::Key]) -> Vec<T> {
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -21,6 +21,7 @@
 pub use dfs_wire::session::Evacuations;
 pub use diff::ConfigDiff;
 pub use diff::DiffError;
+pub use diff::Insertion;
 pub use diff::Keyed;
 pub use diff::SectionDiff;
 pub use evacuation::EvacuationChange;
--- a/crates/conf/src/update_log.rs
+++ b/crates/conf/src/update_log.rs
@@ -73,15 +73,40 @@
         if let Some(encoded) = self.encoded.get(&base) {
             return Some(encoded.clone());
         }
-        let update = match from {
-            Some(from) => ConfigUpdate::Diffs(self.diffs.range(from..).cloned().collect()),
-            None => ConfigUpdate::Full(Box::new(Config::clone(current))),
-        };
-        let encoded = EncodedUpdate {
-            json: Arc::from(to_raw_value(&update).ok()?),
-            is_full: from.is_none(),
+        let encoded = match from {
+            Some(from) => self.encode_diffs(from, current)?,
+            None => EncodedUpdate::full(current)?,
         };
         self.encoded.insert(base, encoded.clone());
         Some(encoded)
     }
+
+    /// Serializes the diffs from the one at index `from` on, or the whole configuration if that is smaller.
+    fn encode_diffs(&mut self, from: usize, current: &Config) -> Option<EncodedUpdate> {
+        let diffs: Vec<_> = self.diffs.range(from..).cloned().collect();
+        let is_single = diffs.len() == 1;
+        let json = Arc::from(to_raw_value(&ConfigUpdate::Diffs(diffs)).ok()?);
+        let encoded = EncodedUpdate {
+            json,
+            is_full: false,
+        };
+        // A single diff is hardly larger than the configuration.
+        if is_single {
+            return Some(encoded);
+        }
+        let full = self.update_for(ConfigVersion::default(), current)?;
+        let is_smaller = full.json.get().len() < encoded.json.get().len();
+        Some(if is_smaller { full } else { encoded })
+    }
+}
+
+impl EncodedUpdate {
+    fn full(config: &Config) -> Option<Self> {
+        let update = ConfigUpdate::Full(Box::new(Config::clone(config)));
+        let json = Arc::from(to_raw_value(&update).ok()?);
+        Some(Self {
+            json,
+            is_full: true,
+        })
+    }
 }
--- a/crates/conf/tests/versions.rs
+++ b/crates/conf/tests/versions.rs
@@ -10,6 +10,7 @@
 use dfs_conf::SectionDiff;
 use dfs_conf::TokenDigest;
 use dfs_conf::TokenIndex;
+use dfs_conf::UpdateLog;
 use dfs_ids::ConfigVersion;
 use googletest::prelude::*;
 use serde_json::Value;
@@ -74,6 +75,81 @@
     }
 }
 
+/// All lists that can be made of these names, each at most once.
+fn arrangements(names: &[&'static str]) -> Vec<Vec<&'static str>> {
+    let mut lists = vec![vec![]];
+    for (index, first) in names.iter().enumerate() {
+        let mut others = names.to_vec();
+        others.remove(index);
+        for mut list in arrangements(&others) {
+            list.insert(0, first);
+            lists.push(list);
+        }
+    }
+    lists
+}
+
+#[googletest::test]
+fn applying_a_diff_results_in_any_order_of_old_new_and_changed_elements() {
+    let old = config(1, &["a", "b", "c", "d"].map(|name| group(name, 1.0)));
+    for names in arrangements(&["a", "b", "c", "d", "e"]) {
+        for changed in ["", "b"] {
+            let share = |name: &str| if name == changed { 2.0 } else { 1.0 };
+            let groups = names.iter().map(|name| group(name, share(name)));
+            let new = config(2, &groups.collect::<Vec<_>>());
+            expect_that!(
+                as_json(&apply_serialized_diff(&old, &new)),
+                eq(&as_json(&new)),
+                "{names:?}"
+            );
+        }
+    }
+}
+
+#[googletest::test]
+fn an_element_that_is_inserted_or_moved_makes_no_long_diff() {
+    let names: Vec<_> = (0..90).map(|number| format!("group-{number}")).collect();
+    let listed = |names: &[String]| {
+        let groups = names.iter().map(|name| group(name, 1.0));
+        groups.collect::<Vec<_>>()
+    };
+    let old = config(1, &listed(&names));
+    let mut inserted = names.clone();
+    inserted.insert(40, "group-90".to_owned());
+    inserted.pop();
+    let mut moved = names;
+    moved.swap(3, 70);
+    let element_bytes = group("group-90", 1.0).to_string().len();
+    for names in [inserted, moved] {
+        let new = config(2, &listed(&names));
+        let diff = ConfigDiff::between(&old, &new);
+        let bytes = serde_json::to_string(&diff).unwrap().len();
+        expect_that!(bytes, lt(4 * element_bytes));
+    }
+}
+
+#[googletest::test]
+fn an_update_over_many_versions_is_no_larger_than_the_configuration() {
+    let versions: Vec<_> = (1..=17_u32)
+        .map(|n| config(n.into(), &["a", "b"].map(|name| group(name, n.into()))))
+        .collect();
+    let mut log = UpdateLog::default();
+    for two in versions.windows(2) {
+        log.record(Some(&two[0]), &two[1], Vec::new());
+    }
+    let current = versions.last().unwrap();
+    let full = log.update_for(version(0), current).unwrap();
+    for held in 1..17 {
+        let update = log.update_for(version(held), current).unwrap();
+        expect_that!(update.json.get().len(), le(full.json.get().len()));
+        let mut holder = ConfigHolder::default();
+        holder.adopt_if_newer(versions[usize::try_from(held).unwrap() - 1].clone());
+        let update = serde_json::from_str(update.json.get()).unwrap();
+        let adopted = holder.apply_update(update);
+        expect_that!(adopted, ok(eq(Adoption::Adopted(version(17)))));
+    }
+}
+
 #[googletest::test]
 fn a_diff_contains_only_changed_elements() {
     let old = config(1, &[group("a", 1.0), group("b", 1.0)]);
--- a/crates/policy/src/entry/config.rs
+++ b/crates/policy/src/entry/config.rs
@@ -16,7 +16,7 @@
 
 /// Limit on how often the number of agents that are asked at a time doubles. Each answer is a whole configuration.
 const MAX_REQUEST_DOUBLINGS: u32 = 4;
-/// Propagation times after which an agent that has not confirmed an offered version is offered the newest one.
+/// Propagation times after which an agent that has not confirmed an offered version is offered the newest one whole.
 const CONFIRMATION_PROPAGATIONS: u64 = 4;
 
 impl Entry {
@@ -87,7 +87,13 @@
                     continue;
                 }
             }
-            view.config_offered_at = Some(now);
+            // An agent that has not confirmed an update may be unable to apply it.
+            let is_repeated = view.config_offered_at.replace(now).is_some();
+            let have = if is_repeated {
+                ConfigVersion::default()
+            } else {
+                have
+            };
             out.push(EntryAction::OfferConfig { connection, have });
         }
         for connection in probed {
--- a/crates/policy/tests/policy_config.rs
+++ b/crates/policy/tests/policy_config.rs
@@ -204,6 +204,18 @@
     expect_that!(entry.offered_from, len(eq(2)));
 }
 
+#[googletest::test]
+fn an_agent_that_confirms_no_version_is_sent_the_whole_configuration() {
+    let mut entry = TestEntry::new();
+    entry.report_client_version(1);
+    entry.configure(2);
+    entry.report_after(3_900);
+    expect_that!(entry.offered_from, len(eq(1)));
+    entry.report_after(200);
+    let (held, none) = (ConfigVersion::new(1), ConfigVersion::default());
+    expect_that!(entry.offered_from, elements_are![eq(&held), eq(&none)]);
+}
+
 #[googletest::test]
 fn an_agent_whose_source_delivers_nothing_is_offered_versions_in_quick_succession() {
     let mut entry = TestEntry::new();
