--- a/crates/daemon/tests/platform/succession.rs
+++ b/crates/daemon/tests/platform/succession.rs
@@ -107,4 +107,6 @@
     })
     .await;
     expect_that!(since.elapsed(), lt(BOUND));
+    let log = pool.entries[0].log_text();
+    expect_that!(log, contains_substring(" 513 config_traffic "));
 }
