--- a/crates/daemon/tests/platform/succession.rs
+++ b/crates/daemon/tests/platform/succession.rs
@@ -88,14 +88,6 @@
         delay = longest_delay(&pool, 0) => delay,
         never = limit_processor_time(&pool.entries[0]) => never,
     };
-    eprintln!("delay {delay:?}");
-    for l in pool.entries[0]
-        .log_text()
-        .lines()
-        .filter(|l| l.contains("config_traffic"))
-    {
-        eprintln!("{l}");
-    }
     expect_that!(delay, lt(BOUND));
     let last = FIRST_VERSION + CHANGES - 1;
     let since = Instant::now();
--- a/crates/policy/src/entry/view.rs
+++ b/crates/policy/src/entry/view.rs
@@ -73,7 +73,7 @@
     pub config_version_seq: u64,
     /// Whether the agent has chosen this entry as the source of its configuration.
     pub is_config_client: bool,
-    /// When the agent was last offered a version in this session, if it has not reported its own since.
+    /// When the agent was last offered a version in this session, if it has not reported another one since.
     pub config_offered_at: Option<Moment>,
     /// When the agent was last probed in this session for its version.
     pub version_asked_at: Option<Moment>,
--- a/crates/policy/tests/succession/main.rs
+++ b/crates/policy/tests/succession/main.rs
@@ -15,13 +15,5 @@
 fn versions_in_quick_succession_are_active_in_time_at_an_entry_with_a_narrow_link() {
     let mut world = World::new(BOUND_MS);
     world.play_succession();
-    eprintln!(
-        "delay {} bytes {}",
-        world.longest_delay_ms, world.update_bytes
-    );
-    eprintln!(
-        "delay {} bytes {} read {}",
-        world.longest_delay_ms, world.update_bytes, world.read_bytes
-    );
     expect_that!(world.longest_delay_ms, lt(BOUND_MS));
 }
--- a/crates/policy/tests/succession/world.rs
+++ b/crates/policy/tests/succession/world.rs
@@ -85,10 +85,6 @@
     row_bytes: u64,
     /// Longest time for which a confirmed version was not active.
     pub longest_delay_ms: Millis,
-    /// Bytes of all updates sent to agents.
-    pub update_bytes: u64,
-    /// Bytes of the answers of the store.
-    pub read_bytes: u64,
 }
 
 impl World {
@@ -118,8 +114,6 @@
             confirmed_at_ms: vec![START_MS],
             row_bytes: row.len() as u64 * numerator / denominator,
             longest_delay_ms: Millis::default(),
-            update_bytes: 0,
-            read_bytes: 0,
         };
         world.adopt(0);
         for connection in 0..AGENTS {
@@ -190,7 +184,6 @@
                     ReadScope::Full => 1,
                 };
                 let bytes = rows * self.row_bytes;
-                self.read_bytes += bytes;
                 let arrives_at = self.now_ms + self.link.response_ms(bytes);
                 read.answer = Some((arrives_at, newest));
             }
@@ -307,7 +300,6 @@
                 for item in message.items {
                     if let EntryItem::Config(update) = item {
                         let bytes = update.get().len() as u64;
-                        self.update_bytes += bytes;
                         self.link.send(connection, bytes, Some(update));
                     }
                 }
