--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 15, without dependencies, into target/review-3/.
+# Builds the stand-ins of the cases 11 to 13, without dependencies, into target/review-3/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -11,7 +11,7 @@
 mod store;
 mod worker;
 
-mod cancelled;
+mod contained;
 mod crowd;
 mod silent;
 
@@ -39,8 +39,8 @@
         return ExitCode::from(2);
     };
     let outcome = match case.as_str() {
-        "cancelled" => cancelled::play(&record, has_trouble),
         "crowd" => crowd::play(&record, has_trouble),
+        "contained" => contained::play(&record, has_trouble),
         "silent" => silent::play(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -32,7 +32,7 @@
     pub fn start(address: SocketAddr) -> std::io::Result<(Self, SocketAddr)> {
         let store = Self { rows: Arc::default(), started: Instant::now() };
         let served = store.clone();
-        let address = http::serve(address, move |request| served.handle(&request))?;
+        let address = http::serve(address, Arc::default(), move |request| served.handle(&request))?;
         Ok((store, address))
     }
 
